--- /dev/null
+++ b/crates/waggle/src/lib.rs
@@ -0,0 +1,28 @@
+//! CAESAR ("Speeding up Consensus by Chasing Fast Decisions") as a pure state
+//! machine: inputs are messages and ticks, outputs are saves, sends and
+//! deliveries. It knows no socket, disk, thread or wall clock.
+mod accept;
+mod deliver;
+mod lead;
+mod machine;
+mod recover;
+mod types;
+
+pub use machine::{Machine, Pace};
+pub use types::*;
+
+/// `floor(N/2) + 1`.
+pub fn classic(n: usize) -> usize {
+    n / 2 + 1
+}
+
+/// `ceil(3N/4)`.
+pub fn fast(n: usize) -> usize {
+    (3 * n).div_ceil(4)
+}
+
+/// The least overlap of a classic and a fast quorum that recovery counts on:
+/// `floor(CQ/2) + 1`.
+pub fn overlap(n: usize) -> usize {
+    classic(n) / 2 + 1
+}
--- /dev/null
+++ b/crates/waggle/src/machine.rs
@@ -0,0 +1,248 @@
+use crate::types::*;
+use std::collections::{BTreeMap, BTreeSet};
+use wax::{Mono, Span};
+
+/// How patient the machine is. Free parameters of the paper's design.
+#[derive(Copy, Clone, Debug)]
+pub struct Pace {
+    /// Taken as the quorum round trip until one was measured.
+    pub first_rtt: Span,
+    /// A member unheard for this long is suspected.
+    pub suspect: Span,
+    /// A command unfinished for this long is recovered if its leader is suspected,
+    /// and after five times this anyway.
+    pub patience: Span,
+    /// How often digests of the stable sets are compared.
+    pub compare: Span,
+    /// The wait rule; switched off only by the checker's own planted fault.
+    pub wait_rule: bool,
+}
+
+impl Default for Pace {
+    fn default() -> Pace {
+        Pace {
+            first_rtt: Span::ms(50),
+            suspect: Span::ms(1000),
+            patience: Span::ms(400),
+            compare: Span::ms(200),
+            wait_rule: true,
+        }
+    }
+}
+
+/// A leader's work on one command under one ballot.
+pub(crate) struct Lead<C> {
+    pub offer: Offer<C>,
+    pub step: Step,
+    pub white: bool,
+    /// First reply of each keeper in this phase.
+    pub votes: BTreeMap<Kid, (bool, Stamp, Preds)>,
+    pub finds: BTreeMap<Kid, Option<Tuple<C>>>,
+    pub began: Mono,
+    pub sent: Mono,
+}
+
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Step {
+    Prepare,
+    Vote(Phase),
+}
+
+/// A proposal held back by the wait rule.
+pub(crate) struct Waiter<C> {
+    pub from: Kid,
+    pub phase: Phase,
+    pub offer: Offer<C>,
+}
+
+pub struct Machine<C> {
+    pub(crate) me: Kid,
+    /// Invariant: fixed for the machine's life; another roster is another era.
+    pub(crate) roster: Vec<Kid>,
+    pub(crate) pace: Pace,
+    /// Invariant: above every stamp handled so far.
+    pub(crate) clock: u64,
+    /// Invariant: `clock <= bound`, and `bound` has been saved.
+    pub(crate) bound: u64,
+    /// At most one tuple per command.
+    pub(crate) h: BTreeMap<Cid, Tuple<C>>,
+    pub(crate) ballots: BTreeMap<Cid, Ballot>,
+    pub(crate) waits: BTreeMap<Cid, Waiter<C>>,
+    pub(crate) leads: BTreeMap<Cid, Lead<C>>,
+    /// Delivered here. Invariant: a subset of the stable tuples of `h`.
+    pub(crate) done: BTreeSet<Cid>,
+    /// Commands that keep delivery waiting, since when, and how often recovered.
+    pub(crate) stuck: BTreeMap<Cid, (Mono, u32)>,
+    pub(crate) heard: BTreeMap<Kid, Mono>,
+    pub(crate) rtts: BTreeMap<Kid, Span>,
+    pub(crate) stables: u64,
+    pub(crate) digest: u64,
+    pub(crate) compared: Mono,
+    pub(crate) halted: bool,
+    pub tally: Tally,
+}
+
+impl<C: Command> Machine<C> {
+    pub fn new(me: Kid, mut roster: Vec<Kid>, pace: Pace, now: Mono) -> Machine<C> {
+        roster.sort();
+        let heard = roster.iter().map(|k| (*k, now)).collect();
+        Machine {
+            me,
+            roster,
+            pace,
+            clock: 0,
+            bound: 0,
+            h: BTreeMap::new(),
+            ballots: BTreeMap::new(),
+            waits: BTreeMap::new(),
+            leads: BTreeMap::new(),
+            done: BTreeSet::new(),
+            stuck: BTreeMap::new(),
+            heard,
+            rtts: BTreeMap::new(),
+            stables: 0,
+            digest: 0,
+            compared: now,
+            halted: false,
+            tally: Tally::default(),
+        }
+    }
+
+    /// Takes back one record of the disk; call for all, in order, before any input.
+    pub fn replay(&mut self, rec: Rec<C>) {
+        match rec {
+            Rec::Tuple(cid, t) => {
+                self.clock = self.clock.max(t.stamp.k + 1);
+                let b = self.ballots.entry(cid).or_default();
+                *b = (*b).max(t.ballot);
+                self.note_stable(cid, t.status);
+                self.h.insert(cid, t);
+            }
+            Rec::Ballot(cid, b) => {
+                let was = self.ballots.entry(cid).or_default();
+                *was = (*was).max(b);
+            }
+            Rec::Clock(k) => self.clock = self.clock.max(k),
+        }
+        self.bound = self.bound.max(self.clock);
+    }
+
+    /// After the last `replay`: delivers again what was delivered before.
+    pub fn resume(&mut self, now: Mono, out: &mut Vec<Out<C>>) {
+        self.deliver(now, out);
+    }
+
+    /// Carries the clock over into a new era, so that ids stay unique.
+    pub fn start_above(&mut self, k: u64, out: &mut Vec<Out<C>>) {
+        self.clock = self.clock.max(k);
+        self.see(k, out);
+    }
+
+    pub fn clock(&self) -> u64 {
+        self.clock
+    }
+    pub fn bound(&self) -> u64 {
+        self.bound
+    }
+    pub fn size(&self) -> usize {
+        self.h.len()
+    }
+    pub fn roster(&self) -> &[Kid] {
+        &self.roster
+    }
+    pub fn tuple(&self, cid: Cid) -> Option<&Tuple<C>> {
+        self.h.get(&cid)
+    }
+    pub fn delivered(&self, cid: Cid) -> bool {
+        self.done.contains(&cid)
+    }
+    pub fn heard_of(&self, k: Kid) -> Option<Mono> {
+        self.heard.get(&k).copied()
+    }
+
+    pub(crate) fn n(&self) -> usize {
+        self.roster.len()
+    }
+
+    pub(crate) fn send_all(&mut self, msg: Wag<C>, out: &mut Vec<Out<C>>) {
+        self.tally.sent += self.n() as u64 - 1;
+        out.extend(self.roster.iter().map(|k| Out::Send(*k, msg.clone())));
+    }
+
+    pub(crate) fn send(&mut self, to: Kid, msg: Wag<C>, out: &mut Vec<Out<C>>) {
+        self.tally.sent += (to != self.me) as u64;
+        out.push(Out::Send(to, msg));
+    }
+
+    /// Lifts the clock above `k`, saving a new bound well before it is reached.
+    pub(crate) fn see(&mut self, k: u64, out: &mut Vec<Out<C>>) {
+        self.clock = self.clock.max(k + 1);
+        if self.clock >= self.bound {
+            self.bound = self.clock + 4096;
+            out.push(Out::Save(Rec::Clock(self.bound)));
+        }
+    }
+
+    /// The current `TS_i`; the next one will be greater.
+    pub(crate) fn next_stamp(&mut self, out: &mut Vec<Out<C>>) -> Stamp {
+        let k = self.clock;
+        self.see(k, out);
+        Stamp { k, i: self.me }
+    }
+
+    /// `H.Update`, saved; whoever the wait rule holds back is asked again.
+    pub(crate) fn update(&mut self, now: Mono, cid: Cid, t: Tuple<C>, out: &mut Vec<Out<C>>) {
+        self.note_stable(cid, t.status);
+        if t.status != Status::Stable {
+            self.stuck.entry(cid).or_insert((now, 0));
+        }
+        out.push(Out::Save(Rec::Tuple(cid, t.clone())));
+        self.h.insert(cid, t);
+    }
+
+    fn note_stable(&mut self, cid: Cid, s: Status) {
+        let was = self.h.get(&cid).is_some_and(|t| t.status == Status::Stable);
+        if s == Status::Stable && !was {
+            self.stables += 1;
+            self.digest ^= wax::hash(&(cid.kid.0, cid.seq));
+        }
+    }
+
+    pub fn take(&mut self, now: Mono, from: Kid, msg: Wag<C>, out: &mut Vec<Out<C>>) {
+        if self.halted || !self.roster.contains(&from) {
+            return;
+        }
+        self.heard.insert(from, now);
+        match msg {
+            Wag::FastPropose(o, white) => self.on_fast(now, from, o, white, out),
+            Wag::SlowPropose(o) => self.on_slow(now, from, o, out),
+            Wag::Retry(o) => self.on_retry(now, from, o, out),
+            Wag::Stable(o) => self.on_stable(now, o, out),
+            Wag::Vote(v) => self.on_vote(now, from, v, out),
+            Wag::Recover(cid, b) => self.on_recover(from, cid, b, out),
+            Wag::RecoverR(cid, b, t) => self.on_found(now, from, cid, b, t, out),
+            Wag::Have(n, d) => self.on_have(from, n, d, out),
+            Wag::Want(ids) => self.on_want(from, ids, out),
+        }
+        self.ask_waiters(now, out);
+    }
+
+    pub fn tick(&mut self, now: Mono, out: &mut Vec<Out<C>>) {
+        if self.halted {
+            return;
+        }
+        self.heard.insert(self.me, now);
+        self.push_leads(now, out);
+        self.chase(now, out);
+        if now - self.compared >= self.pace.compare {
+            self.compared = now;
+            let have = Wag::Have(self.stables, self.digest);
+            self.send_all(have, out);
+        }
+    }
+
+    /// Nothing more is decided here: the era is over.
+    pub fn halt(&mut self) {
+        self.halted = true;
+    }
+}
