--- /dev/null
+++ b/crates/brood/src/cmd.rs
@@ -0,0 +1,80 @@
+//! What keepers agree on, and which of it clashes.
+use crate::items::*;
+use serde::{Deserialize, Serialize};
+use waggle::Command;
+use wax::{Addr, Birth, NodeId, Version};
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Op {
+    /// Sets (or with no row deletes) one cell, if it still has the version expected.
+    Row {
+        lane: Lane,
+        svc: Svc,
+        expect: Version,
+        row: Option<Row>,
+    },
+    Register(Addr, Origin),
+    Drain(Addr, Birth),
+    Remove(Addr, Birth),
+    Join(NodeId, Node),
+    DrainNode(NodeId),
+    RemoveNode(NodeId),
+    Purge(Vec<(Svc, String)>),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// None for what keepers derive from beats and joins.
+    pub id: Option<ChangeId>,
+    pub op: Op,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Cmd {
+    Noop,
+    Change(Change),
+    /// Ends the era: the next one starts from the state at this point, among
+    /// these members. Clashes with everything but the noop.
+    Cut(Vec<Member>),
+}
+
+impl Op {
+    /// What the operation touches: the conflict relation's grain.
+    pub fn keys(&self) -> Vec<Key> {
+        match self {
+            Op::Row { lane, svc, .. } => vec![Key::Row(lane.clone(), svc.clone())],
+            Op::Register(a, _) | Op::Drain(a, _) | Op::Remove(a, _) => vec![Key::Origin(*a)],
+            Op::Join(n, _) | Op::DrainNode(n) | Op::RemoveNode(n) => vec![Key::Node(*n)],
+            Op::Purge(s) => s.iter().map(|(v, p)| Key::Purge(v.clone(), p.clone())).collect(),
+        }
+    }
+
+    /// A comb's disk asks whether any row ever existed, so its place among all
+    /// row changes matters.
+    fn asks_rows(&self) -> bool {
+        matches!(self, Op::Join(_, n) if n.role == Role::Comb)
+    }
+    fn is_row(&self) -> bool {
+        matches!(self, Op::Row { .. })
+    }
+}
+
+impl Command for Cmd {
+    fn clashes(&self, other: &Cmd) -> bool {
+        match (self, other) {
+            (Cmd::Noop, _) | (_, Cmd::Noop) => false,
+            (Cmd::Cut(_), _) | (_, Cmd::Cut(_)) => true,
+            (Cmd::Change(a), Cmd::Change(b)) => {
+                let same_id = a.id.is_some() && a.id == b.id;
+                let rows = (a.op.asks_rows() && b.op.is_row()) || (b.op.asks_rows() && a.op.is_row());
+                same_id || rows || {
+                    let ks = b.op.keys();
+                    a.op.keys().iter().any(|k| ks.contains(k))
+                }
+            }
+        }
+    }
+    fn noop() -> Cmd {
+        Cmd::Noop
+    }
+}
--- /dev/null
+++ b/crates/brood/src/follow.rs
@@ -0,0 +1,130 @@
+//! Following the keepers, as gates and combs do: numbered news, merged by
+//! version, and the setup lease.
+use crate::items::*;
+use crate::msg::*;
+use crate::part::Out;
+use crate::state::{merge, old_purge, Era};
+use std::collections::{BTreeMap, BTreeSet};
+use waggle::Kid;
+use wax::{Addr, Birth, Epoch, Mono, NodeId, Span};
+
+/// What a follower is told about itself.
+#[derive(Clone, Debug)]
+pub struct FollowEnv {
+    pub id: NodeId,
+    pub role: Role,
+    pub addr: Addr,
+    pub http: Addr,
+    pub zone: Zone,
+    pub seeds: Vec<Addr>,
+    /// A gate's life, or the life of a comb's disk.
+    pub birth: Birth,
+    pub lease: Span,
+}
+
+#[derive(Debug)]
+pub struct Follow {
+    pub env: FollowEnv,
+    pub era: Era,
+    pub members: Vec<Member>,
+    /// Invariant: each item's version only grows.
+    pub items: BTreeMap<Key, Item>,
+    /// Until when each keeper's renewal carries the lease, counted from our asking.
+    leases: BTreeMap<Kid, Mono>,
+    /// By keeper: its feed, and the last number held of it without a gap.
+    got: BTreeMap<Addr, (u64, u64)>,
+    asked: Mono,
+}
+
+const EVERY: Span = Span::ms(200);
+
+impl Follow {
+    pub fn new(env: FollowEnv) -> Follow {
+        Follow {
+            env,
+            era: Era(0),
+            members: vec![],
+            items: BTreeMap::new(),
+            leases: BTreeMap::new(),
+            got: BTreeMap::new(),
+            asked: Mono(0),
+        }
+    }
+
+    pub fn due(&self, now: Mono) -> bool {
+        now - self.asked >= EVERY
+    }
+
+    /// Until when the lease holds: a classic quorum of keepers carries it.
+    pub fn leased_until(&self) -> Mono {
+        let need = waggle::classic(self.members.len());
+        let mut v: Vec<Mono> = self.members.iter().filter_map(|m| self.leases.get(&m.kid)).copied().collect();
+        v.sort_by(|a, b| b.cmp(a));
+        v.get(need - 1).copied().unwrap_or_default()
+    }
+
+    pub fn leased(&self, now: Mono) -> bool {
+        !self.members.is_empty() && self.leased_until() > now
+    }
+
+    /// This node as the control state knows it, if in this very life.
+    pub fn myself(&self) -> Option<&Node> {
+        match self.items.get(&Key::Node(self.env.id))?.body.as_ref()? {
+            Body::Node(n) => Some(n).filter(|n| n.birth == self.env.birth),
+            _ => None,
+        }
+    }
+
+    /// Asks every keeper it knows of for news, a renewal, beats and slices.
+    pub fn subscribe(&mut self, now: Mono, wants: &[(Svc, u32)], epoch: Epoch, out: &mut Vec<Out>) {
+        self.asked = now;
+        // Without a lease the seeds are asked too: the roster may have moved on.
+        let lost = !self.leased(now);
+        let seeds = self.env.seeds.iter().copied().filter(|_| lost);
+        let all: BTreeSet<Addr> = self.members.iter().map(|m| m.addr).chain(seeds).collect();
+        out.extend(all.into_iter().map(|a| self.sub(now, a, wants, epoch)));
+    }
+
+    fn sub(&self, now: Mono, to: Addr, wants: &[(Svc, u32)], epoch: Epoch) -> Out {
+        let (feed, got) = self.got.get(&to).copied().unwrap_or_default();
+        let e = &self.env;
+        let node = Node {
+            role: e.role,
+            addr: e.addr,
+            http: e.http,
+            zone: e.zone.clone(),
+            birth: e.birth,
+            clean: false,
+            standing: Standing::Serving,
+        };
+        let sub = Sub { id: e.id, node, feed, got, ask: now, wants: wants.to_vec(), epoch };
+        Out::Send(to, Msg::Sub(Box::new(sub)))
+    }
+
+    /// Takes news in; returns what is newer than what was held.
+    pub fn on_news(&mut self, now: Mono, from: Addr, n: &News, epoch: Epoch, out: &mut Vec<Out>) -> Vec<Key> {
+        if n.era >= self.era {
+            self.era = n.era;
+            self.members = n.members.clone();
+        }
+        // Out of order it is still news, for versions sort it; only the number
+        // acknowledged must have no gap.
+        let new: Vec<Key> =
+            n.items.iter().filter(|(k, it)| merge(&mut self.items, k, it)).map(|(k, _)| k.clone()).collect();
+        let era = self.era;
+        self.items.retain(|k, it| !old_purge(era, k, it));
+        let (feed, got) = self.got.get(&from).copied().unwrap_or_default();
+        if n.full || (n.feed == feed && n.from <= got) {
+            let to = if n.feed == feed { n.to.max(got) } else { n.to };
+            self.got.insert(from, (n.feed, to));
+            if !n.items.is_empty() {
+                out.push(self.sub(now, from, &[], epoch));
+            }
+        }
+        if let Some(r) = n.reply.as_ref().filter(|r| r.lent) {
+            let l = self.leases.entry(r.kid).or_default();
+            *l = (*l).max(r.ask + self.env.lease);
+        }
+        new
+    }
+}
--- /dev/null
+++ b/crates/brood/src/lib.rs
@@ -0,0 +1,19 @@
+//! The control state that keepers decide and gates obey, and every message
+//! between lanewing's processes.
+mod cmd;
+mod follow;
+mod items;
+mod msg;
+mod part;
+mod share;
+mod show;
+mod state;
+
+pub use cmd::*;
+pub use follow::*;
+pub use items::*;
+pub use msg::*;
+pub use part::*;
+pub use share::*;
+pub use show::*;
+pub use state::*;
--- /dev/null
+++ b/crates/brood/src/msg.rs
@@ -0,0 +1,167 @@
+//! Every message between lanewing's own processes.
+use crate::cmd::Cmd;
+use crate::items::*;
+use crate::state::{Era, Picture};
+use serde::{Deserialize, Serialize};
+use waggle::{Cid, Kid, Wag};
+use wax::{Addr, Birth, Epoch, Mono, NodeId, Span};
+
+/// One try at a keyed request: who tries, in which life, and its count.
+#[derive(Copy, Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct RoundId {
+    pub node: NodeId,
+    pub birth: Birth,
+    pub n: u64,
+}
+
+/// A whole answer as it came from an origin.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Whole {
+    pub status: u16,
+    pub mime: String,
+    pub body: Vec<u8>,
+}
+
+/// What a comb says to a claim.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Claimed {
+    Granted,
+    /// Another round has it; its outcome, once known.
+    Held(Option<Whole>),
+    /// The key came with another body before.
+    OtherBody,
+    /// This comb may not grant yet, or its disk will not take it.
+    Unable,
+}
+
+/// What a subscriber says to each keeper it knows, several times a second.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sub {
+    pub id: NodeId,
+    pub node: Node,
+    /// The feed it follows and the last number it holds of it.
+    pub feed: u64,
+    pub got: u64,
+    /// When it asked, by its own clock; comes back in the reply.
+    pub ask: Mono,
+    /// Requests it would let out beyond its share, by service.
+    pub wants: Vec<(Svc, u32)>,
+    pub epoch: Epoch,
+}
+
+/// A keeper's numbered news to one subscriber, or its reply to a `Sub`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct News {
+    pub feed: u64,
+    /// Holds the changes `from + 1 ..= to`.
+    pub from: u64,
+    pub to: u64,
+    /// Starts the feed anew with all there is.
+    pub full: bool,
+    pub items: Vec<(Key, Item)>,
+    pub era: Era,
+    pub members: Vec<Member>,
+    pub reply: Option<Reply>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reply {
+    pub ask: Mono,
+    pub kid: Kid,
+    /// The setup lease is renewed from `ask` on.
+    pub lent: bool,
+    pub beats: Vec<(Beat, Span)>,
+    pub slices: Vec<(Svc, u32)>,
+    pub epoch: Epoch,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Msg {
+    // between keepers
+    Wag(Era, Kid, Box<Wag<Cmd>>),
+    /// A keeper without a roster shows itself.
+    Blank(Member),
+    Picture(Box<Picture>),
+    WantPicture(Era, Birth),
+    Beats(Vec<(Beat, Span)>),
+    AskForce(Era, Cid),
+    InForce(Era, Cid, Kid),
+    DutyAsk(Kid, Epoch, Mono),
+    DutySaid(Kid, Epoch, Option<Mono>),
+    // subscribers and keepers
+    Sub(Box<Sub>),
+    News(Box<News>),
+    // between gates
+    CopyAsk {
+        ask: u64,
+        svc: Svc,
+        lane: Lane,
+        path: String,
+    },
+    /// The home gate is at it.
+    CopyWait(u64),
+    CopyGot {
+        ask: u64,
+        copy: Option<(Whole, Span)>,
+    },
+    // gates and combs
+    Claim {
+        key: String,
+        print: u64,
+        round: RoundId,
+    },
+    Claimed {
+        key: String,
+        round: RoundId,
+        said: Claimed,
+    },
+    /// The round will never be sent: the key is free again.
+    Release {
+        key: String,
+        round: RoundId,
+    },
+    Outcome {
+        key: String,
+        print: u64,
+        round: RoundId,
+        whole: Whole,
+    },
+    Kept {
+        key: String,
+        round: RoundId,
+    },
+    /// Repair between combs: digests over ranges, then what differs.
+    Digests(Vec<u64>),
+    Ranges(Vec<(u16, Vec<Held>)>),
+}
+
+/// A comb's record of one key, as shown to another comb.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Held {
+    pub key: String,
+    pub print: u64,
+    pub round: RoundId,
+    pub whole: Option<Whole>,
+    pub age: Span,
+}
+
+impl Msg {
+    pub fn wag(era: Era, kid: Kid, w: Wag<Cmd>) -> Msg {
+        Msg::Wag(era, kid, Box::new(w))
+    }
+}
+
+/// Where a keyed request's combs are: ranked by hash, zones first spread out.
+pub fn name_combs(key: &str, all: &[(NodeId, Addr, Zone)]) -> Vec<Addr> {
+    let ranked = wax::rank(&key, all, |c| c.0 .0 as u64);
+    let mut picked: Vec<&(NodeId, Addr, Zone)> = vec![];
+    for c in &ranked {
+        if picked.len() < 3 && picked.iter().all(|p| p.2 != c.2) {
+            picked.push(c);
+        }
+    }
+    let rest = ranked.iter().filter(|c| !picked.iter().any(|p| p.0 == c.0));
+    let fill: Vec<_> = rest.take(3 - picked.len().min(3)).collect();
+    picked.extend(fill);
+    picked.into_iter().map(|c| c.1).collect()
+}
--- /dev/null
+++ b/crates/brood/src/part.rs
@@ -0,0 +1,147 @@
+//! What a role is to its shell: a pure part that is stepped and answers with
+//! outputs. Simulator and stakker run the same parts.
+use crate::cmd::Change;
+use crate::items::*;
+use crate::msg::*;
+use crate::state::{Picture, Verdict};
+use std::sync::Arc;
+use wax::{Addr, Birth, Mono, Span, Token};
+
+/// A caller's request as a gate sees it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Req {
+    pub method: String,
+    pub lane: Lane,
+    pub path: String,
+    pub key: Option<String>,
+    pub mime: String,
+    pub body: Arc<Vec<u8>>,
+}
+
+/// One try at an origin.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Round {
+    pub n: u64,
+    pub addr: Addr,
+    pub svc: Svc,
+    pub birth: Birth,
+    /// Invariant: not a byte leaves after this.
+    pub until: Mono,
+    /// When the answer is given up.
+    pub horizon: Mono,
+    pub req: Req,
+}
+
+/// What became of a round.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Fetched {
+    Whole(Whole),
+    /// Not a byte left.
+    NotSent,
+    /// Bytes left and no whole answer came back.
+    Lost,
+}
+
+/// Why a request is denied; nothing of it ever went out.
+#[derive(Copy, Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Denied {
+    NoLane,
+    NoKey,
+    KeyReused,
+    BadMethod,
+    NoLease,
+    NoOrigin,
+    Ceiling,
+    SplitVote,
+    Leaving,
+    TooMany,
+}
+
+/// The last word on a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Invariant: not a byte leaves after the point given.
+    Serve(Arc<Whole>, Shared, Mono),
+    /// Denied, with when to come back.
+    Deny(Denied, Span),
+    /// Sent, and what became of it is unknown.
+    Doubt(Span),
+}
+
+/// Where an answer came from.
+#[derive(Copy, Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Shared {
+    Origin,
+    Copy,
+    /// The recorded outcome of an earlier round.
+    Record,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Ask {
+    // at keepers
+    Change(Change),
+    Beat(Beat),
+    /// Swap a lost keeper for the one now at an address.
+    Replace {
+        old: Addr,
+        new: Addr,
+    },
+    Table,
+    // at gates
+    Begin(Req),
+    Done(u64, Fetched),
+    /// What a probe that was begun then found: service, life, whether it serves.
+    Probed(Addr, Option<(Svc, Birth, bool)>, Mono),
+    Probes,
+    // at any
+    Ready,
+    /// Stop taking new work; finished once nothing is in hand.
+    Drain,
+}
+
+/// What `Ask::Ready` finds out.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Health {
+    pub ready: bool,
+    pub why: &'static str,
+    pub in_hand: u64,
+    pub counts: Vec<(&'static str, u64)>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Receipt {
+    /// Decided and in force (or of no effect, as the verdict says).
+    Change(Verdict),
+    Took,
+    NotNow(&'static str),
+    Table(Box<Picture>, Vec<(Beat, Span)>),
+    Step(Step),
+    Probes(Vec<Addr>),
+    Health(Health),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum In {
+    Msg(Addr, Msg),
+    Ask(Token, Ask),
+    Tick,
+}
+
+/// Invariant: an output leaves only after every `Save` and `Base` before it was synced.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Out {
+    Save(Vec<u8>),
+    /// A record that stands for all records before it.
+    Base(Vec<u8>),
+    Send(Addr, Msg),
+    Tell(Token, Receipt),
+    /// The executor runs this round and reports with `Ask::Done`.
+    Fetch(Round),
+    /// Something went wrong: the log ring is written out.
+    Alarm(&'static str),
+}
+
+pub trait Part: Send {
+    fn step(&mut self, now: Mono, inp: In, out: &mut Vec<Out>);
+}
--- /dev/null
+++ b/crates/brood/src/share.rs
@@ -0,0 +1,39 @@
+//! How a service's ceiling is split between the gates' own shares and what the
+//! duty holder lends.
+use crate::items::*;
+use std::collections::BTreeMap;
+use wax::Span;
+
+/// How long a lent request may be used, by the borrower's clock from its asking.
+pub const LENT: Span = Span::ms(400);
+
+/// Requests a second. Invariant: `own` times the gates plus `lent` stays below
+/// the ceiling.
+#[derive(Copy, Clone, Debug, PartialEq)]
+pub struct Share {
+    pub ceiling: f64,
+    pub own: f64,
+    pub lent: f64,
+}
+
+/// The ceiling of a service: the lowest of its rows.
+pub fn ceiling(items: &BTreeMap<Key, Item>, svc: &Svc) -> Option<u32> {
+    let of = |(k, it): (&Key, &Item)| match (k, &it.body) {
+        (Key::Row(_, s), Some(Body::Row(r))) if s == svc => Some(r.ceiling),
+        _ => None,
+    };
+    items.iter().filter_map(of).min()
+}
+
+pub fn share(items: &BTreeMap<Key, Item>, svc: &Svc) -> Option<Share> {
+    let gate = |it: &Item| matches!(&it.body, Some(Body::Node(n)) if n.role == Role::Gate);
+    let gates = items.values().filter(|it| gate(it)).count().max(1) as f64;
+    ceiling(items, svc).map(|c| {
+        let c = c as f64;
+        // Each gate may burst by one request; where that would already be more
+        // than a twentieth of the ceiling in five seconds, all of it is lent.
+        let own = if gates <= 0.25 * c { 0.4 * c / gates } else { 0.0 };
+        let lent = if own > 0.0 { 0.55 * c } else { 0.95 * c };
+        Share { ceiling: c, own, lent }
+    })
+}
--- /dev/null
+++ b/crates/brood/src/show.rs
@@ -0,0 +1,116 @@
+//! The control state as JSON, for operators.
+use crate::items::*;
+use crate::state::*;
+use std::collections::HashMap;
+use tinyjson::JsonValue;
+use wax::Span;
+
+pub fn obj(fields: Vec<(&str, JsonValue)>) -> JsonValue {
+    let m: HashMap<String, JsonValue> = fields.into_iter().map(|(k, v)| (k.to_string(), v)).collect();
+    JsonValue::from(m)
+}
+
+pub fn text(s: impl ToString) -> JsonValue {
+    JsonValue::from(s.to_string())
+}
+
+pub fn num(n: u64) -> JsonValue {
+    JsonValue::from(n as f64)
+}
+
+pub fn list(v: Vec<JsonValue>) -> JsonValue {
+    JsonValue::from(v)
+}
+
+pub fn kind_name(k: Kind) -> &'static str {
+    match k {
+        Kind::Read => "read",
+        Kind::Plain => "plain",
+        Kind::Keyed => "keyed",
+    }
+}
+
+fn standing(s: Standing) -> JsonValue {
+    text(if s == Standing::Serving { "serving" } else { "leaving" })
+}
+
+pub fn show_item(k: &Key, it: &Item) -> JsonValue {
+    let mut f = vec![("version", num(it.ver.0))];
+    match k {
+        Key::Row(l, s) => f.extend([("lane", text(l)), ("service", text(s))]),
+        Key::Origin(a) => f.push(("address", text(a))),
+        Key::Node(n) => f.push(("node", num(n.0 as u64))),
+        Key::Purge(s, p) => f.extend([("service", text(s)), ("prefix", text(p))]),
+    }
+    match &it.body {
+        None => f.push(("deleted", JsonValue::from(true))),
+        Some(Body::Row(r)) => f.extend([
+            ("weight", num(r.weight as u64)),
+            ("ceiling", num(r.ceiling as u64)),
+            ("rank", num(r.rank as u64)),
+            ("kind", text(kind_name(r.kind))),
+            ("ttl_ms", num(r.ttl.as_ms())),
+        ]),
+        Some(Body::Origin(o)) => f.extend([
+            ("service", text(&o.svc)),
+            ("birth", text(o.birth)),
+            ("zone", text(&o.zone)),
+            ("cap", num(o.cap as u64)),
+            ("standing", standing(o.standing)),
+        ]),
+        Some(Body::Node(n)) => f.extend([
+            ("role", text(format!("{:?}", n.role).to_lowercase())),
+            ("cohort", text(n.addr)),
+            ("http", text(n.http)),
+            ("zone", text(&n.zone)),
+            ("birth", text(n.birth)),
+            ("standing", standing(n.standing)),
+        ]),
+        Some(Body::Purge) => (),
+    }
+    obj(f)
+}
+
+/// The live items of one sort, or with `all` the tombstones too.
+pub fn show_items(p: &Picture, all: bool, want: fn(&Key) -> bool) -> JsonValue {
+    let live = p.items.iter().filter(|(k, it)| want(k) && (all || it.body.is_some()));
+    list(live.map(|(k, it)| show_item(k, it)).collect())
+}
+
+pub fn show_members(p: &Picture) -> JsonValue {
+    let one = |m: &Member| {
+        obj(vec![
+            ("keeper", num(m.kid.0 as u64)),
+            ("cohort", text(m.addr)),
+            ("http", text(m.http)),
+            ("zone", text(&m.zone)),
+        ])
+    };
+    list(p.members.iter().map(one).collect())
+}
+
+pub fn show_beats(beats: &[(Beat, Span)]) -> JsonValue {
+    let one = |(b, age): &(Beat, Span)| {
+        obj(vec![
+            ("service", text(&b.svc)),
+            ("address", text(b.addr)),
+            ("zone", text(&b.zone)),
+            ("mood", text(format!("{:?}", b.mood).to_lowercase())),
+            ("occupancy", num(b.occupancy as u64)),
+            ("cap", num(b.cap as u64)),
+            ("age_ms", num(age.as_ms())),
+        ])
+    };
+    list(beats.iter().map(one).collect())
+}
+
+pub fn show_verdict(v: &Verdict) -> JsonValue {
+    match v {
+        Verdict::Done(ks) => {
+            let one = |(k, v): &(Key, wax::Version)| show_item(k, &Item { ver: *v, body: Some(Body::Purge) });
+            obj(vec![("done", list(ks.iter().map(one).collect()))])
+        }
+        Verdict::Stale(k, it) => obj(vec![("problem", text("stale")), ("current", show_item(k, it))]),
+        Verdict::Void(w) => obj(vec![("problem", text(format!("{w:?}")))]),
+    }
+}
--- /dev/null
+++ b/crates/brood/src/state.rs
@@ -0,0 +1,191 @@
+//! Applying decided commands.
+use crate::cmd::*;
+use crate::items::*;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use wax::Version;
+
+/// Eras count the cuts; each is an agreement of its own.
+#[derive(Copy, Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Era(pub u64);
+
+/// Why a change had no effect although nobody was ahead of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Void {
+    /// It names a life of an origin that is no longer there.
+    OtherLife,
+    Absent,
+    /// The same id was used for a different change.
+    IdTaken,
+    NothingNew,
+}
+
+/// What became of a change; the first one is kept for every replay.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Verdict {
+    Done(Vec<(Key, Version)>),
+    Stale(Key, Item),
+    Void(Void),
+}
+
+/// Keep at least this many receipts; older whole eras of them are dropped at a cut.
+const RECEIPTS: usize = 4096;
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Picture {
+    pub era: Era,
+    pub members: Vec<Member>,
+    /// Invariant: above every keeper id ever given out.
+    pub next_kid: u16,
+    /// Stamps of the era are above this.
+    pub clock: u64,
+    /// Invariant: nothing is ever taken out; deletions leave tombstones. Only
+    /// purges of long past eras go: their versions start with the era, so a new
+    /// purge of the same scope is still the larger, and a gate that was away so
+    /// long has dropped its copies.
+    pub items: BTreeMap<Key, Item>,
+    pub receipts: BTreeMap<ChangeId, (Era, u64, Verdict)>,
+}
+
+impl Picture {
+    pub fn item(&self, k: &Key) -> Item {
+        self.items.get(k).cloned().unwrap_or_default()
+    }
+
+    fn put(&mut self, k: Key, body: Option<Body>) -> Verdict {
+        let it = self.items.entry(k.clone()).or_default();
+        let floor = if matches!(k, Key::Purge(..)) { self.era.0 << 32 } else { 0 };
+        it.ver = Version(it.ver.0.max(floor) + 1);
+        it.body = body;
+        Verdict::Done(vec![(k, it.ver)])
+    }
+
+    /// Applies one change; returns its verdict and whether this was the first time.
+    pub fn apply(&mut self, c: &Change) -> (Verdict, bool) {
+        let print = wax::hash(&format!("{:?}", c.op));
+        let before = c.id.as_ref().and_then(|id| self.receipts.get(id));
+        if let Some((_, p, v)) = before {
+            let v = if *p == print { v.clone() } else { Verdict::Void(Void::IdTaken) };
+            return (v, false);
+        }
+        let v = self.effect(&c.op);
+        if let Some(id) = &c.id {
+            self.receipts.insert(id.clone(), (self.era, print, v.clone()));
+        }
+        (v, true)
+    }
+
+    fn effect(&mut self, op: &Op) -> Verdict {
+        match op {
+            Op::Row { lane, svc, expect, row } => {
+                let k = Key::Row(lane.clone(), svc.clone());
+                let was = self.item(&k);
+                if was.ver != *expect {
+                    return Verdict::Stale(k, was);
+                }
+                if was.body.is_none() && row.is_none() {
+                    return Verdict::Void(Void::Absent);
+                }
+                self.put(k, row.clone().map(Body::Row))
+            }
+            Op::Register(a, o) => {
+                let same = self.origin(a).filter(|was| was.birth == o.birth);
+                same.map(|_| Verdict::Void(Void::NothingNew))
+                    .unwrap_or_else(|| self.put(Key::Origin(*a), Some(Body::Origin(o.clone()))))
+            }
+            Op::Drain(a, b) => {
+                let is = self.origin(a).filter(|o| o.birth == *b).cloned();
+                is.map(|o| Origin { standing: Standing::Leaving, ..o })
+                    .map(|o| self.put(Key::Origin(*a), Some(Body::Origin(o))))
+                    .unwrap_or(Verdict::Void(Void::OtherLife))
+            }
+            Op::Remove(a, b) => {
+                let is = self.origin(a).is_some_and(|o| o.birth == *b);
+                is.then(|| self.put(Key::Origin(*a), None)).unwrap_or(Verdict::Void(Void::OtherLife))
+            }
+            Op::Join(id, n) => self.join(*id, n),
+            Op::DrainNode(id) => self
+                .node(id)
+                .cloned()
+                .map(|n| Node { standing: Standing::Leaving, ..n })
+                .map(|n| self.put(Key::Node(*id), Some(Body::Node(n))))
+                .unwrap_or(Verdict::Void(Void::Absent)),
+            Op::RemoveNode(id) => {
+                let is = self.node(id).is_some();
+                is.then(|| self.put(Key::Node(*id), None)).unwrap_or(Verdict::Void(Void::Absent))
+            }
+            Op::Purge(scopes) => Verdict::Done(
+                scopes
+                    .iter()
+                    .map(|(s, p)| {
+                        let k = Key::Purge(s.clone(), p.clone());
+                        self.put(k.clone(), Some(Body::Purge));
+                        let v = self.items[&k].ver;
+                        (k, v)
+                    })
+                    .collect(),
+            ),
+        }
+    }
+
+    fn join(&mut self, id: wax::NodeId, n: &Node) -> Verdict {
+        let rows = self.items.keys().any(|k| matches!(k, Key::Row(..)));
+        let was = self.node(&id);
+        if was.is_some_and(|w| Node { clean: n.clean, ..w.clone() } == *n) {
+            return Verdict::Void(Void::NothingNew);
+        }
+        // A comb on its old disk stays what it was.
+        let kept = was.filter(|w| w.birth == n.birth && w.role == n.role).map(|w| w.clean);
+        let clean = kept.unwrap_or(n.role == Role::Comb && !rows);
+        self.put(Key::Node(id), Some(Body::Node(Node { clean, ..n.clone() })))
+    }
+
+    pub fn origin(&self, a: &wax::Addr) -> Option<&Origin> {
+        match self.items.get(&Key::Origin(*a))?.body.as_ref()? {
+            Body::Origin(o) => Some(o),
+            _ => None,
+        }
+    }
+
+    pub fn node(&self, id: &wax::NodeId) -> Option<&Node> {
+        match self.items.get(&Key::Node(*id))?.body.as_ref()? {
+            Body::Node(n) => Some(n),
+            _ => None,
+        }
+    }
+
+    pub fn member(&self, kid: waggle::Kid) -> Option<&Member> {
+        self.members.iter().find(|m| m.kid == kid)
+    }
+
+    /// Ends the era. Pure, and the same on every keeper: the cut clashes with
+    /// all, so the state at it is the same everywhere.
+    pub fn cut(&self, members: &[Member], clock: u64) -> Picture {
+        let mut p = self.clone();
+        p.era = Era(self.era.0 + 1);
+        p.members = members.to_vec();
+        p.clock = clock;
+        p.next_kid = members.iter().map(|m| m.kid.0 + 1).max().unwrap_or(0).max(self.next_kid);
+        p.items.retain(|k, it| !old_purge(p.era, k, it));
+        while p.receipts.len() > RECEIPTS {
+            let oldest = p.receipts.values().map(|(e, ..)| *e).min().unwrap_or_default();
+            p.receipts.retain(|_, (e, ..)| *e > oldest);
+        }
+        p
+    }
+}
+
+/// Whether this is a purge that nobody needs any more.
+pub fn old_purge(era: Era, k: &Key, it: &Item) -> bool {
+    matches!(k, Key::Purge(..)) && (it.ver.0 >> 32) + 8 < era.0
+}
+
+/// Takes the newer of two versions of an item; true if `new` was newer.
+/// Invariant: the only way a gate's table changes, hence it never goes back.
+pub fn merge(items: &mut BTreeMap<Key, Item>, k: &Key, new: &Item) -> bool {
+    let newer = items.get(k).is_none_or(|was| was.ver < new.ver);
+    if newer {
+        items.insert(k.clone(), new.clone());
+    }
+    newer
+}
--- /dev/null
+++ b/crates/comb/src/comb.rs
@@ -0,0 +1,177 @@
+use crate::ledger::*;
+use brood::*;
+use std::collections::BTreeMap;
+use wax::{Addr, Birth, Epoch, Mono, NodeId, Span};
+
+#[derive(Clone, Debug)]
+pub struct CombEnv {
+    pub follow: FollowEnv,
+    /// How long a key stays with its round: the brief's minute, and over it the
+    /// time a granted round may take to leave and to run.
+    pub window: Span,
+    /// Bytes of records after which all is written anew in short.
+    pub base_after: usize,
+}
+
+pub struct Comb {
+    pub(crate) env: CombEnv,
+    pub(crate) follow: Follow,
+    pub(crate) ledger: Ledger,
+    /// Invariant: true only if this disk has missed no grant that still counts.
+    pub(crate) open: bool,
+    pub(crate) boot: Mono,
+    pub(crate) written: usize,
+    pub(crate) mended: Mono,
+    pub(crate) counts: BTreeMap<&'static str, u64>,
+}
+
+impl Comb {
+    /// Starts on what the disk holds; `life` is a fresh random number.
+    pub fn start(mut env: CombEnv, kept: Vec<Kept>, life: u64, now: Mono, out: &mut Vec<Out>) -> Comb {
+        let mut ledger = Ledger::default();
+        let mut birth = None;
+        let mut open = false;
+        for k in kept {
+            match &k {
+                Kept::Birth(b) => birth = Some(*b),
+                Kept::Open => open = true,
+                Kept::Base(b, o, _) => (birth, open) = (Some(*b), *o),
+                _ => (),
+            }
+            ledger.apply(k, now);
+        }
+        let new = birth.is_none();
+        env.follow.birth = birth.unwrap_or(Birth(life));
+        if new {
+            out.push(Out::Base(Kept::Birth(env.follow.birth).encode()));
+        }
+        Comb {
+            follow: Follow::new(env.follow.clone()),
+            env,
+            ledger,
+            open,
+            boot: now,
+            written: 0,
+            mended: now,
+            counts: BTreeMap::new(),
+        }
+    }
+
+    pub(crate) fn count(&mut self, name: &'static str) {
+        *self.counts.entry(name).or_default() += 1;
+    }
+
+    pub(crate) fn save(&mut self, now: Mono, k: Kept, out: &mut Vec<Out>) {
+        let b = k.encode();
+        self.written += b.len();
+        out.push(Out::Save(b));
+        self.ledger.apply(k, now);
+    }
+
+    /// May grant: at once on a disk that cannot have missed anything, else only
+    /// after every grant it may have missed has lost its force.
+    fn maybe_open(&mut self, now: Mono, out: &mut Vec<Out>) {
+        let clean = self.follow.myself().is_some_and(|n| n.clean);
+        let waited = self.follow.myself().is_some() && now - self.boot >= self.env.window.padded();
+        if !self.open && (clean || waited) {
+            self.open = true;
+            self.save(now, Kept::Open, out);
+        }
+    }
+
+    fn on_claim(
+        &mut self,
+        now: Mono,
+        from: Addr,
+        key: String,
+        print: u64,
+        round: RoundId,
+        out: &mut Vec<Out>,
+    ) {
+        self.ledger.drop_old(now, self.env.window);
+        let said = match self.ledger.look(&key, print, round) {
+            Claimed::Granted if !self.open => Claimed::Unable,
+            s => s,
+        };
+        if said == Claimed::Granted && !self.ledger.keys.contains_key(&key) {
+            self.count("granted");
+            self.save(now, Kept::Grant { key: key.clone(), print, round }, out);
+        }
+        out.push(Out::Send(from, Msg::Claimed { key, round, said }));
+    }
+
+    /// The outcome of a round; the grant itself may have been missed.
+    fn on_outcome(&mut self, now: Mono, from: Addr, grant: Kept, whole: Whole, out: &mut Vec<Out>) {
+        let Kept::Grant { key, round, .. } = grant.clone() else { return };
+        let held = self.ledger.keys.get(&key).map(|g| (g.round == round, g.whole.is_some()));
+        if held.is_none() {
+            self.save(now, grant, out);
+        }
+        if held.is_none_or(|(same, known)| same && !known) {
+            self.count("outcomes");
+            self.save(now, Kept::Outcome { key: key.clone(), round, whole }, out);
+        }
+        out.push(Out::Send(from, Msg::Kept { key, round }));
+    }
+
+    fn health(&self, now: Mono) -> Health {
+        let why = match (self.follow.leased(now), self.open) {
+            (false, _) => "no setup lease",
+            (_, false) => "disk is new: grants nothing until the window is over",
+            _ => "",
+        };
+        let mut counts: Vec<_> = self.counts.iter().map(|(k, v)| (*k, *v)).collect();
+        counts.push(("keys", self.ledger.keys.len() as u64));
+        Health { ready: why.is_empty(), why, in_hand: 0, counts }
+    }
+
+    fn tick(&mut self, now: Mono, out: &mut Vec<Out>) {
+        if self.follow.due(now) {
+            self.follow.subscribe(now, &[], Epoch(0), out);
+        }
+        self.ledger.drop_old(now, self.env.window);
+        if self.written > self.env.base_after {
+            self.written = 0;
+            let b = Kept::Base(self.follow.env.birth, self.open, self.ledger.dump());
+            out.push(Out::Base(b.encode()));
+        }
+        self.mend(now, out);
+    }
+
+    pub fn id(&self) -> NodeId {
+        self.follow.env.id
+    }
+    pub fn is_open(&self) -> bool {
+        self.open
+    }
+}
+
+impl Part for Comb {
+    fn step(&mut self, now: Mono, inp: In, out: &mut Vec<Out>) {
+        match inp {
+            In::Tick => self.tick(now, out),
+            In::Ask(t, Ask::Ready | Ask::Drain) => {
+                out.push(Out::Tell(t, Receipt::Health(self.health(now))));
+            }
+            In::Ask(t, _) => out.push(Out::Tell(t, Receipt::NotNow("not asked of a comb"))),
+            In::Msg(from, m) => match m {
+                Msg::News(n) => {
+                    self.follow.on_news(now, from, &n, Epoch(0), out);
+                    self.maybe_open(now, out);
+                }
+                Msg::Claim { key, print, round } => self.on_claim(now, from, key, print, round, out),
+                Msg::Release { key, round } => {
+                    if self.ledger.keys.get(&key).is_some_and(|g| g.round == round && g.whole.is_none()) {
+                        self.save(now, Kept::Release { key, round }, out);
+                    }
+                }
+                Msg::Outcome { key, print, round, whole } => {
+                    self.on_outcome(now, from, Kept::Grant { key, print, round }, whole, out)
+                }
+                Msg::Digests(d) => self.on_digests(now, from, d, out),
+                Msg::Ranges(r) => self.on_ranges(now, r, out),
+                _ => self.count("stray"),
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/comb/src/ledger.rs
@@ -0,0 +1,98 @@
+//! The ledger of keys and what of it reaches the disk.
+use brood::{Claimed, RoundId, Whole};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use wax::{Birth, Mono, Span};
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Kept {
+    /// This disk's life.
+    Birth(Birth),
+    /// This disk may grant: nothing was granted elsewhere that it ought to know.
+    Open,
+    Grant {
+        key: String,
+        print: u64,
+        round: RoundId,
+    },
+    Outcome {
+        key: String,
+        round: RoundId,
+        whole: Whole,
+    },
+    Release {
+        key: String,
+        round: RoundId,
+    },
+    /// All there is, in place of all records before.
+    Base(Birth, bool, Vec<(String, u64, RoundId, Option<Whole>)>),
+}
+
+impl Kept {
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).expect("plain data always encodes")
+    }
+    pub fn decode(b: &[u8]) -> Option<Kept> {
+        postcard::from_bytes(b).ok()
+    }
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Grant {
+    pub print: u64,
+    pub round: RoundId,
+    pub whole: Option<Whole>,
+    /// Invariant: at or after the true time of the grant; after a restart, the
+    /// restart. A key so is held longer than its window, never shorter.
+    pub at: Mono,
+}
+
+/// Invariant: a key is granted to one round until its window is over or that
+/// round gave it back unsent.
+#[derive(Debug, Default)]
+pub(crate) struct Ledger {
+    pub keys: BTreeMap<String, Grant>,
+}
+
+impl Ledger {
+    /// What to say to a claim; `Granted` to a new round must be saved first.
+    pub fn look(&self, key: &str, print: u64, round: RoundId) -> Claimed {
+        let held = self.keys.get(key);
+        held.map_or(Claimed::Granted, |g| match (g.round == round, g.print == print) {
+            (true, _) => Claimed::Granted,
+            (_, false) => Claimed::OtherBody,
+            _ => Claimed::Held(g.whole.clone()),
+        })
+    }
+
+    pub fn apply(&mut self, k: Kept, now: Mono) {
+        match k {
+            Kept::Grant { key, print, round } => {
+                self.keys.insert(key, Grant { print, round, whole: None, at: now });
+            }
+            Kept::Outcome { key, round, whole } => {
+                if let Some(g) = self.keys.get_mut(&key).filter(|g| g.round == round) {
+                    g.whole = Some(whole);
+                }
+            }
+            Kept::Release { key, round } => {
+                if self.keys.get(&key).is_some_and(|g| g.round == round && g.whole.is_none()) {
+                    self.keys.remove(&key);
+                }
+            }
+            Kept::Base(_, _, all) => {
+                let grant = |(key, print, round, whole)| (key, Grant { print, round, whole, at: now });
+                self.keys = all.into_iter().map(grant).collect();
+            }
+            Kept::Birth(_) | Kept::Open => (),
+        }
+    }
+
+    pub fn drop_old(&mut self, now: Mono, window: Span) {
+        self.keys.retain(|_, g| now - g.at < window);
+    }
+
+    pub fn dump(&self) -> Vec<(String, u64, RoundId, Option<Whole>)> {
+        self.keys.iter().map(|(k, g)| (k.clone(), g.print, g.round, g.whole.clone())).collect()
+    }
+}
--- /dev/null
+++ b/crates/comb/src/mend.rs
@@ -0,0 +1,96 @@
+//! Repair: combs compare digests over ranges of keys and take over what they lack.
+use crate::comb::Comb;
+use crate::ledger::*;
+use brood::*;
+use wax::{Addr, Mono, Span};
+
+/// Ranges by the top bits of a key's hash.
+const RANGES: usize = 64;
+const EVERY: Span = Span::secs(2);
+
+fn range(key: &str) -> usize {
+    wax::hash(&key) as usize % RANGES
+}
+
+impl Comb {
+    fn others(&self) -> Vec<(wax::NodeId, Addr, Zone)> {
+        let comb = |(k, it): (&Key, &Item)| match (k, &it.body) {
+            (Key::Node(id), Some(Body::Node(n))) if n.role == Role::Comb => {
+                Some((*id, n.addr, n.zone.clone()))
+            }
+            _ => None,
+        };
+        self.follow.items.iter().filter_map(comb).collect()
+    }
+
+    /// Only keys that both combs are named for count between the two, and only
+    /// grants that are no longer in the making.
+    fn shared(&self, now: Mono, other: Addr) -> impl Iterator<Item = (&String, &Grant)> {
+        let all = self.others();
+        let me = self.follow.env.addr;
+        let settled = move |g: &Grant| g.whole.is_some() || now - g.at > Span::secs(8);
+        self.ledger.keys.iter().filter(move |(_, g)| settled(g)).filter(move |(k, _)| {
+            let named = name_combs(k, &all);
+            named.contains(&me) && named.contains(&other)
+        })
+    }
+
+    fn digests(&self, now: Mono, other: Addr) -> Vec<u64> {
+        let mut d = vec![0u64; RANGES];
+        for (k, g) in self.shared(now, other) {
+            d[range(k)] ^= wax::hash(&(k, g.round, g.whole.is_some()));
+        }
+        d
+    }
+
+    pub(crate) fn mend(&mut self, now: Mono, out: &mut Vec<Out>) {
+        if now - self.mended < EVERY {
+            return;
+        }
+        self.mended = now;
+        let others: Vec<Addr> = self.others().into_iter().map(|c| c.1).collect();
+        for a in others.into_iter().filter(|a| *a != self.follow.env.addr) {
+            out.push(Out::Send(a, Msg::Digests(self.digests(now, a))));
+        }
+    }
+
+    /// Shows the ranges that differ.
+    pub(crate) fn on_digests(&mut self, now: Mono, from: Addr, theirs: Vec<u64>, out: &mut Vec<Out>) {
+        let mine = self.digests(now, from);
+        let differs = |i: &usize| theirs.get(*i).is_some_and(|d| *d != mine[*i]);
+        let show = |i: usize| {
+            let held = self.shared(now, from).filter(|(k, _)| range(k) == i).map(|(k, g)| Held {
+                key: k.clone(),
+                print: g.print,
+                round: g.round,
+                whole: g.whole.clone(),
+                age: now - g.at,
+            });
+            (i as u16, held.collect::<Vec<_>>())
+        };
+        let ranges: Vec<_> = (0..RANGES).filter(differs).map(show).filter(|(_, h)| !h.is_empty()).collect();
+        if !ranges.is_empty() && theirs.len() == RANGES {
+            out.push(Out::Send(from, Msg::Ranges(ranges)));
+        }
+    }
+
+    /// Takes over keys it does not hold, and outcomes it does not know. Never
+    /// replaces a grant by another: that would forget a promise.
+    pub(crate) fn on_ranges(&mut self, now: Mono, ranges: Vec<(u16, Vec<Held>)>, out: &mut Vec<Out>) {
+        for h in ranges.into_iter().flat_map(|(_, h)| h) {
+            if h.age >= self.env.window {
+                continue;
+            }
+            if !self.ledger.keys.contains_key(&h.key) {
+                self.count("mended");
+                self.save(now, Kept::Grant { key: h.key.clone(), print: h.print, round: h.round }, out);
+                // As old as it was there, so that it is not passed round for ever.
+                self.ledger.keys.entry(h.key.clone()).and_modify(|g| g.at = now - h.age);
+            }
+            let lacks = |g: &Grant| g.round == h.round && g.whole.is_none();
+            if let (Some(whole), true) = (h.whole, self.ledger.keys.get(&h.key).is_some_and(lacks)) {
+                self.save(now, Kept::Outcome { key: h.key, round: h.round, whole }, out);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gate/src/gate.rs
@@ -0,0 +1,157 @@
+use crate::copies::Copies;
+use crate::jobs::Job;
+use crate::keyed::Outgoing;
+use crate::origins::Seen;
+use crate::press::Press;
+use crate::table::Table;
+use brood::*;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use wax::{Addr, Mono, Span};
+
+/// What a gate is told about itself.
+#[derive(Clone, Debug)]
+pub struct GateEnv {
+    pub follow: FollowEnv,
+    /// An origin unheard for this long is not used.
+    pub fresh: Span,
+    /// How long an origin may take over an answer.
+    pub patience: Span,
+    /// Bytes of copies kept.
+    pub copies: usize,
+}
+
+pub struct Gate {
+    pub(crate) env: GateEnv,
+    pub(crate) follow: Follow,
+    /// Built from what `follow` holds whenever that changes.
+    pub(crate) table: Arc<Table>,
+    /// The lease ran out at some time since the copies were last dropped.
+    pub(crate) lapsed: bool,
+    pub(crate) seen: Seen,
+    pub(crate) press: Press,
+    pub(crate) copies: Copies,
+    pub(crate) jobs: BTreeMap<u64, Job>,
+    /// The job that fills each object now.
+    pub(crate) fills: BTreeMap<(Svc, Lane, String), u64>,
+    pub(crate) rounds: BTreeMap<u64, u64>,
+    pub(crate) outgoing: Vec<Outgoing>,
+    /// Gates that lately did not answer.
+    pub(crate) mute: BTreeMap<Addr, Mono>,
+    pub(crate) next: u64,
+    pub(crate) draining: bool,
+    pub(crate) counts: BTreeMap<&'static str, u64>,
+}
+
+impl Gate {
+    pub fn new(env: GateEnv) -> Gate {
+        Gate {
+            table: Arc::new(Table::default()),
+            follow: Follow::new(env.follow.clone()),
+            lapsed: true,
+            seen: Seen::default(),
+            press: Press::default(),
+            copies: Copies::new(env.copies),
+            jobs: BTreeMap::new(),
+            fills: BTreeMap::new(),
+            rounds: BTreeMap::new(),
+            outgoing: vec![],
+            mute: BTreeMap::new(),
+            next: 0,
+            draining: false,
+            counts: BTreeMap::new(),
+            env,
+        }
+    }
+
+    pub fn table(&self) -> &Arc<Table> {
+        &self.table
+    }
+
+    pub(crate) fn count(&mut self, name: &'static str) {
+        *self.counts.entry(name).or_default() += 1;
+    }
+
+    pub(crate) fn number(&mut self) -> u64 {
+        self.next += 1;
+        self.next
+    }
+
+    /// Until when the setup lease holds: a classic quorum of keepers carries it.
+    pub fn leased_until(&self) -> Mono {
+        self.follow.leased_until()
+    }
+
+    pub fn leased(&self, now: Mono) -> bool {
+        self.follow.leased(now)
+    }
+
+    fn health(&self, now: Mono) -> Health {
+        let why = match (self.draining, self.leased(now)) {
+            (true, _) => "draining",
+            (_, false) => "no setup lease",
+            _ => "",
+        };
+        let mut counts: Vec<_> = self.counts.iter().map(|(k, v)| (*k, *v)).collect();
+        counts.extend([("copies", self.copies.len() as u64), ("items", self.follow.items.len() as u64)]);
+        let in_hand = (self.jobs.len() + self.outgoing.len()) as u64;
+        Health { ready: why.is_empty(), why, in_hand, counts }
+    }
+
+    fn tick(&mut self, now: Mono, out: &mut Vec<Out>) {
+        self.subscribe(now, out);
+        self.check_lapse(now);
+        self.serve_line(now, out);
+        self.expire_jobs(now, out);
+        self.push_outcomes(now, out);
+        self.copies.drop_old(now);
+    }
+}
+
+impl Part for Gate {
+    fn step(&mut self, now: Mono, inp: In, out: &mut Vec<Out>) {
+        self.check_lapse(now);
+        match inp {
+            In::Tick => self.tick(now, out),
+            In::Ask(t, a) => match a {
+                Ask::Begin(r) => self.begin(now, t, r, out),
+                Ask::Done(n, f) => {
+                    self.done(now, n, f, out);
+                    out.push(Out::Tell(t, Receipt::Took));
+                }
+                Ask::Probes => out.push(Out::Tell(t, Receipt::Probes(self.to_probe(now)))),
+                Ask::Probed(a, said, began) => {
+                    self.probed(a, said, began);
+                    out.push(Out::Tell(t, Receipt::Took));
+                }
+                Ask::Ready => out.push(Out::Tell(t, Receipt::Health(self.health(now)))),
+                Ask::Drain => {
+                    self.draining = true;
+                    out.push(Out::Tell(t, Receipt::Health(self.health(now))));
+                }
+                Ask::Table => {
+                    let p = Picture {
+                        era: self.follow.era,
+                        members: self.follow.members.clone(),
+                        items: self.follow.items.clone(),
+                        ..Picture::default()
+                    };
+                    let beats = self.seen.beats.values().map(|(b, t)| (b.clone(), now - *t)).collect();
+                    out.push(Out::Tell(t, Receipt::Table(Box::new(p), beats)));
+                }
+                _ => out.push(Out::Tell(t, Receipt::NotNow("not asked of a gate"))),
+            },
+            In::Msg(from, m) => match m {
+                Msg::News(n) => self.on_news(now, from, *n, out),
+                Msg::CopyAsk { ask, svc, lane, path } => {
+                    self.on_copy_ask(now, from, ask, svc, lane, path, out)
+                }
+                Msg::CopyWait(ask) => self.on_copy_wait(ask),
+                Msg::CopyGot { ask, copy } => self.on_copy_got(now, ask, copy, out),
+                Msg::Claimed { round, said, .. } => self.on_claimed(now, from, round, said, out),
+                Msg::Kept { round, .. } => self.on_kept(from, round),
+                _ => self.count("stray"),
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/gate/src/keyed.rs
@@ -0,0 +1,138 @@
+//! Keyed requests: two of the key's three combs must grant it, synced, before
+//! anything leaves.
+use crate::gate::Gate;
+use crate::jobs::*;
+use brood::*;
+use std::collections::{BTreeMap, BTreeSet};
+use wax::{Addr, Mono, Span};
+
+/// An outcome on its way to the key's combs.
+#[derive(Debug)]
+pub(crate) struct Outgoing {
+    key: String,
+    print: u64,
+    round: RoundId,
+    whole: Whole,
+    to: BTreeSet<Addr>,
+    began: Mono,
+    sent: Mono,
+}
+
+/// A granted round must leave within this, so that it never runs late into
+/// the next grant of its key.
+const LEAVE: Span = Span::secs(5);
+
+impl Gate {
+    pub(crate) fn claim(&mut self, now: Mono, mut j: Job, out: &mut Vec<Out>) {
+        let key = format!("{}/{}", j.req.lane, j.req.key.as_deref().unwrap_or(""));
+        let print = wax::hash(&(&j.req.method, &j.req.path, &*j.req.body));
+        let n = self.number();
+        let round = RoundId { node: self.follow.env.id, birth: self.follow.env.birth, n };
+        let combs = name_combs(&key, &self.table.combs);
+        for a in &combs {
+            out.push(Out::Send(*a, Msg::Claim { key: key.clone(), print, round }));
+        }
+        j.claim = Some((round, key, print, combs));
+        j.must_leave = now + LEAVE;
+        j.stage = Stage::Claim(BTreeMap::new());
+        j.staged = now;
+        self.jobs.insert(n, j);
+        self.count("claims");
+        self.count_votes(now, n, false, out);
+    }
+
+    /// A word that comes after the count changes nothing: a denied round was
+    /// released after its claim on the same link, and a round that went out
+    /// keeps its key.
+    pub(crate) fn on_claimed(
+        &mut self,
+        now: Mono,
+        from: Addr,
+        round: RoundId,
+        said: Claimed,
+        out: &mut Vec<Out>,
+    ) {
+        let job = self.jobs.get_mut(&round.n).filter(|_| round.birth == self.follow.env.birth);
+        if let Some(Stage::Claim(votes)) = job.map(|j| &mut j.stage) {
+            votes.insert(from, said);
+            self.count_votes(now, round.n, false, out);
+        }
+    }
+
+    pub(crate) fn count_votes(&mut self, now: Mono, id: u64, late: bool, out: &mut Vec<Out>) {
+        let Some(j) = self.jobs.get(&id) else { return };
+        let (Stage::Claim(votes), Some((.., combs))) = (&j.stage, &j.claim) else { return };
+        let granted = votes.values().filter(|v| **v == Claimed::Granted).count();
+        let known = votes.values().find_map(|v| match v {
+            Claimed::Held(Some(w)) => Some(w.clone()),
+            _ => None,
+        });
+        let reused = votes.values().any(|v| *v == Claimed::OtherBody);
+        let held = votes.values().any(|v| matches!(v, Claimed::Held(None)));
+        let all = votes.len() >= combs.len();
+        if reused {
+            self.deny(now, id, Denied::KeyReused, out);
+        } else if let Some(w) = known {
+            self.release_job(id, out);
+            let s = self.record(&std::sync::Arc::new(w), Shared::Record, Mono(u64::MAX));
+            self.finish(now, id, s, out);
+        } else if granted >= 2 {
+            self.line_up(now, id, out);
+        } else if held && (all || late) {
+            // Another round has the key and its outcome is not known (yet).
+            self.release_job(id, out);
+            self.finish(now, id, Step::Doubt(Span::secs(1)), out);
+        } else if all || late {
+            self.deny(now, id, Denied::SplitVote, out);
+        }
+    }
+
+    fn release_job(&mut self, id: u64, out: &mut Vec<Out>) {
+        if let Some(j) = self.jobs.remove(&id) {
+            self.release(&j, out);
+            self.jobs.insert(id, j);
+        }
+    }
+
+    /// The round will never be sent: its key is free again.
+    pub(crate) fn release(&mut self, j: &Job, out: &mut Vec<Out>) {
+        if let Some((round, key, _, combs)) = j.claim.as_ref().filter(|_| j.tries == 0) {
+            let free = |a: &Addr| Out::Send(*a, Msg::Release { key: key.clone(), round: *round });
+            out.extend(combs.iter().map(free));
+        }
+    }
+
+    /// It ran: the outcome goes to the key's combs and to the caller.
+    pub(crate) fn ran(&mut self, now: Mono, id: u64, w: Whole, s: Step, out: &mut Vec<Out>) {
+        let claim = self.jobs.get(&id).and_then(|j| j.claim.clone());
+        if let Some((round, key, print, combs)) = claim {
+            let to = combs.into_iter().collect();
+            self.outgoing.push(Outgoing { key, print, round, whole: w, to, began: now, sent: Mono(0) });
+            self.push_outcomes(now, out);
+        }
+        self.finish(now, id, s, out);
+    }
+
+    pub(crate) fn push_outcomes(&mut self, now: Mono, out: &mut Vec<Out>) {
+        for o in self.outgoing.iter_mut().filter(|o| now - o.sent >= Span::ms(250)) {
+            o.sent = now;
+            for a in &o.to {
+                let m = Msg::Outcome {
+                    key: o.key.clone(),
+                    print: o.print,
+                    round: o.round,
+                    whole: o.whole.clone(),
+                };
+                out.push(Out::Send(*a, m));
+            }
+        }
+        self.outgoing.retain(|o| !o.to.is_empty() && now - o.began < Span::secs(8));
+    }
+
+    pub(crate) fn on_kept(&mut self, from: Addr, round: RoundId) {
+        for o in self.outgoing.iter_mut().filter(|o| o.round == round) {
+            o.to.remove(&from);
+        }
+        self.outgoing.retain(|o| !o.to.is_empty());
+    }
+}
--- /dev/null
+++ b/crates/gate/src/news.rs
@@ -0,0 +1,48 @@
+//! What news from the keepers changes in a gate.
+use crate::gate::Gate;
+use crate::table::Table;
+use brood::*;
+use std::sync::Arc;
+use wax::{Addr, Mono};
+
+impl Gate {
+    pub(crate) fn subscribe(&mut self, now: Mono, out: &mut Vec<Out>) {
+        if self.follow.due(now) {
+            let wants = self.wants(now);
+            self.follow.subscribe(now, &wants, self.press.epoch, out);
+        }
+    }
+
+    pub(crate) fn on_news(&mut self, now: Mono, from: Addr, n: News, out: &mut Vec<Out>) {
+        let new = self.follow.on_news(now, from, &n, self.press.epoch, out);
+        if !new.is_empty() {
+            self.table = Arc::new(Table::build(&self.follow.items));
+        }
+        for k in &new {
+            if let Key::Purge(svc, prefix) = k {
+                self.purge(now, svc, prefix, out);
+            }
+        }
+        if let Some(r) = &n.reply {
+            self.take_beats(r);
+            self.take_slices(now, r, out);
+        }
+        self.check_lapse(now);
+        self.draining |= self.follow.myself().is_some_and(|m| m.standing == Standing::Leaving);
+    }
+
+    /// Copies do not outlast a lapse: purges may have been missed.
+    pub(crate) fn check_lapse(&mut self, now: Mono) {
+        let held = self.leased(now);
+        if !held && !self.lapsed {
+            self.count("lapses");
+            self.lapsed = true;
+        }
+        if held && self.lapsed {
+            self.lapsed = false;
+            self.copies.clear();
+            self.fills.clear();
+            self.jobs.values_mut().for_each(|j| j.spoiled = true);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gate/src/origins.rs
@@ -0,0 +1,126 @@
+//! Which origins may be used now, and in which order.
+use crate::gate::Gate;
+use brood::*;
+use std::collections::BTreeMap;
+use wax::{Addr, Birth, Mono, Span};
+
+#[derive(Debug, Default)]
+pub(crate) struct Seen {
+    /// When each beat was heard, at the latest, by this gate's clock: counted
+    /// back from when it asked, so that a message read late is not fresh.
+    pub beats: BTreeMap<Addr, (Beat, Mono)>,
+    probes: BTreeMap<Addr, (Svc, Birth, Mono)>,
+    /// Lives that just failed a round, and until when they are passed over.
+    bad: BTreeMap<(Addr, Birth), Mono>,
+    /// How long each life's answers take, smoothed.
+    pace: BTreeMap<(Addr, Birth), Span>,
+}
+
+const PASS_OVER: Span = Span::ms(500);
+/// Slower than the service's quickest by this factor, and than this at all.
+const SLOW_BY: u64 = 4;
+const SLOW: Span = Span::ms(150);
+
+impl Gate {
+    pub(crate) fn take_beats(&mut self, r: &Reply) {
+        for (b, age) in &r.beats {
+            let heard = r.ask - *age;
+            let newer = self.seen.beats.get(&b.addr).is_none_or(|(_, t)| heard > *t);
+            if newer {
+                self.seen.beats.insert(b.addr, (b.clone(), heard));
+            }
+        }
+    }
+
+    /// Until when this life at this address counts as there.
+    pub(crate) fn fresh_until(&self, a: &Addr, o: &Origin) -> Mono {
+        let beat = self.seen.beats.get(a);
+        let by_beat = beat.filter(|(b, _)| b.birth == o.birth && b.svc == o.svc && b.mood == Mood::Serving);
+        let probe = self.seen.probes.get(a).filter(|(s, b, _)| *s == o.svc && *b == o.birth).map(|p| p.2);
+        // A later word of leaving, or of another life, outweighs an older probe.
+        let against = beat.filter(|_| by_beat.is_none()).map(|(_, t)| *t).unwrap_or_default();
+        let probe = probe.filter(|t| *t > against);
+        let last = by_beat.map(|(_, t)| *t).max(probe).unwrap_or_default();
+        if last == Mono(0) {
+            Mono(0)
+        } else {
+            last + self.env.fresh
+        }
+    }
+
+    /// Usable origins of a service for this object or key: its own first, then
+    /// that one's understudy, then the rest; slow and failing ones last.
+    pub(crate) fn candidates(&self, now: Mono, svc: &Svc, on: u64) -> Vec<(Addr, Origin, Mono)> {
+        let all = self.table.origins.get(svc).cloned().unwrap_or_default();
+        let ranked = wax::rank(&on, &all, |(a, _)| wax::hash(a));
+        let Some(first) = ranked.first().cloned() else { return vec![] };
+        let under = understudy(&first.0, &all);
+        let mut order = vec![first];
+        order.extend(under);
+        order.extend(ranked);
+        let mut seen = vec![];
+        order.retain(|(a, _)| {
+            let new = !seen.contains(a);
+            seen.push(*a);
+            new
+        });
+        let quick = order.iter().filter_map(|(a, o)| self.seen.pace.get(&(*a, o.birth))).min().copied();
+        let demerits = |a: &Addr, o: &Origin| {
+            let bad = self.seen.bad.get(&(*a, o.birth)).is_some_and(|t| *t > now);
+            let slow = self
+                .seen
+                .pace
+                .get(&(*a, o.birth))
+                .is_some_and(|p| *p > SLOW && quick.is_some_and(|q| p.0 > q.0 * SLOW_BY));
+            let full = self.seen.beats.get(a).is_some_and(|(b, _)| b.occupancy >= b.cap);
+            bad as u8 * 4 + full as u8 * 2 + slow as u8
+        };
+        let mut v: Vec<_> = order
+            .into_iter()
+            .map(|(a, o)| (a, self.fresh_until(&a, &o), o))
+            .filter(|(_, until, _)| *until > now)
+            .map(|(a, until, o)| (demerits(&a, &o), (a, o, until)))
+            .collect();
+        v.sort_by_key(|(d, _)| *d);
+        v.into_iter().map(|(_, c)| c).collect()
+    }
+
+    pub(crate) fn note_pace(&mut self, a: Addr, b: Birth, took: Span) {
+        let was = self.seen.pace.entry((a, b)).or_insert(took);
+        *was = Span((was.0 * 3 + took.0) / 4);
+        self.seen.bad.remove(&(a, b));
+    }
+
+    pub(crate) fn note_bad(&mut self, now: Mono, a: Addr, b: Birth) {
+        self.seen.bad.retain(|_, t| *t > now);
+        self.seen.bad.insert((a, b), now + PASS_OVER);
+    }
+
+    /// Origins whose beats no longer come through: the gate asks them itself.
+    pub(crate) fn to_probe(&self, now: Mono) -> Vec<Addr> {
+        let stale =
+            |a: &Addr| self.seen.beats.get(a).is_none_or(|(_, t)| now - *t > Span(self.env.fresh.0 / 2));
+        self.table.origins.values().flatten().map(|(a, _)| *a).filter(stale).collect()
+    }
+
+    pub(crate) fn probed(&mut self, a: Addr, said: Option<(Svc, Birth, bool)>, began: Mono) {
+        match said {
+            Some((svc, birth, true)) => {
+                self.seen.probes.insert(a, (svc, birth, began));
+            }
+            _ => {
+                self.seen.probes.remove(&a);
+            }
+        }
+    }
+}
+
+/// The understudy of an origin: ranked by hash, another zone preferred. The
+/// same at every gate.
+pub(crate) fn understudy(of: &Addr, all: &[(Addr, Origin)]) -> Option<(Addr, Origin)> {
+    let zone = all.iter().find(|(a, _)| a == of).map(|(_, o)| o.zone.clone());
+    let others: Vec<_> = all.iter().filter(|(a, _)| a != of).cloned().collect();
+    let ranked = wax::rank(&("understudy", of), &others, |(a, _)| wax::hash(a));
+    let far = ranked.iter().find(|(_, o)| Some(&o.zone) != zone.as_ref()).cloned();
+    far.or_else(|| ranked.into_iter().next())
+}
--- /dev/null
+++ b/crates/gate/src/press.rs
@@ -0,0 +1,126 @@
+//! How hard a service may be pressed: its ceiling, and the budget of extra tries.
+use crate::gate::Gate;
+use brood::*;
+use std::collections::BTreeMap;
+use wax::{Epoch, Mono, Span};
+
+#[derive(Debug, Default)]
+pub(crate) struct Press {
+    /// Invariant: never goes down; slices of lower epochs are not used.
+    pub epoch: Epoch,
+    purses: BTreeMap<Svc, Purse>,
+}
+
+#[derive(Debug, Default)]
+struct Purse {
+    /// Of the gate's own share. Starts empty.
+    own: f64,
+    at: Option<Mono>,
+    /// Lent requests and until when each may be used.
+    lent: Vec<Mono>,
+    /// First tries since the last asking, to foretell what will be wanted.
+    recent: u32,
+    asked: Mono,
+    /// Extra tries that may still be made.
+    extra: f64,
+    wait: u32,
+}
+
+/// Each first try earns this much of an extra one: well under a fifth.
+const EARN: f64 = 0.1;
+const EXTRA_MOST: f64 = 2.0;
+
+impl Purse {
+    fn fill(&mut self, now: Mono, s: &Share) {
+        let since = self.at.map_or(Span(0), |t| now - t);
+        self.at = Some(now);
+        let cap = (s.own * 0.1).max(1.0);
+        self.own = (self.own + s.own * since.0 as f64 / 1e6).min(cap);
+        self.lent.retain(|t| *t > now);
+    }
+}
+
+impl Gate {
+    fn purse(&mut self, now: Mono, svc: &Svc) -> Option<&mut Purse> {
+        let s = *self.table.shares.get(svc)?;
+        let p = self.press.purses.entry(svc.clone()).or_default();
+        p.fill(now, &s);
+        Some(p)
+    }
+
+    /// Takes one request's worth, valid until the point returned. Less urgent
+    /// lanes leave lent requests to others while the line is long.
+    pub(crate) fn spend(&mut self, now: Mono, svc: &Svc) -> Option<Mono> {
+        let p = self.purse(now, svc)?;
+        if !p.lent.is_empty() {
+            return Some(p.lent.remove(0));
+        }
+        (p.own >= 1.0).then(|| {
+            p.own -= 1.0;
+            now + LENT
+        })
+    }
+
+    /// Gives back what was not used after all.
+    pub(crate) fn refund(&mut self, now: Mono, svc: &Svc, until: Mono) {
+        self.purse(now, svc).into_iter().for_each(|p| {
+            if until > now {
+                p.lent.push(until);
+            }
+        });
+    }
+
+    pub(crate) fn first_try(&mut self, now: Mono, svc: &Svc) {
+        self.purse(now, svc).into_iter().for_each(|p| {
+            p.recent += 1;
+            p.extra = (p.extra + EARN).min(EXTRA_MOST);
+        });
+    }
+
+    pub(crate) fn extra_try(&mut self, now: Mono, svc: &Svc) -> bool {
+        self.purse(now, svc).is_some_and(|p| {
+            let ok = p.extra >= 1.0;
+            p.extra -= ok as u8 as f64;
+            ok
+        })
+    }
+
+    /// What to ask of the duty holder: the line, and what is likely to come.
+    pub(crate) fn wants(&mut self, now: Mono) -> Vec<(Svc, u32)> {
+        let mut line: BTreeMap<Svc, u32> = BTreeMap::new();
+        for j in self.jobs.values().filter(|j| j.in_line()) {
+            *line.entry(j.svc.clone()).or_default() += 1;
+        }
+        let shares = self.table.shares.clone();
+        let mut v = vec![];
+        for (svc, s) in &shares {
+            let Some(p) = self.purse(now, svc) else { continue };
+            let gone = (now - p.asked).0 as f64 / 1e6;
+            p.asked = now;
+            let more = (p.recent as f64 - s.own * gone).max(0.0).ceil() as u32;
+            p.recent = 0;
+            p.wait = line.get(svc).copied().unwrap_or(0);
+            let want = (p.wait + more).saturating_sub(p.lent.len() as u32);
+            if want > 0 {
+                v.push((svc.clone(), want));
+            }
+        }
+        v
+    }
+
+    pub(crate) fn take_slices(&mut self, now: Mono, r: &Reply, out: &mut Vec<Out>) {
+        if r.slices.is_empty() || r.epoch < self.press.epoch {
+            return;
+        }
+        self.press.epoch = r.epoch;
+        for (svc, n) in &r.slices {
+            let until = r.ask + LENT;
+            self.purse(now, svc).into_iter().for_each(|p| {
+                p.lent.extend((0..*n).map(|_| until));
+                p.lent.sort();
+                p.lent.retain(|t| *t > now);
+            });
+        }
+        self.serve_line(now, out);
+    }
+}
--- /dev/null
+++ b/crates/gate/src/rounds.rs
@@ -0,0 +1,147 @@
+//! Rounds: one try of a job at one origin.
+use crate::gate::Gate;
+use crate::jobs::*;
+use brood::*;
+use wax::{Mono, Span};
+
+impl Gate {
+    pub(crate) fn stage(&mut self, now: Mono, id: u64, s: Stage) {
+        self.jobs.entry(id).and_modify(|j| {
+            j.stage = s;
+            j.staged = now;
+        });
+    }
+
+    pub(crate) fn launch(&mut self, now: Mono, j: Job, out: &mut Vec<Out>) -> u64 {
+        let id = self.number();
+        self.jobs.insert(id, j);
+        self.line_up(now, id, out);
+        id
+    }
+
+    /// Into the line for the service; out of it at once if there is leave.
+    pub(crate) fn line_up(&mut self, now: Mono, id: u64, out: &mut Vec<Out>) {
+        self.stage(now, id, Stage::Line);
+        let Some(j) = self.jobs.get(&id) else { return };
+        let (svc, rank, first) = (j.svc.clone(), j.row.rank, j.tries == 0 && j.unsent == 0);
+        if first {
+            self.first_try(now, &svc);
+        }
+        let ahead = |o: &Job| o.in_line() && o.svc == svc && o.row.rank <= rank;
+        let waits = self.jobs.iter().any(|(i, o)| *i != id && ahead(o));
+        if !waits {
+            self.start_round(now, id, out);
+        }
+    }
+
+    /// Lets the line move: the more urgent first, then the longer waiting.
+    pub(crate) fn serve_line(&mut self, now: Mono, out: &mut Vec<Out>) {
+        let mut ids: Vec<(u8, Mono, u64)> =
+            self.jobs.iter().filter(|(_, j)| j.in_line()).map(|(i, j)| (j.row.rank, j.staged, *i)).collect();
+        ids.sort();
+        ids.into_iter().for_each(|(.., id)| self.start_round(now, id, out));
+    }
+
+    /// Sends the executor to an origin, or leaves the job in line, or denies it.
+    pub(crate) fn start_round(&mut self, now: Mono, id: u64, out: &mut Vec<Out>) {
+        let Some(j) = self.jobs.get(&id) else { return };
+        let (svc, leave, req) = (j.svc.clone(), j.must_leave, j.req.clone());
+        let on = match j.kind {
+            Kind::Read => wax::hash(&j.req.path),
+            Kind::Keyed => wax::hash(&j.req.key),
+            Kind::Plain => id,
+        };
+        let fresh_first = |(a, o, _): &(wax::Addr, Origin, Mono)| j.tried.contains(&(*a, o.birth));
+        let mut all = self.candidates(now, &svc, on);
+        all.sort_by_key(fresh_first);
+        let lease = self.leased_until();
+        let Some((addr, o, fresh)) = all.into_iter().next() else {
+            return self.deny(now, id, Denied::NoOrigin, out);
+        };
+        if lease <= now || leave <= now {
+            return self.deny(now, id, Denied::NoLease, out);
+        }
+        let Some(token) = self.spend(now, &svc) else { return };
+        let n = self.number();
+        let r = Round {
+            n,
+            addr,
+            svc,
+            birth: o.birth,
+            until: fresh.min(lease).min(token).min(leave),
+            horizon: now + self.env.patience,
+            req,
+        };
+        self.rounds.insert(n, id);
+        self.stage(now, id, Stage::Out(r.clone(), token));
+        let j = self.jobs.get_mut(&id).expect("looked up above");
+        j.tried.push((addr, o.birth));
+        self.count("rounds");
+        out.push(Out::Fetch(r));
+    }
+
+    /// An executor's report.
+    pub(crate) fn done(&mut self, now: Mono, n: u64, f: Fetched, out: &mut Vec<Out>) {
+        let Some(id) = self.rounds.remove(&n) else { return };
+        let Some(j) = self.jobs.get_mut(&id) else { return };
+        let Stage::Out(r, token) = &j.stage else { return };
+        let (r, token, sent) = (r.clone(), *token, j.staged);
+        match f {
+            Fetched::NotSent => {
+                j.unsent += 1;
+                let again = j.unsent < 3;
+                self.refund(now, &r.svc, token);
+                self.note_bad(now, r.addr, r.birth);
+                if again {
+                    self.line_up(now, id, out);
+                } else {
+                    self.deny(now, id, Denied::NoOrigin, out);
+                }
+            }
+            Fetched::Lost => {
+                j.tries += 1;
+                let safe = j.safe();
+                self.note_bad(now, r.addr, r.birth);
+                self.retry_or(now, id, safe, Step::Doubt(Span::secs(2)), out);
+            }
+            Fetched::Whole(w) => {
+                j.tries += 1;
+                let (kind, safe, spoiled) = (j.kind, j.safe(), j.spoiled);
+                self.note_pace(r.addr, r.birth, now - sent);
+                let failed = w.status >= 500;
+                let s = self.record(&std::sync::Arc::new(w.clone()), Shared::Origin, Mono(u64::MAX));
+                match kind {
+                    Kind::Read if spoiled => {
+                        let d = Step::Deny(Denied::NoOrigin, Span::secs(1));
+                        self.retry_or(now, id, true, d, out);
+                    }
+                    _ if failed && safe => {
+                        self.note_bad(now, r.addr, r.birth);
+                        self.retry_or(now, id, true, s, out);
+                    }
+                    Kind::Read => self.filled(now, id, sent, w, out),
+                    Kind::Plain => self.finish(now, id, s, out),
+                    Kind::Keyed => self.ran(now, id, w, s, out),
+                }
+            }
+        }
+    }
+
+    /// Another round if that does no harm and the budget has one, else `last`.
+    fn retry_or(&mut self, now: Mono, id: u64, safe: bool, last: Step, out: &mut Vec<Out>) {
+        let Some(j) = self.jobs.get_mut(&id) else { return };
+        let (svc, few) = (j.svc.clone(), j.tries < 3);
+        let late = now - j.began > self.env.patience;
+        if safe && few && !late && self.extra_try(now, &svc) {
+            self.count("extra tries");
+            self.jobs.entry(id).and_modify(|j| j.spoiled = false);
+            if self.jobs[&id].kind == Kind::Read {
+                self.fill_here(now, id, out);
+            } else {
+                self.line_up(now, id, out);
+            }
+        } else {
+            self.finish(now, id, last, out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/keeper/src/apply.rs
@@ -0,0 +1,69 @@
+//! Runs the agreement and applies what it delivers.
+use crate::keeper::Keeper;
+use crate::recs::Kept;
+use brood::*;
+use waggle::{Cid, Machine};
+use wax::Mono;
+
+type Outs = Vec<waggle::Out<Cmd>>;
+
+impl Keeper {
+    /// Lets the machine work and carries its outputs out, in their order.
+    pub(crate) fn with_machine(
+        &mut self,
+        now: Mono,
+        out: &mut Vec<Out>,
+        f: impl FnOnce(&mut Machine<Cmd>, &mut Outs),
+    ) {
+        let mut o: Outs = vec![];
+        if let Some(m) = &mut self.mach {
+            f(m, &mut o);
+        }
+        self.carry(now, o, out);
+    }
+
+    pub(crate) fn carry(&mut self, now: Mono, o: Outs, out: &mut Vec<Out>) {
+        let era = self.base.era;
+        for x in o {
+            match x {
+                waggle::Out::Save(r) => out.push(Out::Save(Kept::Wag(era, r).encode())),
+                waggle::Out::Send(to, w) => {
+                    let at = self.base.member(to).map(|m| m.addr);
+                    out.extend(at.map(|a| Out::Send(a, Msg::wag(era, self.kid, w))));
+                }
+                waggle::Out::Deliver(cid, cmd) => {
+                    self.deliver(now, cid, cmd, out);
+                    if self.base.era != era {
+                        // The cut was the era's last command; the rest is void.
+                        return;
+                    }
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self, now: Mono, cid: Cid, cmd: Cmd, out: &mut Vec<Out>) {
+        match cmd {
+            Cmd::Noop => {
+                let p = self.pending.remove(&cid);
+                p.into_iter().for_each(|p| self.submit(now, p.token, p.change, out));
+            }
+            Cmd::Cut(members) => {
+                let clock = self.mach.as_ref().map_or(0, |m| m.clock());
+                let next = self.pic.cut(&members, clock);
+                self.enter(now, next, out);
+            }
+            Cmd::Change(c) => {
+                let (verdict, first) = self.pic.apply(&c);
+                let news: Vec<Key> = match (&verdict, first) {
+                    (Verdict::Done(ks), true) => ks.iter().map(|(k, _)| k.clone()).collect(),
+                    _ => vec![],
+                };
+                self.push(now, &news, out);
+                self.owe(now, cid);
+                self.pending.entry(cid).and_modify(|p| p.verdict = Some(verdict));
+                self.conclude(cid, out);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/keeper/src/duty.rs
@@ -0,0 +1,155 @@
+//! The single duty: the first live keeper in the agreed order lends slices of
+//! the ceilings, removes vanished origins and cuts eras.
+use crate::keeper::{order, Keeper};
+use brood::*;
+use std::collections::BTreeMap;
+use waggle::{classic, Kid};
+use wax::{Addr, Epoch, Mono, Span};
+
+/// How long a keeper's word for a holder stands.
+pub(crate) const TERM: Span = Span::ms(1500);
+
+pub(crate) struct Duty {
+    /// Invariant: never goes down; nobody below it is served.
+    seen: Epoch,
+    /// Whom this keeper gave its word, until when.
+    word: Option<(Kid, Epoch)>,
+    until: Mono,
+    /// As holder: since when, and until when each keeper's word carries it.
+    mine: Option<Epoch>,
+    since: Mono,
+    words: BTreeMap<Kid, Mono>,
+    need: usize,
+    purses: BTreeMap<Svc, Purse>,
+}
+
+/// What may still be lent of one service's ceiling.
+#[derive(Clone, Debug)]
+struct Purse {
+    tokens: f64,
+    at: Mono,
+}
+
+impl Duty {
+    /// Words given before a restart may still stand: none is given for a term.
+    pub(crate) fn new(now: Mono) -> Duty {
+        Duty {
+            seen: Epoch(0),
+            word: None,
+            until: now + TERM.padded(),
+            mine: None,
+            since: now,
+            words: BTreeMap::new(),
+            need: usize::MAX,
+            purses: BTreeMap::new(),
+        }
+    }
+
+    /// Until when a classic quorum's words carry this holder.
+    fn carried(&self) -> Mono {
+        let mut v: Vec<Mono> = self.words.values().copied().collect();
+        v.sort_by(|a, b| b.cmp(a));
+        v.get(self.need.saturating_sub(1)).copied().unwrap_or_default()
+    }
+
+    pub(crate) fn held(&self, now: Mono) -> bool {
+        self.mine.is_some() && self.carried() > now
+    }
+
+    pub(crate) fn epoch(&self) -> Epoch {
+        self.mine.unwrap_or(Epoch(0))
+    }
+}
+
+impl Keeper {
+    fn first_live(&self, now: Mono) -> bool {
+        let heard = |k: &Kid| self.mach.as_ref().and_then(|m| m.heard_of(*k));
+        let live = |k: &Kid| *k == self.kid || heard(k).is_some_and(|t| now - t < self.env.pace.suspect);
+        order(&self.pic).into_iter().find(live) == Some(self.kid)
+    }
+
+    pub(crate) fn do_duty(&mut self, now: Mono, out: &mut Vec<Out>) {
+        let fit = self.mach.is_some() && self.connected(now) && self.first_live(now);
+        if !fit {
+            self.duty.mine = None;
+            return;
+        }
+        if self.due("duty", Span::ms(300), now) {
+            let d = &mut self.duty;
+            d.need = classic(self.base.members.len());
+            if d.mine.is_none_or(|e| e < d.seen) || (d.carried() <= now && d.since + TERM < now) {
+                d.mine = Some(Epoch(d.seen.0 + 1));
+                d.seen = Epoch(d.seen.0 + 1);
+                d.since = now;
+                d.words.clear();
+                d.purses.clear();
+            }
+            let e = d.epoch();
+            let ask = |m: &Member| Out::Send(m.addr, Msg::DutyAsk(self.kid, e, now));
+            out.extend(self.base.members.iter().map(ask));
+        }
+        if self.duty.held(now)
+            && now - self.duty.since > self.env.vanish
+            && self.due("sweep", Span::ms(500), now)
+        {
+            self.sweep(now, out);
+        }
+    }
+
+    pub(crate) fn on_duty_ask(
+        &mut self,
+        now: Mono,
+        from: Addr,
+        kid: Kid,
+        e: Epoch,
+        ask: Mono,
+        out: &mut Vec<Out>,
+    ) {
+        let d = &mut self.duty;
+        let same = d.word == Some((kid, e));
+        let free = d.until <= now && e >= d.seen;
+        let yes = same || free;
+        d.seen = d.seen.max(e);
+        if yes {
+            d.word = Some((kid, e));
+            d.until = now + TERM.padded();
+        }
+        let said = Msg::DutySaid(self.kid, d.seen, yes.then_some(ask));
+        out.push(Out::Send(from, said));
+    }
+
+    pub(crate) fn on_duty_said(&mut self, _now: Mono, kid: Kid, e: Epoch, ask: Option<Mono>) {
+        let d = &mut self.duty;
+        d.seen = d.seen.max(e);
+        if d.mine == Some(e) {
+            ask.map(|t| d.words.insert(kid, t + TERM));
+        }
+    }
+
+    /// Lends single requests of the ceiling, to be used within a short term.
+    pub(crate) fn lend(&mut self, now: Mono, s: &Sub) -> Vec<(Svc, u32)> {
+        let d = &mut self.duty;
+        if s.epoch > d.seen {
+            d.seen = s.epoch;
+        }
+        // What is lent must be used or void before another holder can lend.
+        if d.mine.is_none() || d.carried() < now + LENT || d.mine < Some(s.epoch) {
+            return vec![];
+        }
+        let mut got = vec![];
+        for (svc, want) in &s.wants {
+            let Some(share) = share(&self.pic.items, svc) else { continue };
+            // A new holder starts with nothing: the last one may have lent it all.
+            let p = d.purses.entry(svc.clone()).or_insert(Purse { tokens: 0.0, at: now });
+            let cap = (share.lent * 0.1).max(1.0);
+            p.tokens = (p.tokens + share.lent * (now - p.at).0 as f64 / 1e6).min(cap);
+            p.at = now;
+            let n = (*want as f64).min(p.tokens.floor());
+            p.tokens -= n;
+            if n > 0.0 {
+                got.push((svc.clone(), n as u32));
+            }
+        }
+        got
+    }
+}
--- /dev/null
+++ b/crates/keeper/src/era.rs
@@ -0,0 +1,132 @@
+//! Waking on the disk's records, eras, and catching up by picture.
+use crate::keeper::Keeper;
+use crate::recs::Kept;
+use brood::*;
+use waggle::{Kid, Machine, Rec, Wag};
+use wax::{Addr, Birth, Mono, Span};
+
+impl Keeper {
+    pub(crate) fn wake(&mut self, kept: Vec<Kept>, now: Mono, out: &mut Vec<Out>) {
+        let mut recs: Vec<Rec<Cmd>> = vec![];
+        for k in kept {
+            match k {
+                Kept::Blank(b) => self.birth = b,
+                Kept::Base(b, p) => {
+                    self.birth = b;
+                    self.base = *p;
+                    recs.clear();
+                }
+                Kept::Wag(era, r) if era == self.base.era => recs.push(r),
+                Kept::Wag(..) => (),
+            }
+        }
+        self.pic = self.base.clone();
+        self.seat(now);
+        let replay = |m: &mut Machine<Cmd>, o: &mut Vec<_>| {
+            recs.into_iter().for_each(|r| m.replay(r));
+            m.resume(now, o);
+        };
+        self.with_machine(now, out, replay);
+        // Leases given before the stop may still run: as if all were given just now.
+        let until = now + self.env.lease.padded();
+        self.assume_lent(until);
+    }
+
+    /// Takes the seat that the roster of the picture gives this disk, if any.
+    fn seat(&mut self, now: Mono) {
+        let mine = self.pic.members.iter().find(|m| m.addr == self.env.addr && m.birth == self.birth);
+        self.mach = mine.map(|m| m.kid).map(|kid| {
+            self.kid = kid;
+            Machine::new(kid, self.pic.members.iter().map(|m| m.kid).collect(), self.env.pace, now)
+        });
+    }
+
+    /// Starts an era from a picture: the picture first, all later records after it.
+    pub(crate) fn enter(&mut self, now: Mono, p: Picture, out: &mut Vec<Out>) {
+        let clock = self.mach.as_ref().map_or(0, |m| m.clock()).max(p.clock);
+        let tally = self.tally();
+        self.base = p.clone();
+        self.pic = p;
+        self.owed.clear();
+        self.cutting = None;
+        out.push(Out::Base(Kept::Base(self.birth, Box::new(self.base.clone())).encode()));
+        self.seat(now);
+        self.with_machine(now, out, |m, o| {
+            m.tally = tally;
+            m.start_above(clock, o);
+        });
+        self.count("eras");
+        let open = std::mem::take(&mut self.pending);
+        open.into_values().for_each(|p| self.submit(now, p.token, p.change, out));
+    }
+
+    /// A picture of a later era replaces what this keeper has.
+    pub(crate) fn adopt(&mut self, now: Mono, p: Picture, out: &mut Vec<Out>) {
+        let mine = p.members.iter().any(|m| m.addr == self.env.addr && m.birth == self.birth);
+        if p.era <= self.base.era || !(mine || self.mach.is_some()) {
+            return;
+        }
+        let news: Vec<Key> = p
+            .items
+            .iter()
+            .filter(|(k, it)| self.pic.items.get(k) != Some(it))
+            .map(|(k, _)| k.clone())
+            .collect();
+        self.count("adopted");
+        self.enter(now, p, out);
+        self.push(now, &news, out);
+    }
+
+    pub(crate) fn on_wag(
+        &mut self,
+        now: Mono,
+        from: Addr,
+        era: Era,
+        kid: Kid,
+        w: Wag<Cmd>,
+        out: &mut Vec<Out>,
+    ) {
+        if era == self.base.era {
+            self.with_machine(now, out, |m, o| m.take(now, kid, w, o));
+        } else if self.hush(from, now) {
+            out.push(if era > self.base.era {
+                Out::Send(from, Msg::WantPicture(self.base.era, self.birth))
+            } else {
+                Out::Send(from, Msg::Picture(Box::new(self.base.clone())))
+            });
+        }
+    }
+
+    /// At most one picture or wish per address in a while.
+    fn hush(&mut self, to: Addr, now: Mono) -> bool {
+        let was = self.said.entry(to).or_default();
+        let due = now - *was >= Span::ms(200);
+        if due {
+            *was = now;
+        }
+        due
+    }
+
+    pub(crate) fn on_want(&mut self, from: Addr, era: Era, birth: Birth, out: &mut Vec<Out>) {
+        let known = self.base.members.iter().any(|m| m.birth == birth) || era.0 > 0;
+        if known && era < self.base.era {
+            out.push(Out::Send(from, Msg::Picture(Box::new(self.base.clone()))));
+        }
+    }
+
+    /// Ends the era once it has grown; the holder of the duty sees to it.
+    pub(crate) fn maybe_cut(&mut self, now: Mono, out: &mut Vec<Out>) {
+        let size = self.mach.as_ref().map_or(0, |m| m.size());
+        // The others step in when the holder leaves it undone.
+        let due =
+            (size >= self.env.cut_at && self.duty.held(now)) || size >= self.env.cut_at + self.env.cut_at / 4;
+        let lately = self.cutting.is_some_and(|t| now - t < Span::secs(2));
+        if due && !lately {
+            self.cutting = Some(now);
+            let members = self.pic.members.clone();
+            self.with_machine(now, out, |m, o| {
+                m.propose(now, Cmd::Cut(members), o);
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/keeper/src/feeds.rs
@@ -0,0 +1,154 @@
+//! Numbered news to gates and combs, and the setup leases that hang on them.
+use crate::keeper::Keeper;
+use brood::*;
+use std::collections::VecDeque;
+use wax::{Addr, Mono, NodeId, Span};
+
+/// One subscriber. Numbers are of this feed alone: two keepers may apply
+/// commuting commands in different orders.
+#[derive(Clone, Debug)]
+pub(crate) struct Feed {
+    pub addr: Option<Addr>,
+    pub feed: u64,
+    pub sent: u64,
+    pub got: u64,
+    /// What each number not yet acknowledged changed.
+    pub line: VecDeque<(u64, Key)>,
+    /// Until when a lease from here may be alive, by this keeper's clock.
+    pub lent: Mono,
+    pub pushed: Mono,
+}
+
+impl Feed {
+    fn unsure(lent: Mono) -> Feed {
+        Feed { addr: None, feed: 0, sent: 1, got: 0, line: VecDeque::new(), lent, pushed: Mono(0) }
+    }
+    pub(crate) fn behind(&self) -> bool {
+        self.got < self.sent
+    }
+}
+
+/// A feed with more unacknowledged news than this starts anew.
+const LONGEST: usize = 2000;
+
+impl Keeper {
+    pub(crate) fn assume_lent(&mut self, until: Mono) {
+        let ids = self.pic.items.keys().filter_map(|k| match k {
+            Key::Node(n) => Some(*n),
+            _ => None,
+        });
+        self.feeds = ids.map(|n| (n, Feed::unsure(until))).collect();
+    }
+
+    /// Sends the news of these keys to every subscriber.
+    pub(crate) fn push(&mut self, now: Mono, news: &[Key], out: &mut Vec<Out>) {
+        if news.is_empty() {
+            return;
+        }
+        for f in self.feeds.values_mut() {
+            let from = f.sent;
+            for k in news {
+                f.sent += 1;
+                f.line.push_back((f.sent, k.clone()));
+            }
+            if f.line.len() > LONGEST {
+                f.line.clear();
+                f.feed = 0;
+            }
+            f.pushed = now;
+            let items = news.iter().map(|k| (k.clone(), self.pic.item(k))).collect();
+            let n = News {
+                feed: f.feed,
+                from,
+                to: f.sent,
+                full: false,
+                items,
+                era: self.base.era,
+                members: self.base.members.clone(),
+                reply: None,
+            };
+            out.extend(f.addr.filter(|_| f.feed != 0).map(|a| Out::Send(a, Msg::News(Box::new(n)))));
+        }
+        self.count("pushes");
+    }
+
+    pub(crate) fn on_sub(&mut self, now: Mono, from: Addr, s: Sub, out: &mut Vec<Out>) {
+        if self.mach.is_none() {
+            return;
+        }
+        let known = self.pic.node(&s.id).cloned();
+        let same = |n: &Node| n.birth == s.node.birth && n.addr == s.node.addr && n.role == s.node.role;
+        let seated = known.as_ref().is_some_and(same);
+        if !seated && self.connected(now) {
+            self.derive(now, Op::Join(s.id, s.node.clone()), out);
+        }
+        let f = self.feeds.entry(s.id).or_insert_with(|| Feed::unsure(Mono(0)));
+        f.addr = Some(from);
+        let anew = f.feed == 0 || s.feed != f.feed;
+        if anew {
+            self.feed_no += 1;
+            f.feed = self.feed_no;
+            f.sent = 1;
+            f.got = 0;
+            f.line.clear();
+        } else {
+            f.got = f.got.max(s.got.min(f.sent));
+            let got = f.got;
+            f.line.retain(|(n, _)| *n > got);
+        }
+        let again = f.behind() && !anew && now - f.pushed >= Span::ms(100);
+        if anew || again {
+            f.pushed = now;
+        }
+        // A lease goes only to a subscriber that holds all this keeper applied.
+        let lent = seated && !f.behind();
+        if lent {
+            f.lent = f.lent.max(now + self.env.lease.padded());
+        }
+        let items: Vec<(Key, Item)> = if anew {
+            self.pic.items.iter().map(|(k, i)| (k.clone(), i.clone())).collect()
+        } else if again {
+            f.line.iter().map(|(_, k)| (k.clone(), self.pic.item(k))).collect()
+        } else {
+            vec![]
+        };
+        let (feed, to) = (f.feed, f.sent);
+        let from_no = if anew {
+            0
+        } else if again {
+            f.got
+        } else {
+            f.sent
+        };
+        let reply = Reply {
+            ask: s.ask,
+            kid: self.kid,
+            lent,
+            beats: self.beats_now(now),
+            slices: self.lend(now, &s),
+            epoch: self.duty.epoch(),
+        };
+        let n = News {
+            feed,
+            from: from_no,
+            to,
+            full: anew,
+            items,
+            era: self.base.era,
+            members: self.base.members.clone(),
+            reply: Some(reply),
+        };
+        out.push(Out::Send(from, Msg::News(Box::new(n))));
+    }
+
+    /// Who with a live lease from here lacks what was applied so far.
+    pub(crate) fn lacking(&self, now: Mono) -> Vec<(NodeId, u64)> {
+        let lacks = |f: &Feed| f.lent > now && f.behind();
+        self.feeds.iter().filter(|(_, f)| lacks(f)).map(|(n, f)| (*n, f.sent)).collect()
+    }
+
+    /// Whether the subscriber has news up to `no`, or its lease ran out.
+    pub(crate) fn paid(&self, now: Mono, id: NodeId, feed_no: u64) -> bool {
+        self.feeds.get(&id).is_none_or(|f| f.lent <= now || f.got >= feed_no.min(f.sent) && f.got > 0)
+    }
+}
--- /dev/null
+++ b/crates/keeper/src/force.rs
@@ -0,0 +1,123 @@
+//! From submission to "decided, durable and in force".
+//!
+//! Invariant: a change is acknowledged only when a classic quorum of keepers
+//! has applied it from a synced decision and none of them has a live lease
+//! out to a subscriber that lacks it. A subscriber's lease needs renewals from
+//! a classic quorum, so some keeper is in both: no subscriber without the
+//! change can be serving.
+use crate::keeper::Keeper;
+use brood::*;
+use std::collections::BTreeSet;
+use waggle::{classic, Cid, Kid};
+use wax::{Addr, Mono, Span, Token};
+
+pub(crate) struct Pending {
+    pub token: Option<Token>,
+    pub change: Change,
+    pub verdict: Option<Verdict>,
+    pub yes: BTreeSet<Kid>,
+    pub began: Mono,
+}
+
+const FORGET: Span = Span::secs(60);
+
+impl Keeper {
+    pub(crate) fn submit(&mut self, now: Mono, token: Option<Token>, change: Change, out: &mut Vec<Out>) {
+        let cmd = Cmd::Change(change.clone());
+        let mut cid = None;
+        let mut o = vec![];
+        if let Some(m) = &mut self.mach {
+            cid = Some(m.propose(now, cmd, &mut o));
+        }
+        let p = Pending { token, change, verdict: None, yes: BTreeSet::new(), began: now };
+        match cid {
+            Some(c) => {
+                self.pending.insert(c, p);
+            }
+            None => out.extend(token.map(|t| Out::Tell(t, Receipt::NotNow("not a member any more")))),
+        }
+        self.carry(now, o, out);
+    }
+
+    /// Proposes what no operator sent, unless it was proposed a moment ago.
+    pub(crate) fn derive(&mut self, now: Mono, op: Op, out: &mut Vec<Out>) {
+        let print = wax::hash(&format!("{op:?}"));
+        let lately = self.derived.get(&print).is_some_and(|t| now - *t < Span::ms(1500));
+        if !lately {
+            self.derived.retain(|_, t| now - *t < Span::secs(10));
+            self.derived.insert(print, now);
+            self.count("derived");
+            self.submit(now, None, Change { id: None, op }, out);
+        }
+    }
+
+    /// Notes who must still learn of a command just applied.
+    pub(crate) fn owe(&mut self, now: Mono, cid: Cid) {
+        let lacks = self.lacking(now);
+        if !lacks.is_empty() {
+            self.owed.insert(cid, lacks);
+        }
+    }
+
+    fn settled(&self, cid: Cid) -> bool {
+        self.mach.as_ref().is_some_and(|m| m.delivered(cid)) && !self.owed.contains_key(&cid)
+    }
+
+    /// Clears what was paid, tells the leaders, asks for what is missing.
+    pub(crate) fn force(&mut self, now: Mono, out: &mut Vec<Out>) {
+        let era = self.base.era;
+        let open = std::mem::take(&mut self.owed);
+        for (cid, lacks) in open {
+            let still: Vec<_> = lacks.into_iter().filter(|(id, no)| !self.paid(now, *id, *no)).collect();
+            if still.is_empty() {
+                let at = self.base.member(cid.kid).map(|m| m.addr);
+                out.extend(at.map(|a| Out::Send(a, Msg::InForce(era, cid, self.kid))));
+            } else {
+                self.owed.insert(cid, still);
+            }
+        }
+        if self.due("force", Span::ms(50), now) {
+            let ask = |m: &Member, c: &Cid| Out::Send(m.addr, Msg::AskForce(era, *c));
+            let waiting = self.pending.iter().filter(|(_, p)| p.verdict.is_some());
+            let asks: Vec<Out> = waiting
+                .flat_map(|(c, p)| {
+                    let silent = self.base.members.iter().filter(|m| !p.yes.contains(&m.kid));
+                    silent.map(|m| ask(m, c)).collect::<Vec<_>>()
+                })
+                .collect();
+            out.extend(asks);
+            self.pending.retain(|_, p| now - p.began < FORGET);
+        }
+    }
+
+    pub(crate) fn on_ask_force(&mut self, from: Addr, era: Era, cid: Cid, out: &mut Vec<Out>) {
+        if era == self.base.era && self.settled(cid) {
+            out.push(Out::Send(from, Msg::InForce(era, cid, self.kid)));
+        }
+    }
+
+    pub(crate) fn on_in_force(&mut self, era: Era, cid: Cid, kid: Kid, out: &mut Vec<Out>) {
+        if era == self.base.era {
+            self.pending.entry(cid).and_modify(|p| {
+                p.yes.insert(kid);
+            });
+            self.conclude(cid, out);
+        }
+    }
+
+    /// Answers the operator when there is nothing left to wait for.
+    pub(crate) fn conclude(&mut self, cid: Cid, out: &mut Vec<Out>) {
+        let need = classic(self.base.members.len());
+        let Some(p) = self.pending.get(&cid) else { return };
+        let over = match &p.verdict {
+            None => false,
+            Some(Verdict::Done(_)) => p.token.is_none() || p.yes.len() >= need,
+            Some(_) => true,
+        };
+        if over {
+            let p = self.pending.remove(&cid).expect("found above");
+            let v = p.verdict.expect("checked above");
+            out.extend(p.token.map(|t| Out::Tell(t, Receipt::Change(v))));
+        }
+    }
+}
--- /dev/null
+++ b/crates/keeper/src/found.rs
@@ -0,0 +1,81 @@
+//! Founding a deployment, and letting a replaced keeper in.
+use crate::keeper::Keeper;
+use brood::*;
+use waggle::Kid;
+use wax::{Addr, Mono, Span};
+
+impl Keeper {
+    /// Without a seat: shows itself to the seeds.
+    pub(crate) fn show_blank(&mut self, out: &mut Vec<Out>) {
+        if self.mach.is_none() {
+            let m = self.member(Kid(0));
+            out.extend(self.env.seeds.iter().map(|s| Out::Send(*s, Msg::Blank(m.clone()))));
+        }
+    }
+
+    pub(crate) fn on_blank(&mut self, now: Mono, m: Member, out: &mut Vec<Out>) {
+        let (addr, birth) = (m.addr, m.birth);
+        self.blanks.insert(addr, (m.clone(), now));
+        if self.mach.is_none() {
+            return self.maybe_found(now, out);
+        }
+        if self.base.members.iter().any(|x| x.addr == addr && x.birth == birth) {
+            out.push(Out::Send(addr, Msg::Picture(Box::new(self.base.clone()))));
+        } else if self.base.members.iter().any(|x| x.addr == addr) {
+            // Its disk was lost: it gets a new id in its old place.
+            self.swap_in(now, addr, m, out);
+        }
+    }
+
+    /// The first keepers of all: every one of them must be there, each with the
+    /// life its disk was given, before any of them decides anything.
+    fn maybe_found(&mut self, now: Mono, out: &mut Vec<Out>) {
+        let all = self.env.seeds.iter().all(|s| self.blanks.contains_key(s));
+        if !(self.env.found && all && self.base.era == Era(0)) {
+            return;
+        }
+        let mut ms: Vec<Member> =
+            self.env.seeds.iter().filter_map(|s| self.blanks.get(s)).map(|(m, _)| m.clone()).collect();
+        ms.push(self.member(Kid(0)));
+        ms.sort_by_key(|m| m.addr);
+        ms.dedup_by_key(|m| m.addr);
+        ms.iter_mut().enumerate().for_each(|(i, m)| m.kid = Kid(i as u16));
+        let p = Picture::default().cut(&ms, 0);
+        self.enter(now, p, out);
+        self.show_founded(out);
+    }
+
+    /// The others may have missed one of the blanks.
+    fn show_founded(&self, out: &mut Vec<Out>) {
+        let p = Msg::Picture(Box::new(self.base.clone()));
+        out.extend(self.env.seeds.iter().map(|s| Out::Send(*s, p.clone())));
+    }
+
+    pub(crate) fn replace(&mut self, now: Mono, old: Addr, new: Addr, out: &mut Vec<Out>) -> Receipt {
+        let there = self.base.members.iter().any(|m| m.addr == old);
+        let heard = self.blanks.get(&new).filter(|(_, t)| now - *t < Span::secs(5)).map(|(m, _)| m.clone());
+        match (there, heard) {
+            _ if !self.connected(now) => Receipt::NotNow("no quorum of keepers in reach"),
+            (false, _) => Receipt::NotNow("no keeper of the roster is at the old address"),
+            (_, None) => Receipt::NotNow("no blank keeper was heard from the new address"),
+            (true, Some(m)) => {
+                self.swap_in(now, old, m, out);
+                Receipt::Took
+            }
+        }
+    }
+
+    fn swap_in(&mut self, now: Mono, old: Addr, new: Member, out: &mut Vec<Out>) {
+        if self.cutting.is_some_and(|t| now - t < Span::secs(2)) {
+            return;
+        }
+        self.cutting = Some(now);
+        self.count("swaps");
+        let kid = Kid(self.pic.next_kid);
+        let swap = |m: &Member| if m.addr == old { Member { kid, ..new.clone() } } else { m.clone() };
+        let members: Vec<Member> = self.pic.members.iter().map(swap).collect();
+        self.with_machine(now, out, |m, o| {
+            m.propose(now, Cmd::Cut(members), o);
+        });
+    }
+}
--- /dev/null
+++ b/crates/keeper/src/keeper.rs
@@ -0,0 +1,206 @@
+use crate::duty::Duty;
+use crate::feeds::Feed;
+use crate::force::Pending;
+use crate::recs::Kept;
+use brood::*;
+use std::collections::{BTreeMap, BTreeSet};
+use waggle::{classic, Cid, Kid, Machine, Pace};
+use wax::{Addr, Birth, Mono, NodeId, Span, Token};
+
+/// What a keeper is told about itself.
+#[derive(Clone, Debug)]
+pub struct KeeperEnv {
+    pub addr: Addr,
+    pub http: Addr,
+    pub zone: Zone,
+    pub seeds: Vec<Addr>,
+    /// This keeper and its seeds are the first ones of a new deployment.
+    pub found: bool,
+    /// How long a gate may serve without a renewal.
+    pub lease: Span,
+    /// An era is cut once it holds this many commands.
+    pub cut_at: usize,
+    /// An origin silent for this long is removed.
+    pub vanish: Span,
+    pub pace: Pace,
+}
+
+pub struct Keeper {
+    pub(crate) env: KeeperEnv,
+    /// Invariant: the life of the disk; a new disk draws a new one.
+    pub(crate) birth: Birth,
+    /// The state the era started from, and the state now.
+    pub(crate) base: Picture,
+    pub(crate) pic: Picture,
+    /// None while blank or retired.
+    pub(crate) mach: Option<Machine<Cmd>>,
+    pub(crate) kid: Kid,
+    pub(crate) blanks: BTreeMap<Addr, (Member, Mono)>,
+    pub(crate) feeds: BTreeMap<NodeId, Feed>,
+    pub(crate) feed_no: u64,
+    pub(crate) beats: BTreeMap<Addr, (Beat, Mono)>,
+    /// What was lately proposed without an operator, so as not to repeat it.
+    pub(crate) derived: BTreeMap<u64, Mono>,
+    pub(crate) pending: BTreeMap<Cid, Pending>,
+    /// Delivered changes that some gate with a live lease from here still lacks.
+    pub(crate) owed: BTreeMap<Cid, Vec<(NodeId, u64)>>,
+    pub(crate) duty: Duty,
+    pub(crate) said: BTreeMap<Addr, Mono>,
+    pub(crate) cutting: Option<Mono>,
+    pub(crate) counts: BTreeMap<&'static str, u64>,
+    last: BTreeMap<&'static str, Mono>,
+}
+
+impl Keeper {
+    /// Starts on what the disk holds; `life` is a fresh random number.
+    pub fn start(env: KeeperEnv, kept: Vec<Kept>, life: u64, now: Mono, out: &mut Vec<Out>) -> Keeper {
+        let mut k = Keeper {
+            birth: Birth(life),
+            base: Picture::default(),
+            pic: Picture::default(),
+            mach: None,
+            kid: Kid(0),
+            blanks: BTreeMap::new(),
+            feeds: BTreeMap::new(),
+            feed_no: life << 16,
+            beats: BTreeMap::new(),
+            derived: BTreeMap::new(),
+            pending: BTreeMap::new(),
+            owed: BTreeMap::new(),
+            duty: Duty::new(now),
+            said: BTreeMap::new(),
+            cutting: None,
+            counts: BTreeMap::new(),
+            last: BTreeMap::new(),
+            env,
+        };
+        let blank = kept.is_empty();
+        k.wake(kept, now, out);
+        if blank {
+            out.push(Out::Base(Kept::Blank(k.birth).encode()));
+        }
+        k
+    }
+
+    pub(crate) fn member(&self, kid: Kid) -> Member {
+        Member {
+            kid,
+            addr: self.env.addr,
+            http: self.env.http,
+            zone: self.env.zone.clone(),
+            birth: self.birth,
+        }
+    }
+
+    pub fn picture(&self) -> &Picture {
+        &self.pic
+    }
+    pub fn tally(&self) -> waggle::Tally {
+        self.mach.as_ref().map(|m| m.tally).unwrap_or_default()
+    }
+    pub fn kid(&self) -> Option<Kid> {
+        self.mach.as_ref().map(|_| self.kid)
+    }
+
+    /// Hears enough of the others to decide anything.
+    pub(crate) fn connected(&self, now: Mono) -> bool {
+        self.mach.as_ref().is_some_and(|m| {
+            let near = |k: &Kid| m.heard_of(*k).is_some_and(|t| now - t < self.env.pace.suspect);
+            let n = m.roster().len();
+            m.roster().iter().filter(|k| **k == self.kid || near(k)).count() >= classic(n)
+        })
+    }
+
+    /// True at most once per `every` for each name.
+    pub(crate) fn due(&mut self, name: &'static str, every: Span, now: Mono) -> bool {
+        let was = self.last.entry(name).or_default();
+        let due = now - *was >= every;
+        if due {
+            *was = now;
+        }
+        due
+    }
+
+    pub(crate) fn count(&mut self, name: &'static str) {
+        *self.counts.entry(name).or_default() += 1;
+    }
+
+    fn ask(&mut self, now: Mono, t: Token, ask: Ask, out: &mut Vec<Out>) {
+        let ready = self.connected(now);
+        let r = match ask {
+            Ask::Change(c) if ready => return self.submit(now, Some(t), c, out),
+            Ask::Change(_) => Receipt::NotNow("no quorum of keepers in reach"),
+            Ask::Beat(b) if ready => {
+                self.on_beat(now, b, Span(0), out);
+                Receipt::Took
+            }
+            Ask::Beat(_) => Receipt::NotNow("no quorum of keepers in reach"),
+            Ask::Replace { old, new } => self.replace(now, old, new, out),
+            Ask::Table => Receipt::Table(Box::new(self.pic.clone()), self.beats_now(now)),
+            Ask::Ready => Receipt::Health(self.health(now)),
+            _ => Receipt::Took,
+        };
+        out.push(Out::Tell(t, r));
+    }
+
+    fn health(&self, now: Mono) -> Health {
+        let t = self.tally();
+        let why = match (&self.mach, self.connected(now)) {
+            (None, _) => "not a member yet",
+            (_, false) => "no quorum of keepers in reach",
+            _ => "",
+        };
+        let mut counts: Vec<_> = self.counts.iter().map(|(k, v)| (*k, *v)).collect();
+        counts.extend([
+            ("era", self.pic.era.0),
+            ("proposed", t.proposed),
+            ("fast", t.fast),
+            ("slow", t.slow),
+            ("retried", t.retried),
+            ("recovered", t.recovered),
+            ("messages", t.sent),
+            ("tuples", self.mach.as_ref().map_or(0, |m| m.size()) as u64),
+        ]);
+        Health { ready: why.is_empty(), why, in_hand: self.pending.len() as u64, counts }
+    }
+
+    fn tick(&mut self, now: Mono, out: &mut Vec<Out>) {
+        if self.due("blank", Span::ms(200), now) {
+            self.show_blank(out);
+        }
+        self.with_machine(now, out, |m, o| m.tick(now, o));
+        self.force(now, out);
+        self.do_duty(now, out);
+        if self.due("beats", Span::ms(200), now) {
+            self.relay_beats(now, out);
+        }
+        self.maybe_cut(now, out);
+    }
+}
+
+impl Part for Keeper {
+    fn step(&mut self, now: Mono, inp: In, out: &mut Vec<Out>) {
+        match inp {
+            In::Tick => self.tick(now, out),
+            In::Ask(t, a) => self.ask(now, t, a, out),
+            In::Msg(from, m) => match m {
+                Msg::Wag(era, kid, w) => self.on_wag(now, from, era, kid, *w, out),
+                Msg::Blank(m) => self.on_blank(now, m, out),
+                Msg::Picture(p) => self.adopt(now, *p, out),
+                Msg::WantPicture(era, birth) => self.on_want(from, era, birth, out),
+                Msg::Beats(bs) => bs.into_iter().for_each(|(b, age)| self.on_beat(now, b, age, out)),
+                Msg::AskForce(era, cid) => self.on_ask_force(from, era, cid, out),
+                Msg::InForce(era, cid, kid) => self.on_in_force(era, cid, kid, out),
+                Msg::DutyAsk(kid, e, t) => self.on_duty_ask(now, from, kid, e, t, out),
+                Msg::DutySaid(kid, e, t) => self.on_duty_said(now, kid, e, t),
+                Msg::Sub(s) => self.on_sub(now, from, *s, out),
+                _ => self.count("stray"),
+            },
+        }
+    }
+}
+
+/// The roster's kids, in the order in which duties fall to them.
+pub(crate) fn order(pic: &Picture) -> BTreeSet<Kid> {
+    pic.members.iter().map(|m| m.kid).collect()
+}
--- /dev/null
+++ b/crates/keeper/src/lib.rs
@@ -0,0 +1,13 @@
+//! The keeper, a pure part: agreement, control state, feeds and leases, duty.
+mod apply;
+mod beats;
+mod duty;
+mod era;
+mod feeds;
+mod force;
+mod found;
+mod keeper;
+mod recs;
+
+pub use keeper::{Keeper, KeeperEnv};
+pub use recs::Kept;
--- /dev/null
+++ b/crates/keeper/src/recs.rs
@@ -0,0 +1,24 @@
+//! What a keeper writes to its ring.
+use brood::{Cmd, Era, Picture};
+use serde::{Deserialize, Serialize};
+use waggle::Rec;
+use wax::Birth;
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Kept {
+    /// This disk's life; none of an agreement yet.
+    Blank(Birth),
+    /// The state an era starts from. Invariant: together with the `Wag` records
+    /// of the same era after it, all that this disk ever promised.
+    Base(Birth, Box<Picture>),
+    Wag(Era, Rec<Cmd>),
+}
+
+impl Kept {
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).expect("plain data always encodes")
+    }
+    pub fn decode(b: &[u8]) -> Option<Kept> {
+        postcard::from_bytes(b).ok()
+    }
+}
