--- /dev/null
+++ b/crates/apiary/src/fleet.rs
@@ -0,0 +1,272 @@
+//! A whole fleet as processes of this machine. The one place of the project
+//! where a process starts another, and only for development.
+use brood::{obj, Role};
+use meadow::mix::{read_mix, Mix};
+use meadow::web;
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
+use skep::env::{role_name, Env, EnvProblem, Place};
+use snafu::{OptionExt, ResultExt, Snafu};
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+use tinyjson::JsonValue;
+use wax::{Addr, Look, LookProblem};
+
+#[derive(Debug, Snafu)]
+pub enum FleetProblem {
+    #[snafu(display("{source}"), context(false))]
+    Env { source: EnvProblem },
+    #[snafu(display("{source}"), context(false))]
+    Mix { source: LookProblem },
+    #[snafu(display("the settings file has no rehearsal part"))]
+    NoMix,
+    #[snafu(display("{what}: {source}"))]
+    Os { what: String, source: std::io::Error },
+    #[snafu(display("{what} did not happen within {secs} s"))]
+    Waited { what: String, secs: u64 },
+    #[snafu(display("no process {name}"))]
+    NoProcess { name: String },
+    #[snafu(display("signal to {name}: {source}"))]
+    Signal { name: String, source: nix::Error },
+    #[snafu(display("{what} was answered with {status}: {body}"))]
+    Denied { what: String, status: u16, body: String },
+    #[snafu(display("the failure was not brought about: {why}"))]
+    NoFailure { why: String },
+    #[snafu(display("{} violations: {}", all.len(), all.join("; ")))]
+    Violations { all: Vec<String> },
+}
+
+pub type Result<T> = std::result::Result<T, FleetProblem>;
+
+/// Invariant: every process it started is ended when it is dropped.
+pub struct Fleet {
+    pub env: Env,
+    pub mix: Mix,
+    file: PathBuf,
+    dir: PathBuf,
+    hive: PathBuf,
+    procs: BTreeMap<String, Child>,
+}
+
+pub fn node_name(p: &Place) -> String {
+    format!("{}-{}", role_name(p.role), p.node)
+}
+
+impl Fleet {
+    pub fn new(file: &Path, dir: &Path) -> Result<Fleet> {
+        let env = Env::load(file)?;
+        let r = env.rehearsal.clone().context(NoMixSnafu)?;
+        let mix = read_mix(&Look::at(&r, "rehearsal"))?;
+        std::fs::create_dir_all(dir).context(OsSnafu { what: "the folder" })?;
+        let hive = std::env::current_exe().context(OsSnafu { what: "own path" })?.with_file_name("hive");
+        Ok(Fleet { env, mix, file: file.into(), dir: dir.into(), hive, procs: BTreeMap::new() })
+    }
+
+    fn spawn(&mut self, name: String, args: Vec<String>) -> Result<()> {
+        let what = || OsSnafu { what: name.clone() };
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(self.dir.join(format!("{name}.log")))
+            .with_context(|_| what())?;
+        let c = Command::new(&self.hive)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone().with_context(|_| what())?)
+            .stderr(log)
+            .spawn()
+            .with_context(|_| what())?;
+        self.procs.insert(name, c);
+        Ok(())
+    }
+
+    pub fn start_node(&mut self, p: &Place) -> Result<()> {
+        let args = [
+            role_name(p.role),
+            "--env",
+            &self.file.display().to_string(),
+            "--node",
+            &p.node.to_string(),
+            "--data",
+            &self.dir.join("data").display().to_string(),
+            "--simulate-distance",
+        ];
+        self.spawn(node_name(p), args.map(str::to_string).to_vec())
+    }
+
+    pub fn start_origin(&mut self, at: Addr) -> Result<()> {
+        let o = self.mix.origins.iter().find(|o| o.at == at).cloned();
+        let o = o.with_context(|| NoProcessSnafu { name: at.to_string() })?;
+        self.start_origin_as(at, &o.svc)
+    }
+
+    /// Also under an address that another service had before.
+    pub fn start_origin_as(&mut self, at: Addr, svc: &str) -> Result<()> {
+        let o = self.mix.origins.iter().find(|o| o.at == at).cloned();
+        let o = o.with_context(|| NoProcessSnafu { name: at.to_string() })?;
+        let keepers: Vec<String> = self.nodes(Role::Keeper).iter().map(|p| p.http.to_string()).collect();
+        let args = [
+            "flower",
+            "--at",
+            &at.to_string(),
+            "--service",
+            svc,
+            "--zone",
+            &o.zone,
+            "--keepers",
+            &keepers.join(","),
+            "--cap",
+            &o.cap.to_string(),
+            "--work-ms",
+            &o.work.as_millis().to_string(),
+        ];
+        self.spawn(origin_name(at), args.map(str::to_string).to_vec())
+    }
+
+    pub fn nodes(&self, r: Role) -> Vec<Place> {
+        self.env.nodes.iter().filter(|p| p.role == r).cloned().collect()
+    }
+
+    pub fn start_all(&mut self) -> Result<()> {
+        for p in self.env.nodes.clone() {
+            self.start_node(&p)?;
+        }
+        Ok(())
+    }
+
+    /// Everything: nodes, origins, the table; ready to serve when it returns.
+    pub fn start_whole(&mut self) -> Result<()> {
+        self.start_all()?;
+        for o in self.mix.origins.clone() {
+            self.start_origin(o.at)?;
+        }
+        self.wait_ready(40)?;
+        self.load_table()?;
+        self.wait_origins(20)
+    }
+
+    pub fn signal(&self, name: &str, s: Signal) -> Result<()> {
+        let c = self.procs.get(name).with_context(|| NoProcessSnafu { name })?;
+        kill(Pid::from_raw(c.id() as i32), s).context(SignalSnafu { name })
+    }
+
+    pub fn kill9(&mut self, name: &str) -> Result<()> {
+        self.signal(name, Signal::SIGKILL)?;
+        if let Some(mut c) = self.procs.remove(name) {
+            c.wait().context(OsSnafu { what: name })?;
+        }
+        Ok(())
+    }
+
+    /// Asks it to leave and waits until it did.
+    pub fn stop(&mut self, name: &str) -> Result<()> {
+        self.signal(name, Signal::SIGTERM)?;
+        self.reap(name, 20)
+    }
+
+    fn reap(&mut self, name: &str, secs: u64) -> Result<()> {
+        let mut c = self.procs.remove(name).with_context(|| NoProcessSnafu { name })?;
+        let until = Instant::now() + Duration::from_secs(secs);
+        while Instant::now() < until {
+            if c.try_wait().context(OsSnafu { what: name })?.is_some() {
+                return Ok(());
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        self.procs.insert(name.into(), c);
+        WaitedSnafu { what: format!("the end of {name}"), secs }.fail()
+    }
+
+    pub fn wipe(&self, p: &Place) -> Result<()> {
+        let dir = self.dir.join("data").join(format!("node-{}", p.node));
+        std::fs::remove_dir_all(&dir).context(OsSnafu { what: dir.display().to_string() })
+    }
+
+    pub fn wait(&self, what: &str, secs: u64, ok: impl Fn() -> bool) -> Result<Duration> {
+        let began = Instant::now();
+        while began.elapsed() < Duration::from_secs(secs) {
+            if ok() {
+                return Ok(began.elapsed());
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+        WaitedSnafu { what, secs }.fail()
+    }
+
+    pub fn ready(&self, p: &Place) -> bool {
+        let a = web::agent(Duration::from_secs(1));
+        web::get(&a, p.http, "lanewing/ready").is_some_and(|(s, _)| s == 200)
+    }
+
+    pub fn wait_ready(&self, secs: u64) -> Result<Duration> {
+        self.wait("readiness of all nodes", secs, || self.env.nodes.iter().all(|p| self.ready(p)))
+    }
+
+    /// All origins of the settings are known and beat.
+    pub fn wait_origins(&self, secs: u64) -> Result<()> {
+        let a = web::agent(Duration::from_secs(1));
+        let want = self.mix.origins.len();
+        let gates = self.nodes(Role::Gate);
+        let known = |p: &Place| {
+            let v = web::get(&a, p.http, "lanewing/origins").map(|(_, v)| v);
+            let m = v.and_then(|v| v.get::<std::collections::HashMap<String, JsonValue>>().cloned());
+            let l = m.and_then(|m| m.get("origins").and_then(|o| o.get::<Vec<JsonValue>>().cloned()));
+            l.is_some_and(|l| l.len() >= want)
+        };
+        self.wait("all origins at all gates", secs, || gates.iter().all(known)).map(|_| ())
+    }
+
+    pub fn change(&self, v: &JsonValue) -> Result<JsonValue> {
+        let a = web::agent(Duration::from_secs(30));
+        let mut last = (0, JsonValue::Null);
+        for p in self.nodes(Role::Keeper) {
+            let got = web::post(&a, p.http, "lanewing/changes", v);
+            match got {
+                Some((200, v)) => return Ok(v),
+                Some(x) => last = x,
+                None => (),
+            }
+        }
+        let body = last.1.stringify().unwrap_or_default();
+        DeniedSnafu { what: "a change", status: last.0, body }.fail()
+    }
+
+    pub fn load_table(&self) -> Result<()> {
+        for c in &self.mix.table {
+            let id = brood::text(format!("table-{}-{}", c.lane, c.svc));
+            let mut row: std::collections::HashMap<String, JsonValue> =
+                c.json.get().cloned().unwrap_or_default();
+            row.insert("expect".into(), brood::num(0));
+            self.change(&obj(vec![("id", id), ("row", JsonValue::from(row))]))?;
+        }
+        Ok(())
+    }
+
+    /// Ends every process: politely first, all at once.
+    pub fn stop_all(&mut self) -> Result<()> {
+        let names: Vec<String> = self.procs.keys().cloned().collect();
+        names.iter().try_for_each(|n| self.signal(n, Signal::SIGTERM))?;
+        names.iter().try_for_each(|n| self.reap(n, 25))
+    }
+
+    pub fn names(&self) -> Vec<String> {
+        self.procs.keys().cloned().collect()
+    }
+}
+
+pub fn origin_name(at: Addr) -> String {
+    format!("origin-{}", at.0.port())
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for c in self.procs.values_mut() {
+            let _ = c.kill();
+            let _ = c.wait();
+        }
+    }
+}
--- /dev/null
+++ b/crates/apiary/src/main.rs
@@ -0,0 +1,55 @@
+//! Development only: a fleet on one machine.
+mod fleet;
+
+use clap::{value_parser, Arg, Command};
+use fleet::{Fleet, Result};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+fn command() -> Command {
+    let env = || {
+        let a = Arg::new("env").long("env").required(true).value_parser(value_parser!(PathBuf));
+        a.value_name("FILE").help("A deployment's settings file")
+    };
+    let dir = || {
+        let a = Arg::new("dir").long("dir").default_value("data/apiary").value_parser(value_parser!(PathBuf));
+        a.help("Folder for the fleet's data and logs")
+    };
+    Command::new("apiary")
+        .about("Development only: starts, kills, freezes and rehearses a fleet on one machine")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("up")
+                .about("Start a whole fleet with stand-in origins and its table; Ctrl-C stops it")
+                .arg(env())
+                .arg(dir()),
+        )
+}
+
+fn up(mut f: Fleet) -> Result<()> {
+    f.start_whole()?;
+    println!("{} is up: {} processes", f.env.deployment, f.names().len());
+    let keepers: Vec<String> = f.nodes(brood::Role::Keeper).iter().map(|p| p.http.to_string()).collect();
+    let gate = f.nodes(brood::Role::Gate)[0].http;
+    println!("operators: export LANEWING_AT={}", keepers.join(","));
+    println!("callers:   curl http://{gate}/{}/hello", f.mix.table[0].lane);
+    let mut s = signal_hook::iterator::Signals::new([2, 15])
+        .map_err(|source| fleet::FleetProblem::Os { what: "signals".into(), source })?;
+    s.forever().next();
+    println!("stopping");
+    f.stop_all()
+}
+
+fn main() -> ExitCode {
+    let m = command().get_matches();
+    let (name, m) = m.subcommand().expect("required");
+    let path = |n: &str| m.get_one::<PathBuf>(n).expect("required or has a default").clone();
+    let f = Fleet::new(&path("env"), &path("dir"));
+    let r = f.and_then(|f| match name {
+        _ => up(f),
+    });
+    r.map(|()| ExitCode::SUCCESS).unwrap_or_else(|p| {
+        eprintln!("apiary: {p}");
+        ExitCode::FAILURE
+    })
+}
--- /dev/null
+++ b/crates/hive/src/desk.rs
@@ -0,0 +1,157 @@
+//! What each role answers over HTTP.
+use brood::*;
+use skep::front::{common, Call, Reply};
+use skep::net::Counts;
+use skep::shell::Handle;
+use std::sync::atomic::Ordering::Relaxed;
+use std::sync::Arc;
+use std::time::Duration;
+use tinyjson::JsonValue;
+use wax::{Addr, Look, LookProblem, Mono};
+
+/// A change may have to wait for a lost gate's lease.
+const CHANGE: Duration = Duration::from_secs(25);
+const SHORT: Duration = Duration::from_secs(2);
+/// Longer than any job of a gate lives.
+const REQUEST: Duration = Duration::from_secs(30);
+
+pub fn answer(h: &Handle, role: &str, counts: &Counts, c: Call) -> Reply {
+    let own = c.path.starts_with("lanewing/");
+    common(h, &c).unwrap_or_else(|| match (c.method.as_str(), c.path.as_str()) {
+        ("GET", "lanewing/links") => links(counts),
+        ("GET", "lanewing/table" | "lanewing/origins" | "lanewing/nodes") => show(h, &c),
+        ("POST", "lanewing/changes") if role == "keeper" => change(h, &c),
+        ("POST", "lanewing/beats") if role == "keeper" => beat(h, &c),
+        ("POST", "lanewing/replace") if role == "keeper" => replace(h, &c),
+        _ if role == "gate" && !own => request(h, c),
+        _ => Reply::problem(404, "not found", "nothing is served here under this path"),
+    })
+}
+
+fn links(n: &Counts) -> Reply {
+    let get = |c: &std::sync::atomic::AtomicU64| num(c.load(Relaxed));
+    let v = vec![
+        ("sent", get(&n.sent)),
+        ("received", get(&n.received)),
+        ("dropped", get(&n.dropped)),
+        ("bad_frames", get(&n.bad_frames)),
+    ];
+    Reply::json(200, obj(v))
+}
+
+fn show(h: &Handle, c: &Call) -> Reply {
+    let Some(Receipt::Table(p, beats)) = h.ask(Ask::Table, SHORT) else {
+        return Reply::problem(503, "stuck", "the process does not answer itself");
+    };
+    let era = ("era", num(p.era.0));
+    let v = match c.path.as_str() {
+        "lanewing/table" => vec![("rows", show_items(&p, false, |k| matches!(k, Key::Row(..)))), era],
+        "lanewing/origins" => vec![
+            ("origins", show_items(&p, false, |k| matches!(k, Key::Origin(_)))),
+            ("beats", show_beats(&beats)),
+            ("pairs", show_pairs(&p)),
+        ],
+        _ => {
+            let nodes = show_items(&p, false, |k| matches!(k, Key::Node(_)));
+            vec![("keepers", show_members(&p)), ("nodes", nodes), era]
+        }
+    };
+    Reply::json(200, obj(v))
+}
+
+fn change(h: &Handle, c: &Call) -> Reply {
+    let ch = match c.json(read_change) {
+        Ok(ch) => ch,
+        Err(r) => return r,
+    };
+    match h.ask(Ask::Change(ch), CHANGE) {
+        Some(Receipt::Change(v)) => {
+            let status = match &v {
+                Verdict::Done(_) => 200,
+                Verdict::Stale(..) | Verdict::Void(Void::IdTaken | Void::OtherLife | Void::NothingNew) => 409,
+                Verdict::Void(Void::Absent) => 404,
+            };
+            Reply::json(status, show_verdict(&v))
+        }
+        Some(Receipt::NotNow(why)) => Reply::problem(503, "not now", why).after(1),
+        _ => Reply::problem(504, "in doubt", "not yet known to be in force; send it again with the same id")
+            .after(1),
+    }
+}
+
+fn beat(h: &Handle, c: &Call) -> Reply {
+    match c.json(read_beat).map(|b| h.ask(Ask::Beat(b), SHORT)) {
+        Ok(Some(Receipt::Took)) => Reply::json(200, obj(vec![("heard", JsonValue::from(true))])),
+        Ok(_) => Reply::problem(503, "not now", "this keeper reaches too few others").after(1),
+        Err(r) => r,
+    }
+}
+
+fn replace(h: &Handle, c: &Call) -> Reply {
+    let read = |l: &Look| -> Result<(Addr, Addr), LookProblem> {
+        l.only(&["old", "new"])?;
+        let a = |n| l.field(n)?.parsed("an address such as 10.0.0.1:7100");
+        Ok((a("old")?, a("new")?))
+    };
+    match c.json(read).map(|(old, new)| h.ask(Ask::Replace { old, new }, SHORT)) {
+        Ok(Some(Receipt::Took)) => Reply::json(202, obj(vec![("proposed", JsonValue::from(true))])),
+        Ok(Some(Receipt::NotNow(why))) => Reply::problem(409, "not now", why),
+        Ok(_) => Reply::problem(503, "stuck", "the process does not answer itself"),
+        Err(r) => r,
+    }
+}
+
+fn denied(d: Denied) -> (u16, &'static str) {
+    match d {
+        Denied::NoLane => (404, "no such lane"),
+        Denied::NoKey => (400, "this lane needs an Idempotency-Key"),
+        Denied::KeyReused => (422, "the key was used with another request"),
+        Denied::BadMethod => (405, "not a method of this lane"),
+        Denied::NoLease => (503, "this node may not serve: out of touch with the keepers"),
+        Denied::NoOrigin => (503, "no usable origin"),
+        Denied::Ceiling => (503, "the service is at its ceiling"),
+        Denied::SplitVote => (503, "the key could not be secured"),
+        Denied::Leaving => (503, "this node is leaving"),
+        Denied::TooMany => (503, "this node holds too many requests"),
+    }
+}
+
+/// A caller's request: the gate decides, this obeys.
+fn request(h: &Handle, c: Call) -> Reply {
+    let (lane, path) = c.path.split_once('/').unwrap_or((&c.path, ""));
+    let req = Req {
+        method: c.method.clone(),
+        lane: Lane(lane.to_string()),
+        path: path.to_string(),
+        key: c.key.clone(),
+        mime: c.mime.clone(),
+        body: Arc::new(c.body),
+    };
+    match h.ask(Ask::Begin(req), REQUEST) {
+        Some(Receipt::Step(Step::Serve(w, from, until))) => served(&w, from, until),
+        Some(Receipt::Step(Step::Deny(d, wait))) => {
+            let (status, why) = denied(d);
+            let r = Reply::problem(status, "denied", why);
+            if status == 503 {
+                r.after(wait.0.div_ceil(1_000_000))
+            } else {
+                r
+            }
+        }
+        Some(Receipt::Step(Step::Doubt(wait))) => {
+            let why = "sent to an origin, whose answer was lost or is not known yet";
+            Reply::problem(504, "in doubt", why).after(wait.0.div_ceil(1_000_000))
+        }
+        _ => Reply::problem(504, "in doubt", "this node lost track of the request").after(2),
+    }
+}
+
+fn served(w: &Whole, from: Shared, until: Mono) -> Reply {
+    let name = match from {
+        Shared::Origin => "origin",
+        Shared::Copy => "copy",
+        Shared::Record => "record",
+    };
+    let heads = vec![("Lanewing-From", name.to_string())];
+    Reply { status: w.status, mime: w.mime.clone(), body: w.body.clone(), heads, until }
+}
--- /dev/null
+++ b/crates/hive/src/main.rs
@@ -0,0 +1,40 @@
+//! lanewing: `hive` runs every role and speaks for operators.
+mod cli;
+mod desk;
+mod ops;
+mod play;
+mod roles;
+
+use snafu::Snafu;
+use std::process::ExitCode;
+
+/// Whatever ends a command badly.
+#[derive(Debug, Snafu)]
+enum HiveProblem {
+    #[snafu(display("{source}"), context(false))]
+    Start { source: roles::StartProblem },
+    #[snafu(display("{source}"), context(false))]
+    Ops { source: ops::OpsProblem },
+    #[snafu(display("{source}"), context(false))]
+    Play { source: play::PlayProblem },
+}
+
+impl HiveProblem {
+    /// 1: it was denied or went wrong; 2: what was asked makes no sense;
+    /// 3: not known whether it took effect.
+    fn code(&self) -> u8 {
+        match self {
+            HiveProblem::Start { source: roles::StartProblem::Env { .. } } => 2,
+            HiveProblem::Ops { source } => source.code(),
+            _ => 1,
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    let m = cli::command().get_matches();
+    cli::run(&m).map(|()| ExitCode::SUCCESS).unwrap_or_else(|p| {
+        eprintln!("hive: {p}");
+        ExitCode::from(p.code())
+    })
+}
--- /dev/null
+++ b/crates/hive/src/play.rs
@@ -0,0 +1,89 @@
+//! The stand-ins as subcommands, for rehearsals.
+use brood::Role;
+use clap::{value_parser, Arg, ArgMatches, Command};
+use meadow::{audit, flower, forager, mix};
+use skep::env::{Env, EnvProblem};
+use snafu::Snafu;
+use std::path::PathBuf;
+use std::time::Duration;
+use wax::{Addr, Look, LookProblem};
+
+#[derive(Debug, Snafu)]
+pub enum PlayProblem {
+    #[snafu(display("{source}"), context(false))]
+    Env { source: EnvProblem },
+    #[snafu(display("{source}"), context(false))]
+    Mix { source: LookProblem },
+    #[snafu(display("the settings file has no rehearsal part"))]
+    NoMix,
+    #[snafu(display("cannot listen on {addr}"))]
+    Listen { addr: Addr },
+    #[snafu(display("{count} violations"))]
+    Violations { count: usize },
+}
+
+fn need(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).required(true).help(help)
+}
+
+fn count(name: &'static str, or: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).default_value(or).value_parser(value_parser!(u64)).help(help)
+}
+
+pub fn flower_command() -> Command {
+    Command::new("flower")
+        .about("Rehearsals: run a stand-in origin")
+        .arg(need("at", "Its address").value_parser(value_parser!(Addr)))
+        .arg(need("service", "The service it serves"))
+        .arg(need("zone", "Where it sits"))
+        .arg(
+            need("keepers", "Keepers' HTTP addresses").value_delimiter(',').value_parser(value_parser!(Addr)),
+        )
+        .arg(count("cap", "64", "Requests at once it says it holds"))
+        .arg(count("work-ms", "5", "How long an answer takes"))
+}
+
+pub fn forager_command(env: Arg) -> Command {
+    Command::new("forager")
+        .about("Rehearsals: run callers against a fleet, and check from outside")
+        .arg(env)
+        .arg(count("seconds", "10", "How long"))
+        .arg(count("rate", "0", "Requests a second; 0 takes the settings' own"))
+        .arg(count("seed", "1", "Seed of the mix"))
+        .arg(count("pushy", "0", "How often a denied caller asks again at once"))
+}
+
+pub fn flower(m: &ArgMatches) -> Result<(), PlayProblem> {
+    let text = |n: &str| m.get_one::<String>(n).expect("required").clone();
+    let addr = *m.get_one::<Addr>("at").expect("required");
+    let env = flower::FlowerEnv {
+        at: addr,
+        svc: text("service"),
+        zone: text("zone"),
+        cap: *m.get_one::<u64>("cap").expect("has a default") as u32,
+        keepers: m.get_many("keepers").expect("required").copied().collect(),
+        work: Duration::from_millis(*m.get_one("work-ms").expect("has a default")),
+    };
+    flower::run(env).then_some(()).ok_or(PlayProblem::Listen { addr })
+}
+
+pub fn forager(m: &ArgMatches) -> Result<(), PlayProblem> {
+    let env = Env::load(m.get_one::<PathBuf>("env").expect("required"))?;
+    let r = env.rehearsal.as_ref().ok_or(PlayProblem::NoMix)?;
+    let mix = mix::read_mix(&Look::at(r, "rehearsal"))?;
+    let n = |name: &str| *m.get_one::<u64>(name).expect("has a default");
+    let rate = if n("rate") == 0 { mix.rate } else { n("rate") };
+    let h = forager::run(forager::ForagerEnv {
+        gates: env.nodes.iter().filter(|p| p.role == Role::Gate).map(|p| p.http).collect(),
+        mix: mix.clone(),
+        rate,
+        span: Duration::from_secs(n("seconds")),
+        seed: n("seed"),
+        pushy: n("pushy"),
+    });
+    let counts = audit::collect(&mix);
+    print!("{}", audit::report(&mix, &counts, &h, rate));
+    let v = audit::violations(&mix, &counts, &h);
+    v.iter().for_each(|v| println!("VIOLATION {v}"));
+    v.is_empty().then_some(()).ok_or(PlayProblem::Violations { count: v.len() })
+}
--- /dev/null
+++ b/crates/hive/src/roles.rs
@@ -0,0 +1,169 @@
+//! Starting the daemons.
+use crate::desk;
+use brood::*;
+use skep::env::{Env, EnvProblem, Place};
+use skep::front::{self, Open};
+use skep::logs::{on_panic, LogRing};
+use skep::net::{Counts, Net};
+use skep::ring::{Ring, RingProblem};
+use skep::shell::{self, Frame, Handle};
+use slog::info;
+use snafu::{ResultExt, Snafu};
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+use wax::{Addr, Birth, Span};
+
+#[derive(Debug, Snafu)]
+pub enum StartProblem {
+    #[snafu(display("{source}"), context(false))]
+    Env { source: EnvProblem },
+    #[snafu(display("cannot listen on {addr}: {source}"))]
+    Listen { addr: Addr, source: std::io::Error },
+    #[snafu(display("disk: {source}"), context(false))]
+    Disk { source: RingProblem },
+    #[snafu(display("disk: a record with a good checksum does not decode; another version wrote it"))]
+    Undecodable,
+    #[snafu(display("signals: {source}"))]
+    Signals { source: std::io::Error },
+}
+
+pub struct Start {
+    pub env: Env,
+    pub place: Place,
+    pub data: PathBuf,
+    pub simulate: bool,
+}
+
+type Result<T> = std::result::Result<T, StartProblem>;
+
+fn bind(a: Addr) -> Result<TcpListener> {
+    TcpListener::bind(a.0).context(ListenSnafu { addr: a })
+}
+
+impl Start {
+    fn follow(&self, birth: u64) -> FollowEnv {
+        let p = self.place.clone();
+        FollowEnv {
+            id: p.node,
+            role: p.role,
+            addr: p.cohort,
+            http: p.http,
+            zone: p.zone,
+            seeds: p.seeds,
+            birth: Birth(birth),
+            lease: self.env.limits.lease,
+        }
+    }
+
+    fn net(&self, counts: &Arc<Counts>) -> Net {
+        let (env, me, on) = (self.env.clone(), self.place.zone.clone(), self.simulate);
+        let zone = move |a: &Addr| env.nodes.iter().find(|p| p.cohort == *a).map(|p| env.away(&me, &p.zone));
+        let far = move |a: &Addr| zone(a).filter(|_| on).unwrap_or_default();
+        Net::new(self.place.cohort, Arc::new(far), counts.clone())
+    }
+
+    fn disk(&self) -> Result<(Ring, Vec<Vec<u8>>)> {
+        let dir = self.data.join(format!("node-{}", self.place.node));
+        let (ring, recs) = Ring::open(&dir, 4, (self.env.limits.ring_mb << 20) as u64 / 4)?;
+        shell::unpack(recs).map(|e| (ring, e)).ok_or(StartProblem::Undecodable)
+    }
+
+    fn run(self, part: Box<dyn Part>, first: Vec<Out>, ring: Option<Ring>, threads: usize) -> Result<()> {
+        let logs = LogRing::default();
+        on_panic(logs.clone());
+        let role = skep::env::role_name(self.place.role);
+        let log = logs.logger().new(slog::o!("role" => role, "node" => self.place.node.0));
+        let counts = Arc::new(Counts::default());
+        let net = self.net(&counts);
+        let cohort = bind(self.place.cohort)?;
+        let http = bind(self.place.http)?;
+        let gate = self.place.role == Role::Gate;
+        let (tx, start) = skep::exec::rounds();
+        let frame = Frame { part, first, ring, net, rounds: Some(tx), log: log.clone() };
+        let mut signals = signal_hook::iterator::Signals::new([15, 2]).context(SignalsSnafu)?;
+        let patience = self.env.limits.patience;
+        let c = counts.clone();
+        shell::run(frame, cohort, counts, move |h| {
+            let hh = h.clone();
+            let open = front::serve(http, threads, move |call| desk::answer(&hh, role, &c, call));
+            if gate {
+                start(h.clone());
+                skep::exec::probe(h.clone());
+            }
+            thread::spawn(move || {
+                if let Some(s) = signals.forever().next() {
+                    info!(log, "leaving"; "signal" => s);
+                    leave(&h, &open, patience);
+                    h.stop();
+                }
+            });
+        });
+        Ok(())
+    }
+}
+
+/// Takes nothing new and waits for what is in hand, so that no request that an
+/// origin still works on is cut off.
+fn leave(h: &Handle, open: &Open, patience: Span) {
+    let tick = Duration::from_millis(50);
+    let most = Duration::from(patience.times(3)).as_millis() / tick.as_millis();
+    let mut calm = 0;
+    for _ in 0..most {
+        let busy = match h.ask(Ask::Drain, Duration::from_secs(1)) {
+            Some(Receipt::Health(x)) => x.in_hand > 0,
+            _ => false,
+        };
+        calm = if busy || open.load(Ordering::SeqCst) > 0 { 0 } else { calm + 1 };
+        if calm > 3 {
+            return;
+        }
+        thread::sleep(tick);
+    }
+}
+
+pub fn keeper(s: Start) -> Result<()> {
+    let (ring, recs) = s.disk()?;
+    let kept = recs.iter().map(|r| keeper::Kept::decode(r)).collect::<Option<Vec<_>>>();
+    let kept = kept.ok_or(StartProblem::Undecodable)?;
+    let (l, p) = (s.env.limits.clone(), s.place.clone());
+    let env = keeper::KeeperEnv {
+        addr: p.cohort,
+        http: p.http,
+        zone: p.zone,
+        seeds: p.seeds,
+        found: true,
+        lease: l.lease,
+        cut_at: l.cut_at,
+        vanish: l.vanish,
+        pace: waggle::Pace::default(),
+    };
+    let mut out = vec![];
+    let k = keeper::Keeper::start(env, kept, skep::life(), skep::now(), &mut out);
+    s.run(Box::new(k), out, Some(ring), 16)
+}
+
+pub fn gate(s: Start) -> Result<()> {
+    let l = s.env.limits.clone();
+    let env = gate::GateEnv {
+        follow: s.follow(skep::life()),
+        fresh: l.fresh,
+        patience: l.patience,
+        copies: l.copies_mb << 20,
+    };
+    s.run(Box::new(gate::Gate::new(env)), vec![], None, 128)
+}
+
+pub fn comb(s: Start) -> Result<()> {
+    let (ring, recs) = s.disk()?;
+    let kept = recs.iter().map(|r| comb::Kept::decode(r)).collect::<Option<Vec<_>>>();
+    let kept = kept.ok_or(StartProblem::Undecodable)?;
+    let base_after = s.env.limits.ring_mb << 18;
+    let env = comb::CombEnv { follow: s.follow(0), window: s.env.limits.window, base_after };
+    let mut out = vec![];
+    let c = comb::Comb::start(env, kept, skep::life(), skep::now(), &mut out);
+    s.run(Box::new(c), out, Some(ring), 4)
+}
--- /dev/null
+++ b/crates/meadow/src/forager.rs
@@ -0,0 +1,134 @@
+//! Foragers: callers that keep to a pace whatever happens, and check every answer.
+use crate::content::is_page;
+use crate::mix::{Mix, Share};
+use crate::web;
+use brood::Kind;
+use fastrand::Rng;
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+use ureq::Agent;
+use wax::Addr;
+
+#[derive(Clone, Debug)]
+pub struct ForagerEnv {
+    pub gates: Vec<Addr>,
+    pub mix: Mix,
+    pub rate: u64,
+    pub span: Duration,
+    pub seed: u64,
+    /// Denied callers ask again at once, this many times.
+    pub pushy: u64,
+}
+
+/// What became of the requests, as their callers saw it.
+#[derive(Clone, Debug, Default)]
+pub struct Harvest {
+    pub sent: u64,
+    /// By lane and what came back.
+    pub by: BTreeMap<(String, String), u64>,
+    /// Answers that were not their origin's whole answer.
+    pub wrong: Vec<String>,
+    /// In microseconds, of whole answers.
+    pub took: Vec<u64>,
+    pub late: u64,
+    /// Keyed requests: the key, and whether some try got a whole answer.
+    pub keys: BTreeMap<String, bool>,
+    /// Whole answers in each second.
+    pub good: BTreeMap<u64, u64>,
+}
+
+pub fn run(env: ForagerEnv) -> Harvest {
+    let all: Arc<Mutex<Harvest>> = Arc::default();
+    let next = Arc::new(AtomicU64::new(0));
+    let start = Instant::now();
+    let total = env.rate * env.span.as_secs();
+    let hands: Vec<_> = (0..128u64)
+        .map(|w| {
+            let (all, next, env) = (all.clone(), next.clone(), env.clone());
+            thread::spawn(move || {
+                let agent = web::agent(Duration::from_secs(12));
+                let mut rng = Rng::with_seed(env.seed ^ (w << 32));
+                loop {
+                    let i = next.fetch_add(1, Ordering::Relaxed);
+                    if i >= total {
+                        return;
+                    }
+                    let due = Duration::from_micros(i * 1_000_000 / env.rate);
+                    let ahead = due.checked_sub(start.elapsed());
+                    ahead.into_iter().for_each(thread::sleep);
+                    let late = start.elapsed() > due + Duration::from_millis(250);
+                    one(&env, &agent, &mut rng, &all, i, late, start);
+                }
+            })
+        })
+        .collect();
+    hands.into_iter().for_each(|h| {
+        let _ = h.join();
+    });
+    let h = all.lock().expect("no thread panics with it").clone();
+    h
+}
+
+fn one(env: &ForagerEnv, a: &Agent, rng: &mut Rng, all: &Mutex<Harvest>, i: u64, late: bool, start: Instant) {
+    let sum: u64 = env.mix.shares.iter().map(|s| s.share).sum();
+    let mut at = rng.u64(0..sum);
+    let pick = env.mix.shares.iter().find(|s| {
+        let here = at < s.share;
+        at = at.saturating_sub(s.share);
+        here
+    });
+    let Some(s) = pick else { return };
+    // Few objects are asked for by most, as pages are.
+    let obj = (rng.f64().powi(3) * s.objects as f64) as u64;
+    let path = format!("{}/{}", s.lane, obj);
+    let key = (s.kind == Kind::Keyed).then(|| format!("k{}-{i}", env.seed));
+    let tries = 1 + (key.is_some() && rng.u64(0..100) < env.mix.again) as u64;
+    for t in 0..tries + env.pushy {
+        let gate = env.gates[rng.usize(0..env.gates.len())];
+        let began = Instant::now();
+        let (what, good, body) = call(a, gate, s, &path, key.as_deref());
+        let mut h = all.lock().expect("sound");
+        h.sent += 1;
+        h.late += late as u64;
+        if good {
+            h.took.push(began.elapsed().as_micros() as u64);
+            *h.good.entry(start.elapsed().as_secs()).or_default() += 1;
+            if !is_page(&body, &path, &env.mix.services(&s.lane)) {
+                let head = String::from_utf8_lossy(&body[..body.len().min(60)]).to_string();
+                h.wrong.push(format!("{}/{path}: {head}", s.lane));
+            }
+        }
+        *h.by.entry((s.lane.clone(), what)).or_default() += 1;
+        if let Some(k) = &key {
+            *h.keys.entry(k.clone()).or_default() |= good;
+        }
+        drop(h);
+        if t + 1 >= tries && good {
+            return;
+        }
+    }
+}
+
+/// One request: what came back, whether it is a whole answer, and its bytes.
+fn call(a: &Agent, gate: Addr, s: &Share, path: &str, key: Option<&str>) -> (String, bool, Vec<u8>) {
+    let uri = format!("http://{gate}/{}/{path}", s.lane);
+    let got = match key {
+        Some(k) => a.post(uri).header("Idempotency-Key", k).send(path.as_bytes()),
+        None => a.get(uri).call(),
+    };
+    let Ok(mut r) = got else { return ("no answer".into(), false, vec![]) };
+    let status = r.status().as_u16();
+    let head = |n: &str| r.headers().get(n).and_then(|v| v.to_str().ok()).map(str::to_string);
+    let from = head("Lanewing-From");
+    let again = head("Retry-After").is_some();
+    let Ok(body) = r.body_mut().read_to_vec() else { return ("cut off".into(), false, vec![]) };
+    let what = match &from {
+        Some(f) => format!("{status} from {f}"),
+        None if again => format!("{status} come back later"),
+        None => status.to_string(),
+    };
+    (what, from.is_some() && status == 200, body)
+}
--- /dev/null
+++ b/crates/meadow/src/lib.rs
@@ -0,0 +1,7 @@
+//! Stand-ins for rehearsals: origins, callers, and the look from outside.
+pub mod audit;
+pub mod content;
+pub mod flower;
+pub mod forager;
+pub mod mix;
+pub mod web;
--- /dev/null
+++ b/crates/skep/src/net.rs
@@ -0,0 +1,162 @@
+//! Held connections between lanewing's processes: one way each, framed, checked.
+use brood::Msg;
+use snafu::Snafu;
+use std::collections::HashMap;
+use std::io::{self, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{sync_channel, Receiver, SyncSender, TrySendError};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+use wax::Addr;
+
+const MAGIC: [u8; 2] = *b"LW";
+const VERSION: u8 = 1;
+/// Larger frames are never sent and close the connection when received.
+const LARGEST: usize = 16 << 20;
+const LINE: usize = 4096;
+
+#[derive(Debug, Snafu)]
+pub enum FrameProblem {
+    #[snafu(display("connection: {source}"), context(false))]
+    Link { source: io::Error },
+    #[snafu(display("not a frame of this system"))]
+    Alien,
+    #[snafu(display("frame of version {version}"))]
+    OtherVersion { version: u8 },
+    #[snafu(display("frame of {size} bytes"))]
+    TooLarge { size: usize },
+    #[snafu(display("frame fails its checksum or does not decode"))]
+    Garbled,
+}
+
+pub fn frame(b: &[u8]) -> Vec<u8> {
+    let mut f = MAGIC.to_vec();
+    f.push(VERSION);
+    f.extend((b.len() as u32).to_le_bytes());
+    f.extend(crc32fast::hash(b).to_le_bytes());
+    f.extend(b);
+    f
+}
+
+pub fn read_frame(r: &mut impl Read) -> Result<Vec<u8>, FrameProblem> {
+    let mut h = [0u8; 11];
+    r.read_exact(&mut h)?;
+    if h[..2] != MAGIC {
+        return AlienSnafu.fail();
+    }
+    if h[2] != VERSION {
+        return OtherVersionSnafu { version: h[2] }.fail();
+    }
+    let size = u32::from_le_bytes([h[3], h[4], h[5], h[6]]) as usize;
+    if size > LARGEST {
+        return TooLargeSnafu { size }.fail();
+    }
+    let mut b = vec![0; size];
+    r.read_exact(&mut b)?;
+    let sum = u32::from_le_bytes([h[7], h[8], h[9], h[10]]);
+    (crc32fast::hash(&b) == sum).then_some(b).ok_or(FrameProblem::Garbled)
+}
+
+#[derive(Default, Debug)]
+pub struct Counts {
+    pub sent: AtomicU64,
+    pub received: AtomicU64,
+    pub dropped: AtomicU64,
+    pub bad_frames: AtomicU64,
+}
+
+type Far = dyn Fn(&Addr) -> Duration + Send + Sync;
+
+/// The sending side. Invariant: one writer per destination, which owns its
+/// socket; a full line drops the message, for every message may be lost anyway.
+pub struct Net {
+    me: Addr,
+    lines: HashMap<Addr, SyncSender<(Instant, Vec<u8>)>>,
+    far: Arc<Far>,
+    pub counts: Arc<Counts>,
+}
+
+impl Net {
+    /// `far` tells the simulated one-way distance to an address.
+    pub fn new(me: Addr, far: Arc<Far>, counts: Arc<Counts>) -> Net {
+        Net { me, lines: HashMap::new(), far, counts }
+    }
+
+    pub fn send(&mut self, to: Addr, m: &Msg) {
+        let Ok(b) = postcard::to_stdvec(m) else { return };
+        let (me, counts) = (self.me, self.counts.clone());
+        let line = self.lines.entry(to).or_insert_with(|| {
+            let (tx, rx) = sync_channel(LINE);
+            thread::spawn(move || write_all(me, to, rx, counts));
+            tx
+        });
+        let due = Instant::now() + (self.far)(&to);
+        match line.try_send((due, frame(&b))) {
+            Ok(()) => self.counts.sent.fetch_add(1, Ordering::Relaxed),
+            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
+                self.counts.dropped.fetch_add(1, Ordering::Relaxed)
+            }
+        };
+    }
+}
+
+fn write_all(me: Addr, to: Addr, rx: Receiver<(Instant, Vec<u8>)>, counts: Arc<Counts>) {
+    let mut link: Option<TcpStream> = None;
+    let mut shunned: Option<Instant> = None;
+    while let Ok((due, f)) = rx.recv() {
+        thread::sleep(due.saturating_duration_since(Instant::now()));
+        if link.is_none() && shunned.is_none_or(|t| t.elapsed() > Duration::from_millis(100)) {
+            link = dial(me, to).ok();
+            shunned = link.is_none().then(Instant::now);
+        }
+        let sent = link.as_mut().is_some_and(|l| l.write_all(&f).is_ok());
+        if !sent {
+            link = None;
+            counts.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+fn dial(me: Addr, to: Addr) -> Result<TcpStream, FrameProblem> {
+    let mut s = TcpStream::connect_timeout(&to.0, Duration::from_millis(500))?;
+    s.set_nodelay(true)?;
+    s.set_write_timeout(Some(Duration::from_secs(2)))?;
+    let hello = postcard::to_stdvec(&me).map_err(|_| FrameProblem::Garbled)?;
+    s.write_all(&frame(&hello))?;
+    Ok(s)
+}
+
+/// The receiving side: hands every message with its sender to `take`; stops a
+/// connection at the first frame that is not right.
+pub fn listen(
+    l: TcpListener,
+    counts: Arc<Counts>,
+    take: impl Fn(Addr, Msg) -> bool + Clone + Send + 'static,
+) {
+    thread::spawn(move || {
+        for s in l.incoming().flatten() {
+            let (counts, take) = (counts.clone(), take.clone());
+            thread::spawn(move || {
+                let p = read_all(s, &counts, take);
+                if !matches!(p, Err(FrameProblem::Link { .. }) | Ok(())) {
+                    counts.bad_frames.fetch_add(1, Ordering::Relaxed);
+                }
+            });
+        }
+    });
+}
+
+fn read_all(s: TcpStream, counts: &Counts, take: impl Fn(Addr, Msg) -> bool) -> Result<(), FrameProblem> {
+    s.set_nodelay(true)?;
+    let mut r = io::BufReader::new(s);
+    let from: Addr = postcard::from_bytes(&read_frame(&mut r)?).map_err(|_| FrameProblem::Garbled)?;
+    loop {
+        let m: Msg = postcard::from_bytes(&read_frame(&mut r)?).map_err(|_| FrameProblem::Garbled)?;
+        counts.received.fetch_add(1, Ordering::Relaxed);
+        if !take(from, m) {
+            return Ok(());
+        }
+    }
+}
--- /dev/null
+++ b/crates/skep/src/ring.rs
@@ -0,0 +1,270 @@
+//! A ring of preallocated files holding a log of records.
+use snafu::{ResultExt, Snafu};
+use std::fs::{File, OpenOptions};
+use std::io;
+use std::os::unix::fs::FileExt;
+use std::path::{Path, PathBuf};
+
+#[derive(Debug, Snafu)]
+pub enum RingProblem {
+    #[snafu(display("{}: {source}", path.display()))]
+    Disk { path: PathBuf, source: io::Error },
+    #[snafu(display("{}: damaged at byte {at}, with good records behind it", path.display()))]
+    Damaged { path: PathBuf, at: u64 },
+    #[snafu(display("{}: the log breaks off before a later file", path.display()))]
+    Missing { path: PathBuf },
+    #[snafu(display("the ring is full of records still needed"))]
+    Full,
+    #[snafu(display("a record of {size} bytes does not fit a file of the ring"))]
+    TooLarge { size: usize },
+}
+
+type Result<T> = std::result::Result<T, RingProblem>;
+
+const MAGIC: [u8; 4] = *b"LWR1";
+/// magic, number of the segment, first segment still needed, crc
+const HEAD: usize = 24;
+/// sort, length, number of the record, crc
+const REC: usize = 17;
+
+#[derive(Copy, Clone, PartialEq, Eq, Debug)]
+enum Sort {
+    Plain = 1,
+    /// Stands for all records before it.
+    Base = 2,
+    /// The segment ends here; the next one goes on.
+    Seal = 3,
+}
+
+/// Invariant: segment `n` lies in file `n % files`; the needed ones are
+/// `live ..= seg`, so never more than there are files.
+pub struct Ring {
+    dir: PathBuf,
+    files: Vec<File>,
+    size: u64,
+    seg: u64,
+    live: u64,
+    at: u64,
+    rec: u64,
+    /// The base was written but not synced: what it frees is still needed.
+    pending_live: Option<u64>,
+}
+
+/// What a segment's records are checked with, so that an older lap's never pass.
+fn sum(seg: u64, head: &[u8], data: &[u8]) -> u32 {
+    let mut h = crc32fast::Hasher::new();
+    h.update(&seg.to_le_bytes());
+    h.update(head);
+    h.update(data);
+    h.finalize()
+}
+
+fn u64_at(b: &[u8], i: usize) -> u64 {
+    u64::from_le_bytes(b[i..i + 8].try_into().expect("eight bytes"))
+}
+
+fn u32_at(b: &[u8], i: usize) -> u32 {
+    u32::from_le_bytes(b[i..i + 4].try_into().expect("four bytes"))
+}
+
+struct Found {
+    seg: u64,
+    live: u64,
+    recs: Vec<(u64, Sort, Vec<u8>)>,
+    end: u64,
+    /// A good record stands somewhere behind the first bad one.
+    broken: bool,
+}
+
+fn scan(buf: &[u8]) -> Option<Found> {
+    let head_ok = buf.len() >= HEAD && buf[..4] == MAGIC && u32_at(buf, 20) == sum(0, &buf[..20], &[]);
+    if !head_ok {
+        return None;
+    }
+    let (seg, live) = (u64_at(buf, 4), u64_at(buf, 12));
+    let mut f = Found { seg, live, recs: vec![], end: HEAD as u64, broken: false };
+    let mut at = HEAD;
+    while let Some((no, sort, data)) = read(buf, at, seg) {
+        at += REC + data.len();
+        f.recs.push((no, sort, data));
+    }
+    f.end = at as u64;
+    let last = f.recs.last().map(|r| r.0);
+    let later = |i: usize| read(buf, i, seg).is_some_and(|(no, ..)| last.is_none_or(|l| no > l));
+    // Zeros are preallocated space; only other bytes can start a record.
+    let tail = (at..buf.len().saturating_sub(REC)).filter(|i| (1..=3).contains(&buf[*i]));
+    f.broken = tail.into_iter().any(later);
+    Some(f)
+}
+
+fn read(buf: &[u8], at: usize, seg: u64) -> Option<(u64, Sort, Vec<u8>)> {
+    let head = buf.get(at..at + REC)?;
+    let sort = match head[0] {
+        1 => Sort::Plain,
+        2 => Sort::Base,
+        3 => Sort::Seal,
+        _ => return None,
+    };
+    let len = u32_at(head, 1) as usize;
+    let data = buf.get(at + REC..(at + REC).checked_add(len)?)?;
+    (u32_at(head, 13) == sum(seg, &head[..13], data)).then(|| (u64_at(head, 5), sort, data.to_vec()))
+}
+
+impl Ring {
+    /// Opens the ring, making it if need be, and reads back all that counts.
+    pub fn open(dir: &Path, files: usize, size: u64) -> Result<(Ring, Vec<Vec<u8>>)> {
+        let at = |p: &Path| p.to_path_buf();
+        std::fs::create_dir_all(dir).context(DiskSnafu { path: at(dir) })?;
+        let mut fs = vec![];
+        for i in 0..files {
+            let path = dir.join(format!("ring-{i}"));
+            let f = OpenOptions::new()
+                .read(true)
+                .write(true)
+                .create(true)
+                .truncate(false)
+                .open(&path)
+                .context(DiskSnafu { path: at(&path) })?;
+            if f.metadata().context(DiskSnafu { path: at(&path) })?.len() < size {
+                let zeros = vec![0u8; size as usize];
+                f.write_all_at(&zeros, 0)
+                    .and_then(|_| f.sync_all())
+                    .context(DiskSnafu { path: at(&path) })?;
+            }
+            fs.push(f);
+        }
+        File::open(dir).and_then(|d| d.sync_all()).context(DiskSnafu { path: at(dir) })?;
+        let mut ring =
+            Ring { dir: at(dir), files: fs, size, seg: 0, live: 0, at: 0, rec: 0, pending_live: None };
+        let recs = ring.recover()?;
+        Ok((ring, recs))
+    }
+
+    fn path(&self, seg: u64) -> PathBuf {
+        self.dir.join(format!("ring-{}", seg as usize % self.files.len()))
+    }
+
+    fn recover(&mut self) -> Result<Vec<Vec<u8>>> {
+        let mut found = vec![];
+        for (i, f) in self.files.iter().enumerate() {
+            let mut buf = vec![0u8; self.size as usize];
+            f.read_exact_at(&mut buf, 0).context(DiskSnafu { path: self.path(i as u64) })?;
+            found.extend(scan(&buf).filter(|s| s.seg as usize % self.files.len() == i));
+        }
+        found.sort_by_key(|f| f.seg);
+        // A segment begun for a base that never got down whole does not count.
+        let hollow = |f: &Found| f.live == f.seg && f.recs.first().is_none_or(|r| r.1 != Sort::Base);
+        let torn_start = |f: &Found| hollow(f) && !f.broken;
+        while found.last().is_some_and(torn_start) {
+            found.pop();
+        }
+        let Some(last) = found.last() else { return Ok(vec![]) };
+        let (live, top) = (last.live, last.seg);
+        let mut out = vec![];
+        for n in live..=top {
+            let f = found.iter().find(|f| f.seg == n);
+            let f = f.ok_or_else(|| RingProblem::Missing { path: self.path(n) })?;
+            let sealed = f.recs.last().is_some_and(|r| r.1 == Sort::Seal);
+            if f.broken || (n < top && !sealed) || (n == live && hollow(f)) {
+                return DamagedSnafu { path: self.path(n), at: f.end }.fail();
+            }
+            for (no, sort, data) in &f.recs {
+                self.rec = *no + 1;
+                match sort {
+                    Sort::Base => out = vec![data.clone()],
+                    Sort::Plain => out.push(data.clone()),
+                    Sort::Seal => (),
+                }
+            }
+        }
+        self.seg = top;
+        self.live = live;
+        self.at = last.end;
+        if last.recs.last().is_some_and(|r| r.1 == Sort::Seal) {
+            self.next(live)?;
+        }
+        Ok(out)
+    }
+
+    fn put(&mut self, sort: Sort, data: &[u8]) -> Result<()> {
+        let mut b = Vec::with_capacity(REC + data.len());
+        b.push(sort as u8);
+        b.extend((data.len() as u32).to_le_bytes());
+        b.extend(self.rec.to_le_bytes());
+        let c = sum(self.seg, &b, data);
+        b.extend(c.to_le_bytes());
+        b.extend(data);
+        self.file().write_all_at(&b, self.at).context(DiskSnafu { path: self.path(self.seg) })?;
+        self.at += b.len() as u64;
+        self.rec += 1;
+        Ok(())
+    }
+
+    fn file(&self) -> &File {
+        &self.files[self.seg as usize % self.files.len()]
+    }
+
+    /// Begins the next segment; `live` is the first one needed from then on.
+    fn next(&mut self, live: u64) -> Result<()> {
+        if self.seg + 1 - self.live >= self.files.len() as u64 {
+            return FullSnafu.fail();
+        }
+        self.seg += 1;
+        let mut h = MAGIC.to_vec();
+        h.extend(self.seg.to_le_bytes());
+        h.extend(live.to_le_bytes());
+        let c = sum(0, &h, &[]);
+        h.extend(c.to_le_bytes());
+        self.file().write_all_at(&h, 0).context(DiskSnafu { path: self.path(self.seg) })?;
+        self.at = HEAD as u64;
+        Ok(())
+    }
+
+    fn seal(&mut self) -> Result<()> {
+        if self.at >= HEAD as u64 {
+            self.put(Sort::Seal, &[])?;
+            let path = self.path(self.seg);
+            self.file().sync_data().context(DiskSnafu { path })?;
+        }
+        Ok(())
+    }
+
+    /// Appends a record; it counts only once `sync` has returned. Invariant: the
+    /// caller syncs before the next `save`, so a good record behind a bad one
+    /// is always damage, never a write that was cut short.
+    pub fn save(&mut self, data: &[u8]) -> Result<()> {
+        let need = (2 * REC + data.len()) as u64;
+        if need + HEAD as u64 > self.size {
+            return TooLargeSnafu { size: data.len() }.fail();
+        }
+        if self.at == 0 {
+            return self.base(data);
+        }
+        if self.at + need > self.size {
+            self.seal()?;
+            self.next(self.live)?;
+        }
+        self.put(Sort::Plain, data)
+    }
+
+    /// Appends a record that stands for all before it.
+    pub fn base(&mut self, data: &[u8]) -> Result<()> {
+        let need = (2 * REC + data.len()) as u64;
+        if need + HEAD as u64 > self.size {
+            return TooLargeSnafu { size: data.len() }.fail();
+        }
+        self.seal()?;
+        let live = self.seg + 1;
+        self.next(live)?;
+        self.pending_live = Some(live);
+        self.put(Sort::Base, data)?;
+        self.sync()
+    }
+
+    pub fn sync(&mut self) -> Result<()> {
+        let path = self.path(self.seg);
+        self.file().sync_data().context(DiskSnafu { path })?;
+        self.live = self.pending_live.take().unwrap_or(self.live);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/skep/src/shell.rs
@@ -0,0 +1,226 @@
+//! Runs a part as a stakker actor: inputs become steps, outputs are carried out
+//! in order, none before the saves ahead of it are synced.
+use crate::net::{self, Counts, Net};
+use crate::ring::Ring;
+use brood::*;
+use slog::{error, info, Logger};
+use stakker::sync::Channel;
+use stakker::{actor, after, fwd_to, ret_shutdown, stop, Stakker, CX};
+use std::collections::{HashMap, VecDeque};
+use std::net::TcpListener;
+use std::sync::mpsc::{channel, sync_channel, Receiver, Sender};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+use wax::{Addr, Token};
+
+pub enum Event {
+    Msg(Addr, Msg),
+    Ask(Ask, Sender<Receipt>),
+    Synced(bool),
+    Stop,
+}
+
+/// Speaks to a shell from any thread.
+#[derive(Clone)]
+pub struct Handle(Channel<Event>);
+
+impl Handle {
+    /// Asks and waits for the receipt, at most so long.
+    pub fn ask(&self, a: Ask, wait: Duration) -> Option<Receipt> {
+        let (tx, rx) = channel();
+        self.0.send(Event::Ask(a, tx));
+        rx.recv_timeout(wait).ok()
+    }
+    pub fn stop(&self) {
+        self.0.send(Event::Stop);
+    }
+}
+
+pub struct Frame {
+    pub part: Box<dyn Part>,
+    pub first: Vec<Out>,
+    pub ring: Option<Ring>,
+    pub net: Net,
+    /// Where rounds go to be run.
+    pub rounds: Option<Sender<Round>>,
+    pub log: Logger,
+}
+
+struct Shell {
+    part: Box<dyn Part>,
+    /// Invariant: in order; nothing leaves past a save that is not yet synced.
+    line: VecDeque<Out>,
+    /// Waits for the sync under way.
+    held: Vec<Out>,
+    disk: Option<Sender<Vec<Out>>>,
+    syncing: bool,
+    net: Net,
+    rounds: Option<Sender<Round>>,
+    asks: HashMap<Token, Sender<Receipt>>,
+    next: u64,
+    log: Logger,
+}
+
+const TICK: Duration = Duration::from_millis(10);
+
+impl Shell {
+    fn init(cx: CX![], f: Frame, disk: Option<Sender<Vec<Out>>>) -> Option<Shell> {
+        after!(TICK, [cx], tick());
+        let mut s = Shell {
+            part: f.part,
+            line: f.first.into(),
+            held: vec![],
+            disk,
+            syncing: false,
+            net: f.net,
+            rounds: f.rounds,
+            asks: HashMap::new(),
+            next: 0,
+            log: f.log,
+        };
+        s.flush();
+        Some(s)
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        self.step(In::Tick);
+        after!(TICK, [cx], tick());
+    }
+
+    fn event(&mut self, cx: CX![], e: Event) {
+        match e {
+            Event::Msg(from, m) => self.step(In::Msg(from, m)),
+            Event::Ask(a, tx) => {
+                self.next += 1;
+                self.asks.insert(Token(self.next), tx);
+                self.step(In::Ask(Token(self.next), a));
+            }
+            Event::Synced(true) => {
+                self.syncing = false;
+                let held = std::mem::take(&mut self.held);
+                held.into_iter().for_each(|o| self.carry(o));
+                self.flush();
+            }
+            Event::Synced(false) => {
+                error!(self.log, "disk failed: stopping, for nothing can be promised any more");
+                std::process::exit(74);
+            }
+            Event::Stop => stop!(cx),
+        }
+    }
+
+    fn step(&mut self, i: In) {
+        let mut out = vec![];
+        self.part.step(crate::now(), i, &mut out);
+        self.line.extend(out);
+        self.flush();
+    }
+
+    /// Sync, then send. What gathers during a sync goes with the next one.
+    fn flush(&mut self) {
+        if self.syncing || self.line.is_empty() {
+            return;
+        }
+        let batch: Vec<Out> = self.line.drain(..).collect();
+        let saves = |o: &Out| matches!(o, Out::Save(_) | Out::Base(_));
+        let (save, rest): (Vec<Out>, Vec<Out>) = batch.into_iter().partition(saves);
+        match self.disk.as_ref().filter(|_| !save.is_empty()) {
+            Some(d) => {
+                self.syncing = true;
+                self.held = rest;
+                let _ = d.send(save);
+            }
+            None => rest.into_iter().for_each(|o| self.carry(o)),
+        }
+    }
+
+    fn carry(&mut self, o: Out) {
+        match o {
+            Out::Send(to, m) => self.net.send(to, &m),
+            Out::Tell(t, r) => {
+                self.asks.remove(&t).into_iter().for_each(|tx| {
+                    let _ = tx.send(r.clone());
+                });
+            }
+            Out::Fetch(r) => self.rounds.iter().for_each(|tx| {
+                let _ = tx.send(r.clone());
+            }),
+            Out::Alarm(why) => error!(self.log, "{}", why),
+            Out::Save(_) | Out::Base(_) => (),
+        }
+    }
+}
+
+/// The disk's thread: writes a batch, syncs it, says so.
+fn keep_disk(mut ring: Ring, rx: Receiver<Vec<Out>>, tell: Channel<Event>, log: Logger) {
+    for batch in rx {
+        let r = write(&mut ring, batch);
+        if let Err(p) = &r {
+            error!(log, "disk"; "problem" => %p);
+        }
+        tell.send(Event::Synced(r.is_ok()));
+    }
+}
+
+fn write(ring: &mut Ring, batch: Vec<Out>) -> Result<(), crate::ring::RingProblem> {
+    let mut plain: Vec<Vec<u8>> = vec![];
+    for o in batch {
+        match o {
+            Out::Base(b) => {
+                // All before it is void now, written or not.
+                plain.clear();
+                ring.base(&pack(&[b]))?;
+            }
+            Out::Save(b) => plain.push(b),
+            _ => (),
+        }
+    }
+    if !plain.is_empty() {
+        ring.save(&pack(&plain))?;
+    }
+    ring.sync()
+}
+
+/// One record holds a whole batch, so that a batch is there or not.
+fn pack(b: &[Vec<u8>]) -> Vec<u8> {
+    postcard::to_stdvec(b).expect("bytes always encode")
+}
+
+/// The entries of all records read back; none if one does not unpack.
+pub fn unpack(recs: Vec<Vec<u8>>) -> Option<Vec<Vec<u8>>> {
+    let each = recs.iter().map(|r| postcard::from_bytes::<Vec<Vec<u8>>>(r).ok());
+    each.collect::<Option<Vec<_>>>().map(|v| v.concat())
+}
+
+/// Runs the part until it is stopped; `front` gets the handle first.
+pub fn run(f: Frame, listener: TcpListener, counts: Arc<Counts>, front: impl FnOnce(Handle)) {
+    let mut stakker = Stakker::new(Instant::now());
+    let s = &mut stakker;
+    let (wake, woken) = sync_channel::<()>(1);
+    s.set_poll_waker(move || {
+        let _ = wake.try_send(());
+    });
+    let (tx, rx) = channel();
+    let mut f = f;
+    let ring = f.ring.take();
+    let log = f.log.clone();
+    let disk = ring.as_ref().map(|_| tx);
+    let shell = actor!(s, Shell::init(f, disk), ret_shutdown!(s));
+    let (chan, _guard) = Channel::new(s, fwd_to!([shell], event() as (Event)));
+    let (tell, dlog) = (chan.clone(), log.clone());
+    if let Some(r) = ring {
+        thread::spawn(move || keep_disk(r, rx, tell, dlog));
+    }
+    let take = chan.clone();
+    net::listen(listener, counts, move |from, m| take.send(Event::Msg(from, m)));
+    front(Handle(chan));
+    info!(log, "serving");
+    s.run(Instant::now(), false);
+    while s.not_shutdown() {
+        let wait = s.next_wait_max(Instant::now(), TICK, false);
+        let _ = woken.recv_timeout(wait);
+        s.poll_wake();
+        s.run(Instant::now(), false);
+    }
+}
--- a/crates/wax/src/lib.rs
+++ b/crates/wax/src/lib.rs
@@ -1,7 +1,9 @@
 //! The comb's wax: what every other crate is built on.
 mod ids;
+mod look;
 
 pub use ids::*;
+pub use look::*;
 
 use std::hash::Hash;
 use xxhash_rust::xxh3::Xxh3;
