--- a/crates/brood/src/part.rs
+++ b/crates/brood/src/part.rs
@@ -29,6 +29,8 @@
     pub until: Mono,
     /// When the answer is given up.
     pub horizon: Mono,
+    /// Not the request's first round.
+    pub extra: bool,
     pub req: Req,
 }
 
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -64,6 +64,10 @@
         }
     }
 
+    pub fn items(&self) -> &BTreeMap<Key, Item> {
+        &self.follow.items
+    }
+
     pub fn table(&self) -> &Arc<Table> {
         &self.table
     }
--- a/crates/gate/src/press.rs
+++ b/crates/gate/src/press.rs
@@ -100,7 +100,9 @@
             let more = (p.recent as f64 - s.own * gone).max(0.0).ceil() as u32;
             p.recent = 0;
             p.wait = line.get(svc).copied().unwrap_or(0);
-            let want = (p.wait + more).saturating_sub(p.lent.len() as u32);
+            // With a line there is no telling what will come; without, as much as lately.
+            let ask = if p.wait > 0 { p.wait } else { more };
+            let want = ask.saturating_sub(p.lent.len() as u32);
             if want > 0 {
                 v.push((svc.clone(), want));
             }
--- a/crates/gate/src/rounds.rs
+++ b/crates/gate/src/rounds.rs
@@ -70,6 +70,7 @@
             birth: o.birth,
             until: fresh.min(lease).min(token).min(leave),
             horizon: now + self.env.patience,
+            extra: self.jobs.get(&id).is_some_and(|j| j.tries > 0),
             req,
         };
         self.rounds.insert(n, id);
--- a/crates/keeper/src/duty.rs
+++ b/crates/keeper/src/duty.rs
@@ -141,7 +141,9 @@
             let Some(share) = share(&self.pic.items, svc) else { continue };
             // A new holder starts with nothing: the last one may have lent it all.
             let p = d.purses.entry(svc.clone()).or_insert(Purse { tokens: 0.0, at: now });
-            let cap = (share.lent * 0.1).max(1.0);
+            // A quarter second's worth: with what is lent out for `LENT` and the
+            // gates' own bursts, five seconds stay within the ceiling's tenth.
+            let cap = (share.lent * 0.25).max(1.0);
             p.tokens = (p.tokens + share.lent * (now - p.at).0 as f64 / 1e6).min(cap);
             p.at = now;
             let n = (*want as f64).min(p.tokens.floor());
--- /dev/null
+++ b/crates/swarm/src/carry.rs
@@ -0,0 +1,85 @@
+//! Steps parts and carries out what they ask for: sync, then send.
+use crate::world::{Ev, World};
+use brood::*;
+use wax::{Addr, Span};
+
+impl World {
+    pub fn step(&mut self, a: Addr, i: In) {
+        let now = self.now;
+        let Some(p) = self.procs.get_mut(&a) else { return };
+        let clock = p.clock(now);
+        let mut out = vec![];
+        if let Some(part) = &mut p.part {
+            part.part().step(clock, i, &mut out);
+        }
+        p.line.extend(out);
+        self.flush(a);
+        self.watch(a);
+    }
+
+    pub(crate) fn flush(&mut self, a: Addr) {
+        let (lo, hi) = self.plan.sync;
+        let Some(p) = self.procs.get_mut(&a) else { return };
+        if p.syncing || p.line.is_empty() {
+            return;
+        }
+        let batch: Vec<Out> = p.line.drain(..).collect();
+        if batch.iter().any(|o| matches!(o, Out::Save(_) | Out::Base(_))) {
+            p.syncing = true;
+            let life = p.life;
+            let d = Span(self.rng.u64(lo..=hi));
+            self.count("syncs");
+            self.at(d, Ev::Synced(a, life, batch));
+        } else {
+            batch.into_iter().for_each(|o| self.carry(a, o));
+        }
+    }
+
+    pub(crate) fn synced(&mut self, a: Addr, life: u64, batch: Vec<Out>) {
+        let Some(p) = self.procs.get_mut(&a) else { return };
+        if p.life != life || p.part.is_none() {
+            return;
+        }
+        if p.stalled {
+            return self.at(Span::ms(20), Ev::Synced(a, life, batch));
+        }
+        p.syncing = false;
+        for o in &batch {
+            match o {
+                Out::Base(b) => p.disk = vec![b.clone()],
+                Out::Save(b) => p.disk.push(b.clone()),
+                _ => (),
+            }
+        }
+        batch.into_iter().for_each(|o| self.carry(a, o));
+        self.flush(a);
+    }
+
+    fn carry(&mut self, a: Addr, o: Out) {
+        match o {
+            Out::Send(to, m) => self.mail(a, to, m),
+            Out::Tell(t, r) => self.told(a, t, r),
+            Out::Fetch(r) => {
+                let life = self.procs[&a].life;
+                self.at(Span(50), Ev::Leave(a, life, r));
+            }
+            Out::Save(_) | Out::Base(_) | Out::Alarm(_) => (),
+        }
+    }
+
+    fn mail(&mut self, from: Addr, to: Addr, m: Msg) {
+        if from == to {
+            return self.at(Span(0), Ev::Msg(from, to, m));
+        }
+        self.count("messages");
+        if self.cuts.contains(&(from, to)) || self.rng.f64() < self.plan.drop {
+            return;
+        }
+        let d = self.distance(from, to);
+        if self.rng.f64() < self.plan.dup {
+            let late = Span(d.0 * self.rng.u64(2..20));
+            self.at(late, Ev::Msg(from, to, m.clone()));
+        }
+        self.at(d, Ev::Msg(from, to, m));
+    }
+}
--- /dev/null
+++ b/crates/swarm/src/field.rs
@@ -0,0 +1,158 @@
+//! Stand-in origins, and the rounds that reach them.
+use crate::world::{Ev, World};
+use brood::*;
+use std::collections::BTreeMap;
+use wax::{Addr, Birth, Mono, Span, Token};
+
+#[derive(Clone, Debug)]
+pub struct Bloom {
+    pub svc: Svc,
+    pub zone: Zone,
+    pub birth: Birth,
+    /// Down origins answer nothing and beat no more.
+    pub up: bool,
+    pub mood: Mood,
+    pub work: Span,
+    /// Runs the request and loses the answer.
+    pub lose: f64,
+    /// Since when it was known to be leaving or gone.
+    pub left: Option<Mono>,
+    pub in_hand: u32,
+    /// Content's generation by path prefix "": grows when content changes.
+    pub edition: u64,
+    pub keeper: usize,
+    pub hits: BTreeMap<String, u64>,
+}
+
+impl World {
+    pub fn bloom(&mut self, a: Addr, svc: &str, zone: &str) {
+        let birth = Birth(self.rng.u64(1..1 << 40));
+        let keeper = self.rng.usize(0..4);
+        let b = Bloom {
+            svc: svc.into(),
+            zone: zone.into(),
+            birth,
+            up: true,
+            mood: Mood::Serving,
+            work: Span::ms(8),
+            lose: 0.0,
+            left: None,
+            in_hand: 0,
+            edition: 1,
+            keeper,
+            hits: BTreeMap::new(),
+        };
+        self.blooms.insert(a, b);
+        self.at(Span::ms(1), Ev::Beat(a, birth.0));
+    }
+
+    /// Crashes without a word.
+    pub fn wither(&mut self, a: Addr) {
+        let now = self.now;
+        self.blooms.get_mut(&a).into_iter().for_each(|b| {
+            b.up = false;
+            b.left = Some(now);
+        });
+    }
+
+    /// Says it is leaving, but goes on answering.
+    pub fn take_leave(&mut self, a: Addr, mood: Mood) {
+        let now = self.now;
+        self.blooms.get_mut(&a).into_iter().for_each(|b| {
+            b.mood = mood;
+            b.left = Some(now);
+        });
+    }
+
+    pub(crate) fn beat(&mut self, a: Addr, life: u64) {
+        let keepers = self.of(Role::Keeper);
+        let Some(b) = self.blooms.get(&a).filter(|b| b.up && b.birth.0 == life).cloned() else { return };
+        let beat = Beat {
+            svc: b.svc,
+            addr: a,
+            birth: b.birth,
+            zone: b.zone,
+            cap: 64,
+            occupancy: b.in_hand,
+            mood: b.mood,
+        };
+        let to = keepers[b.keeper % keepers.len()];
+        // A keeper that does not take the beat is left for the next one.
+        let deaf = self.procs[&to].frozen || self.procs[&to].part.is_none();
+        if deaf {
+            self.blooms.get_mut(&a).into_iter().for_each(|b| b.keeper += 1);
+        } else {
+            self.next_token += 1;
+            let t = Token(self.next_token);
+            self.wants.insert(t, (to, crate::people::Want::Beat(a), self.now));
+            let d = self.distance(a, to);
+            self.at(d, Ev::Ask(to, t, Ask::Beat(beat)));
+        }
+        self.at(Span::ms(200), Ev::Beat(a, life));
+    }
+
+    /// The executor's last look at the clock, then the bytes leave.
+    pub(crate) fn leave(&mut self, g: Addr, life: u64, r: Round) {
+        let live = self.procs.get(&g).filter(|p| p.life == life && p.part.is_some());
+        let Some(clock) = live.map(|p| p.clock(self.now)) else { return };
+        if clock >= r.until {
+            return self.report(g, life, r.n, Fetched::NotSent);
+        }
+        let d = self.distance(g, r.addr);
+        self.at(d, Ev::Arrive(g, life, r));
+    }
+
+    pub(crate) fn arrive(&mut self, g: Addr, life: u64, r: Round) {
+        let there = self.blooms.get(&r.addr).filter(|b| b.up).cloned();
+        let Some(b) = there else { return self.report(g, life, r.n, Fetched::NotSent) };
+        self.rules.arrived(self.now, &b, &r);
+        let whole = self.rng.f64() >= b.lose;
+        let path = r.req.path.clone();
+        self.blooms.entry(r.addr).and_modify(|b| {
+            b.in_hand += 1;
+            *b.hits.entry(path).or_default() += 1;
+        });
+        self.at(b.work, Ev::Answer(g, life, r, b.birth.0, whole));
+    }
+
+    pub(crate) fn answer(&mut self, g: Addr, life: u64, r: Round, birth: u64, whole: bool) {
+        let b = self.blooms.get_mut(&r.addr).filter(|b| b.up && b.birth.0 == birth);
+        let Some(b) = b else { return self.report(g, life, r.n, Fetched::Lost) };
+        b.in_hand = b.in_hand.saturating_sub(1);
+        // Whose answer, to what, of which edition, made when.
+        let body = format!("{}|{}|{}|{}", b.svc, r.req.path, b.edition, self.now.0).into_bytes();
+        let w = Whole { status: 200, mime: "text/plain".into(), body };
+        let f = if whole { Fetched::Whole(w) } else { Fetched::Lost };
+        self.report(g, life, r.n, f);
+    }
+
+    fn report(&mut self, g: Addr, life: u64, n: u64, f: Fetched) {
+        if self.procs.get(&g).is_some_and(|p| p.life == life) {
+            self.next_token += 1;
+            let t = Token(self.next_token);
+            self.at(Span(300), Ev::Ask(g, t, Ask::Done(n, f)));
+        }
+    }
+
+    /// The gate's own look at origins whose beats do not come through.
+    pub(crate) fn probe(&mut self, g: Addr, life: u64) {
+        if self.procs.get(&g).is_some_and(|p| p.life == life && p.part.is_some()) {
+            self.next_token += 1;
+            let t = Token(self.next_token);
+            self.wants.insert(t, (g, crate::people::Want::Probes, self.now));
+            self.at(Span(0), Ev::Ask(g, t, Ask::Probes));
+            self.at(Span::ms(300), Ev::Probe(g, life));
+        }
+    }
+
+    pub(crate) fn probe_all(&mut self, g: Addr, all: Vec<Addr>) {
+        let began = self.procs[&g].clock(self.now);
+        for a in all {
+            let said = self.blooms.get(&a).filter(|b| b.up);
+            let said = said.map(|b| (b.svc.clone(), b.birth, b.mood == Mood::Serving));
+            self.next_token += 1;
+            let t = Token(self.next_token);
+            self.at(Span::ms(3), Ev::Ask(g, t, Ask::Probed(a, said, began)));
+        }
+    }
+}
--- /dev/null
+++ b/crates/swarm/src/lib.rs
@@ -0,0 +1,17 @@
+//! The in-memory fleet: the same parts as in the daemons, over a virtual
+//! network, virtual disks and virtual clocks, with the brief's rules checked at
+//! every step from outside.
+mod carry;
+mod field;
+mod people;
+mod procs;
+mod rules;
+mod stage;
+mod world;
+
+pub use field::Bloom;
+pub use people::{Seen, Want};
+pub use procs::{Proc, Role3};
+pub use rules::Rules;
+pub use stage::*;
+pub use world::{Ev, Plan, World};
--- /dev/null
+++ b/crates/swarm/src/people.rs
@@ -0,0 +1,107 @@
+//! Callers and operators: what they ask, and what they are told.
+use crate::world::{Ev, World};
+use brood::*;
+use std::sync::Arc;
+use wax::{Addr, Mono, Span, Token};
+
+#[derive(Clone, Debug)]
+pub enum Want {
+    Request(Req),
+    Change(Change),
+    Table,
+    Beat(Addr),
+    Probes,
+    Ready,
+    Drain,
+}
+
+/// A question and its receipt, with both times.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    pub at: Addr,
+    pub want: Want,
+    pub asked: Mono,
+    pub told: Mono,
+    pub receipt: Receipt,
+}
+
+impl World {
+    pub fn ask(&mut self, at: Addr, want: Want) -> Token {
+        self.next_token += 1;
+        let t = Token(self.next_token);
+        let ask = match &want {
+            Want::Request(r) => Ask::Begin(r.clone()),
+            Want::Change(c) => Ask::Change(c.clone()),
+            Want::Table => Ask::Table,
+            Want::Drain => Ask::Drain,
+            Want::Ready | Want::Beat(_) | Want::Probes => Ask::Ready,
+        };
+        let up = self.procs.get(&at).is_some_and(|p| p.part.is_some());
+        if up {
+            self.wants.insert(t, (at, want, self.now));
+            self.at(Span(200), Ev::Ask(at, t, ask));
+        }
+        t
+    }
+
+    pub fn get(&mut self, gate: Addr, lane: &str, path: &str) -> Token {
+        self.ask(gate, Want::Request(req("GET", lane, path, None)))
+    }
+
+    pub fn post(&mut self, gate: Addr, lane: &str, path: &str, key: Option<&str>) -> Token {
+        self.ask(gate, Want::Request(req("POST", lane, path, key)))
+    }
+
+    /// Sets a row; `expect` is the version it should still have.
+    pub fn set_row(&mut self, keeper: Addr, id: &str, lane: &str, svc: &str, expect: u64, row: Row) -> Token {
+        let op = Op::Row { lane: lane.into(), svc: svc.into(), expect: wax::Version(expect), row: Some(row) };
+        self.ask(keeper, Want::Change(Change { id: Some(id.into()), op }))
+    }
+
+    pub fn purge(&mut self, keeper: Addr, id: &str, svc: &str, prefix: &str) -> Token {
+        let op = Op::Purge(vec![(svc.into(), prefix.into())]);
+        self.ask(keeper, Want::Change(Change { id: Some(id.into()), op }))
+    }
+
+    pub(crate) fn told(&mut self, a: Addr, t: Token, r: Receipt) {
+        let Some((at, want, asked)) = self.wants.remove(&t) else { return };
+        match (&want, &r) {
+            (Want::Beat(b), Receipt::NotNow(_)) => {
+                self.blooms.get_mut(b).into_iter().for_each(|b| b.keeper += 1);
+                return;
+            }
+            (Want::Beat(_), _) => return,
+            (Want::Probes, Receipt::Probes(all)) => return self.probe_all(a, all.clone()),
+            _ => (),
+        }
+        let s = Seen { at, want, asked, told: self.now, receipt: r };
+        self.rules.told(&s);
+        self.seen.push(s);
+    }
+
+    /// The receipts of requests, of a kind a story asks about.
+    pub fn steps(&self) -> impl Iterator<Item = (&Seen, &Step)> {
+        self.seen.iter().filter_map(|s| match &s.receipt {
+            Receipt::Step(x) => Some((s, x)),
+            _ => None,
+        })
+    }
+
+    pub fn changes(&self) -> impl Iterator<Item = (&Seen, &Verdict)> {
+        self.seen.iter().filter_map(|s| match &s.receipt {
+            Receipt::Change(v) => Some((s, v)),
+            _ => None,
+        })
+    }
+}
+
+pub fn req(method: &str, lane: &str, path: &str, key: Option<&str>) -> Req {
+    Req {
+        method: method.into(),
+        lane: lane.into(),
+        path: path.into(),
+        key: key.map(str::to_string),
+        mime: String::new(),
+        body: Arc::new(path.as_bytes().to_vec()),
+    }
+}
--- /dev/null
+++ b/crates/swarm/src/procs.rs
@@ -0,0 +1,156 @@
+//! Processes: parts with a disk, a clock and the power to die.
+use crate::world::{Ev, World};
+use brood::*;
+use comb::Comb;
+use gate::Gate;
+use keeper::Keeper;
+use std::collections::VecDeque;
+use wax::{Addr, Mono, Span};
+
+pub enum Role3 {
+    Keeper(Box<Keeper>),
+    Gate(Box<Gate>),
+    Comb(Box<Comb>),
+}
+
+impl Role3 {
+    pub fn part(&mut self) -> &mut dyn Part {
+        match self {
+            Role3::Keeper(k) => &mut **k,
+            Role3::Gate(g) => &mut **g,
+            Role3::Comb(c) => &mut **c,
+        }
+    }
+}
+
+type Boot = Box<dyn Fn(Vec<Vec<u8>>, u64, Mono, &mut Vec<Out>) -> Role3>;
+
+pub struct Proc {
+    pub zone: Zone,
+    pub role: Role,
+    pub boot: Boot,
+    /// None while it is down.
+    pub part: Option<Role3>,
+    pub life: u64,
+    /// Invariant: holds only what was synced.
+    pub disk: Vec<Vec<u8>>,
+    pub line: VecDeque<Out>,
+    pub syncing: bool,
+    /// The disk does not come back from a sync while this is set.
+    pub stalled: bool,
+    pub frozen: bool,
+    pub parked: Vec<Ev>,
+    /// Its clock: where it started, and how fast it runs in thousandths.
+    pub skew: u64,
+    pub rate: u64,
+}
+
+impl Proc {
+    /// This process's own monotonic clock.
+    pub fn clock(&self, now: Mono) -> Mono {
+        Mono(self.skew + now.0 * self.rate / 1000)
+    }
+}
+
+impl World {
+    pub fn add(&mut self, a: Addr, zone: Zone, role: Role, boot: Boot) {
+        let d = self.plan.drift;
+        let p = Proc {
+            zone,
+            role,
+            boot,
+            part: None,
+            life: 0,
+            disk: vec![],
+            line: VecDeque::new(),
+            syncing: false,
+            stalled: false,
+            frozen: false,
+            parked: vec![],
+            skew: self.rng.u64(0..1_000_000_000),
+            rate: 1000 - d + self.rng.u64(0..=2 * d),
+        };
+        self.procs.insert(a, p);
+    }
+
+    /// Starts it on whatever its disk holds.
+    pub fn start(&mut self, a: Addr) {
+        let life = self.rng.u64(1..1 << 40);
+        let now = self.now;
+        let Some(p) = self.procs.get_mut(&a).filter(|p| p.part.is_none()) else { return };
+        p.life = life;
+        p.syncing = false;
+        p.frozen = false;
+        p.parked.clear();
+        p.line.clear();
+        let mut out = vec![];
+        let clock = p.clock(now);
+        p.part = Some((p.boot)(p.disk.clone(), life, clock, &mut out));
+        p.line.extend(out);
+        let gate = p.role == Role::Gate;
+        self.rules.reborn(a);
+        self.flush(a);
+        self.at(Span::ms(10), Ev::Tick(a, life));
+        if gate {
+            self.at(Span::ms(150), Ev::Probe(a, life));
+        }
+    }
+
+    /// kill -9, or the power going: what was not synced is gone.
+    pub fn kill(&mut self, a: Addr) {
+        if let Some(p) = self.procs.get_mut(&a) {
+            p.part = None;
+            p.life = 0;
+        }
+    }
+
+    pub fn wipe(&mut self, a: Addr) {
+        self.procs.get_mut(&a).into_iter().for_each(|p| p.disk.clear());
+    }
+
+    pub fn freeze(&mut self, a: Addr) {
+        self.procs.get_mut(&a).into_iter().for_each(|p| p.frozen = true);
+    }
+
+    pub fn thaw(&mut self, a: Addr) {
+        let evs = self.procs.get_mut(&a).map(|p| {
+            p.frozen = false;
+            std::mem::take(&mut p.parked)
+        });
+        evs.into_iter().flatten().for_each(|e| self.at(Span(1), e));
+    }
+
+    pub fn unstall(&mut self, a: Addr) {
+        self.procs.get_mut(&a).into_iter().for_each(|p| p.stalled = false);
+    }
+
+    pub(crate) fn tick(&mut self, a: Addr, life: u64) {
+        if self.procs.get(&a).is_some_and(|p| p.life == life && p.part.is_some()) {
+            self.step(a, In::Tick);
+            self.at(Span::ms(10), Ev::Tick(a, life));
+        }
+    }
+
+    pub fn of(&self, r: Role) -> Vec<Addr> {
+        self.procs.iter().filter(|(_, p)| p.role == r).map(|(a, _)| *a).collect()
+    }
+
+    pub fn keeper(&self, a: Addr) -> Option<&Keeper> {
+        match self.procs.get(&a)?.part.as_ref()? {
+            Role3::Keeper(k) => Some(k),
+            _ => None,
+        }
+    }
+    pub fn gate(&self, a: Addr) -> Option<&Gate> {
+        match self.procs.get(&a)?.part.as_ref()? {
+            Role3::Gate(g) => Some(g),
+            _ => None,
+        }
+    }
+    pub fn comb(&self, a: Addr) -> Option<&Comb> {
+        match self.procs.get(&a)?.part.as_ref()? {
+            Role3::Comb(c) => Some(c),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/swarm/src/rules.rs
@@ -0,0 +1,173 @@
+//! The brief's must-never list, checked from outside at every step.
+use crate::field::Bloom;
+use crate::people::{Seen, Want};
+use brood::*;
+use std::collections::{BTreeMap, BTreeSet};
+use wax::{Addr, Mono, Span, Version};
+
+/// How long after an origin was known to leave a request may still reach it.
+const GRACE: Span = Span::secs(2);
+
+#[derive(Debug, Default)]
+pub struct Rules {
+    pub broken: BTreeSet<String>,
+    /// What any table version ever allowed.
+    pub allowed: BTreeSet<(Lane, Svc)>,
+    pub ceilings: BTreeMap<Svc, u32>,
+    /// Arrivals at each service: when, and whether of a round after the first.
+    pub arrivals: BTreeMap<Svc, Vec<(Mono, bool)>>,
+    runs: BTreeMap<String, Vec<Mono>>,
+    denied: BTreeMap<String, Mono>,
+    /// Acknowledged: from when on each item must be in force.
+    pub acked: BTreeMap<Key, (Version, Mono)>,
+    purged: Vec<(Svc, String, u64, Mono)>,
+    shown: BTreeMap<(Addr, Key), Version>,
+    pub ttl: BTreeMap<Lane, Span>,
+    /// The edition every origin of a service has had since then.
+    pub editions: BTreeMap<Svc, (u64, Mono)>,
+}
+
+impl Rules {
+    pub fn broke(&mut self, rule: &str, what: String) {
+        self.broken.insert(format!("{rule}: {what}"));
+    }
+
+    /// A gate that starts anew has shown nothing in this life; what it showed
+    /// before still binds it.
+    pub(crate) fn reborn(&mut self, _a: Addr) {}
+
+    /// A request reached an origin.
+    pub(crate) fn arrived(&mut self, now: Mono, b: &Bloom, r: &Round) {
+        if b.svc != r.svc || !self.allowed.contains(&(r.req.lane.clone(), b.svc.clone())) {
+            self.broke(
+                "service never allowed",
+                format!("{} reached {} meant for {}", r.req.lane, b.svc, r.svc),
+            );
+        }
+        if b.left.is_some_and(|t| now - t > GRACE) {
+            let late = b.left.map_or(0, |t| (now - t).as_ms());
+            self.broke("leaving or gone", format!("{} reached {} {late} ms after", r.req.path, r.addr));
+        }
+        let once = r.req.method != "GET";
+        let name = r.req.key.clone().unwrap_or(format!("{}/{}", r.req.lane, r.req.path));
+        if once {
+            let t = self.runs.entry(name.clone()).or_default();
+            let twice = t.last().is_some_and(|l| now - *l < Span::secs(60));
+            t.push(now);
+            if twice {
+                self.broke("ran twice", name.clone());
+            }
+            if r.req.key.is_none() && self.denied.contains_key(&name) {
+                self.broke("ran after it was denied", name);
+            }
+        }
+        let extra = r.extra;
+        self.arrivals.entry(b.svc.clone()).or_default().push((now, extra));
+    }
+
+    /// Somebody was told something.
+    pub(crate) fn told(&mut self, s: &Seen) {
+        match (&s.want, &s.receipt) {
+            (Want::Request(q), Receipt::Step(Step::Serve(w, from, _))) => self.served(s.told, q, w, *from),
+            (Want::Request(q), Receipt::Step(Step::Deny(..))) if q.method != "GET" => {
+                let name = q.key.clone().unwrap_or(format!("{}/{}", q.lane, q.path));
+                if q.key.is_none() && self.runs.contains_key(&name) {
+                    self.broke("denied though it ran", name.clone());
+                }
+                self.denied.insert(name, s.told);
+            }
+            (Want::Change(c), Receipt::Change(Verdict::Done(ks))) => self.change(s.told, c, ks),
+            (Want::Table, Receipt::Table(p, _)) => self.read_back(s.asked, p),
+            _ => (),
+        }
+    }
+
+    fn change(&mut self, now: Mono, c: &Change, ks: &[(Key, Version)]) {
+        for (k, v) in ks {
+            let was = self.acked.entry(k.clone()).or_insert((*v, now));
+            if *v > was.0 {
+                *was = (*v, now);
+            }
+        }
+        if let Op::Purge(all) = &c.op {
+            for (svc, p) in all {
+                let (e, since) = self.editions.get(svc).copied().unwrap_or((1, Mono(0)));
+                // Only content changed before the purge was sent is bound by it.
+                if since < now {
+                    self.purged.push((svc.clone(), p.clone(), e, now));
+                }
+            }
+        }
+    }
+
+    fn read_back(&mut self, asked: Mono, p: &Picture) {
+        let lost = |(k, (v, at)): &(&Key, &(Version, Mono))| *at <= asked && p.item(k).ver < *v;
+        let missing: Vec<String> =
+            self.acked.iter().filter(lost).map(|(k, v)| format!("{k:?} {v:?}")).collect();
+        missing.into_iter().for_each(|m| self.broke("missing at read-back", m));
+    }
+
+    fn served(&mut self, now: Mono, q: &Req, w: &Whole, from: Shared) {
+        let s = String::from_utf8_lossy(&w.body).to_string();
+        let parts: Vec<&str> = s.split('|').collect();
+        let right = parts.len() == 4
+            && parts[1] == q.path
+            && self.allowed.contains(&(q.lane.clone(), Svc(parts[0].to_string())));
+        if !right {
+            return self.broke("not its origin's whole answer", format!("{} got {s}", q.path));
+        }
+        let (edition, made): (u64, u64) = (parts[2].parse().unwrap_or(0), parts[3].parse().unwrap_or(0));
+        let ttl = self.ttl.get(&q.lane).copied().unwrap_or_default();
+        if from == Shared::Copy && now - Mono(made) > ttl + Span::secs(2) {
+            self.broke(
+                "copy outlived its lifetime",
+                format!("{} by {} ms", q.path, (now - Mono(made)).as_ms()),
+            );
+        }
+        let stale = |(svc, p, e, at): &&(Svc, String, u64, Mono)| {
+            svc.0 == parts[0] && q.path.starts_with(p.as_str()) && edition < *e && now - *at > Span::secs(2)
+        };
+        if from != Shared::Record && self.purged.iter().any(|x| stale(&x)) {
+            self.broke("purged content served", format!("{} edition {edition}", q.path));
+        }
+    }
+
+    /// A gate serves by its table: looked at whenever it may serve.
+    pub(crate) fn in_force(&mut self, now: Mono, a: Addr, has: impl Fn(&Key) -> Version) {
+        let lacks = |(k, (v, at)): &(&Key, &(Version, Mono))| {
+            !matches!(k, Key::Purge(..)) && now - *at > Span::ms(0) && has(k) < *v
+        };
+        let missing: Vec<String> =
+            self.acked.iter().filter(lacks).map(|(k, v)| format!("{a} {k:?} {v:?}")).collect();
+        missing.into_iter().for_each(|m| self.broke("acknowledged but not in force", m));
+        for k in self.acked.keys().cloned().collect::<Vec<_>>() {
+            let v = has(&k);
+            let was = self.shown.entry((a, k.clone())).or_insert(v);
+            if v < *was {
+                let was = *was;
+                self.broke("went back", format!("{a} {k:?} from {was} to {v}"));
+            } else {
+                *was = v;
+            }
+        }
+    }
+
+    /// Counts at the origins, over sliding windows.
+    pub fn pressed(&mut self) {
+        for (svc, a) in self.arrivals.clone() {
+            let most = self.ceilings.get(&svc).copied().unwrap_or(u32::MAX) as f64 * 5.0 * 1.1;
+            for (i, (t, _)) in a.iter().enumerate() {
+                let within = |s: u64| a[i..].iter().take_while(move |(u, _)| *u - *t < Span::secs(s));
+                let n = within(5).count();
+                let tries = within(10).count();
+                let extra = within(10).filter(|(_, e)| *e).count();
+                if n as f64 > most {
+                    self.broke("over the ceiling", format!("{svc}: {n} in 5 s"));
+                }
+                if extra as f64 > tries as f64 / 5.0 + 10.0 {
+                    self.broke("too many extra tries", format!("{svc}: {extra} of {tries} in 10 s"));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/swarm/src/stage.rs
@@ -0,0 +1,151 @@
+//! Setting the stage: a founded fleet with origins and a table.
+use crate::procs::Role3;
+use crate::world::{Plan, World};
+use brood::*;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use wax::{Addr, Birth, Mono, NodeId, Span};
+
+pub fn addr(machine: u8, port: u16) -> Addr {
+    Addr(SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 0, 0, machine)), port))
+}
+
+pub fn row(ceiling: u32, kind: Kind, ttl: Span) -> Row {
+    Row { weight: 1, ceiling, rank: 3, kind, ttl }
+}
+
+/// The addresses of a standing fleet.
+#[derive(Clone, Debug)]
+pub struct Fleet {
+    pub keepers: Vec<Addr>,
+    pub gates: Vec<Addr>,
+    pub combs: Vec<Addr>,
+    pub pages: Vec<Addr>,
+    pub desks: Vec<Addr>,
+}
+
+fn follow(id: u16, role: Role, a: Addr, zone: &str, seeds: &[Addr], lease: Span) -> FollowEnv {
+    FollowEnv {
+        id: NodeId(id),
+        role,
+        addr: a,
+        http: a,
+        zone: zone.into(),
+        seeds: seeds.to_vec(),
+        birth: Birth(0),
+        lease,
+    }
+}
+
+impl World {
+    pub fn add_keeper(&mut self, a: Addr, zone: &str, seeds: Vec<Addr>, found: bool) {
+        let env = keeper::KeeperEnv {
+            addr: a,
+            http: a,
+            zone: zone.into(),
+            seeds,
+            found,
+            lease: self.plan.lease,
+            cut_at: self.plan.cut_at,
+            vanish: Span::secs(3),
+            pace: waggle::Pace { first_rtt: Span::ms(60), ..waggle::Pace::default() },
+        };
+        let boot = move |disk: Vec<Vec<u8>>, life: u64, now: Mono, out: &mut Vec<Out>| {
+            let kept = disk.iter().filter_map(|b| keeper::Kept::decode(b)).collect();
+            Role3::Keeper(Box::new(keeper::Keeper::start(env.clone(), kept, life, now, out)))
+        };
+        self.add(a, zone.into(), Role::Keeper, Box::new(boot));
+    }
+
+    pub fn add_gate(&mut self, id: u16, a: Addr, zone: &str, seeds: &[Addr]) {
+        let f = follow(id, Role::Gate, a, zone, seeds, self.plan.lease);
+        let boot = move |_: Vec<Vec<u8>>, life: u64, _: Mono, _: &mut Vec<Out>| {
+            let env = gate::GateEnv {
+                follow: FollowEnv { birth: Birth(life), ..f.clone() },
+                fresh: Span::ms(1000),
+                patience: Span::secs(5),
+                copies: 1 << 20,
+            };
+            Role3::Gate(Box::new(gate::Gate::new(env)))
+        };
+        self.add(a, zone.into(), Role::Gate, Box::new(boot));
+    }
+
+    pub fn add_comb(&mut self, id: u16, a: Addr, zone: &str, seeds: &[Addr]) {
+        let f = follow(id, Role::Comb, a, zone, seeds, self.plan.lease);
+        let window = self.plan.window;
+        let boot = move |disk: Vec<Vec<u8>>, life: u64, now: Mono, out: &mut Vec<Out>| {
+            let kept = disk.iter().filter_map(|b| comb::Kept::decode(b)).collect();
+            let env = comb::CombEnv { follow: f.clone(), window, base_after: 1 << 18 };
+            Role3::Comb(Box::new(comb::Comb::start(env, kept, life, now, out)))
+        };
+        self.add(a, zone.into(), Role::Comb, Box::new(boot));
+    }
+
+    /// Keepers, gates, combs and origins, nothing started yet.
+    pub fn plant(plan: Plan, seed: u64) -> (World, Fleet) {
+        let mut w = World::empty(plan, seed);
+        let z = w.plan.zones;
+        let keepers: Vec<Addr> = (1..=4).map(|m| addr(m, 1)).collect();
+        for (i, k) in keepers.iter().enumerate() {
+            let seeds = keepers.iter().copied().filter(|o| o != k).collect();
+            w.add_keeper(*k, z[i], seeds, true);
+        }
+        let gates: Vec<Addr> = (0..w.plan.gates as u8).map(|i| addr(i + 1, 2)).collect();
+        for (i, g) in gates.iter().enumerate() {
+            w.add_gate(100 + i as u16, *g, z[i % 4], &keepers[..3]);
+        }
+        let combs: Vec<Addr> = [1, 2, 3, 4, 14, 15].map(|m| addr(m, 3)).to_vec();
+        for (i, c) in combs.iter().enumerate() {
+            w.add_comb(200 + i as u16, *c, z[[0, 1, 2, 3, 0, 2][i]], &keepers[1..]);
+        }
+        let pages = (0..3).map(|i| addr(50 + i, 80)).collect();
+        let desks = (0..4).map(|i| addr(60 + i, 80)).collect();
+        (w, Fleet { keepers, gates, combs, pages, desks })
+    }
+
+    pub fn start_all(&mut self) {
+        let all: Vec<Addr> = self.procs.keys().copied().collect();
+        all.into_iter().for_each(|a| self.start(a));
+    }
+
+    /// A fleet that serves: founded, origins known, the table in force.
+    pub fn standing(plan: Plan, seed: u64) -> (World, Fleet) {
+        let (mut w, f) = World::plant(plan, seed);
+        w.start_all();
+        let z = w.plan.zones;
+        f.pages.iter().enumerate().for_each(|(i, a)| w.bloom(*a, "pages", z[i % 4]));
+        f.desks.iter().enumerate().for_each(|(i, a)| w.bloom(*a, "desk", z[i % 4]));
+        let founded = |w: &World| f.combs.iter().all(|c| w.comb(*c).is_some_and(|c| c.is_open()));
+        assert!(w.until(Span::secs(20), founded), "the fleet was not founded");
+        w.allow("read", "pages", 200, Span::secs(5));
+        w.allow("ask", "desk", 400, Span(0));
+        w.allow("pay", "desk", 400, Span(0));
+        let k = f.keepers[0];
+        w.set_row(k, "t1", "read", "pages", 0, row(200, Kind::Read, Span::secs(5)));
+        w.set_row(k, "t2", "ask", "desk", 0, row(400, Kind::Plain, Span(0)));
+        w.set_row(k, "t3", "pay", "desk", 0, row(400, Kind::Keyed, Span(0)));
+        assert!(w.until(Span::secs(20), |w| w.changes().count() == 3), "the table was not taken");
+        w.run(Span::secs(1));
+        (w, f)
+    }
+
+    /// What the rules must know of a row before it is sent.
+    pub fn allow(&mut self, lane: &str, svc: &str, ceiling: u32, ttl: Span) {
+        self.rules.allowed.insert((lane.into(), svc.into()));
+        self.rules.ceilings.insert(svc.into(), ceiling);
+        self.rules.ttl.insert(lane.into(), ttl);
+    }
+
+    /// After each step of a gate: what it would serve by.
+    pub(crate) fn watch(&mut self, a: Addr) {
+        let now = self.now;
+        let Some(p) = self.procs.get(&a) else { return };
+        let clock = p.clock(now);
+        let Some(Role3::Gate(g)) = &p.part else { return };
+        if g.leased(clock) {
+            let items = g.items();
+            let has = |k: &Key| items.get(k).map_or(wax::Version(0), |it| it.ver);
+            self.rules.in_force(now, a, has);
+        }
+    }
+}
--- /dev/null
+++ b/crates/swarm/src/world.rs
@@ -0,0 +1,201 @@
+//! Virtual time: one queue of events, from one seed.
+use crate::field::Bloom;
+use crate::people::{Seen, Want};
+use crate::procs::Proc;
+use crate::rules::Rules;
+use brood::*;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use wax::{Addr, Mono, Span, Token};
+
+/// A world's temper.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub gates: usize,
+    pub drop: f64,
+    pub dup: f64,
+    /// One-way, within a zone, between zones, between regions; in microseconds.
+    pub away: [u64; 3],
+    pub sync: (u64, u64),
+    pub zones: [&'static str; 4],
+    pub lease: Span,
+    pub cut_at: usize,
+    pub window: Span,
+    /// How far monotonic clocks run apart, in parts of a thousand.
+    pub drift: u64,
+}
+
+impl Plan {
+    pub fn trinacria() -> Plan {
+        Plan {
+            gates: 5,
+            drop: 0.0,
+            dup: 0.0,
+            away: [100, 750, 750],
+            sync: (300, 2500),
+            zones: ["sicilia/a", "sicilia/b", "sicilia/c", "sicilia/d"],
+            lease: Span::secs(10),
+            cut_at: 256,
+            window: Span::secs(90),
+            drift: 5,
+        }
+    }
+    pub fn bersatu() -> Plan {
+        Plan {
+            away: [100, 750, 17_500],
+            sync: (300, 8000),
+            zones: ["barat/a", "barat/b", "timur/c", "timur/d"],
+            ..Plan::trinacria()
+        }
+    }
+}
+
+pub enum Ev {
+    Msg(Addr, Addr, Msg),
+    Ask(Addr, Token, Ask),
+    Synced(Addr, u64, Vec<Out>),
+    Tick(Addr, u64),
+    /// A round of that gate's life leaves, arrives, is answered, comes back.
+    Leave(Addr, u64, Round),
+    Arrive(Addr, u64, Round),
+    Answer(Addr, u64, Round, u64, bool),
+    Beat(Addr, u64),
+    Probe(Addr, u64),
+    /// Something a story wants done then.
+    Do(Box<dyn FnOnce(&mut World)>),
+}
+
+pub struct World {
+    pub plan: Plan,
+    pub now: Mono,
+    pub rng: fastrand::Rng,
+    pub procs: BTreeMap<Addr, Proc>,
+    pub blooms: BTreeMap<Addr, Bloom>,
+    /// One-way cuts.
+    pub cuts: BTreeSet<(Addr, Addr)>,
+    pub rules: Rules,
+    pub wants: BTreeMap<Token, (Addr, Want, Mono)>,
+    pub seen: Vec<Seen>,
+    pub counts: BTreeMap<&'static str, u64>,
+    pub next_token: u64,
+    heap: BinaryHeap<Reverse<(Mono, u64)>>,
+    evs: BTreeMap<u64, Ev>,
+    seq: u64,
+}
+
+impl World {
+    pub fn empty(plan: Plan, seed: u64) -> World {
+        World {
+            plan,
+            now: Mono(1_000_000),
+            rng: fastrand::Rng::with_seed(seed),
+            procs: BTreeMap::new(),
+            blooms: BTreeMap::new(),
+            cuts: BTreeSet::new(),
+            rules: Rules::default(),
+            wants: BTreeMap::new(),
+            seen: vec![],
+            counts: BTreeMap::new(),
+            next_token: 0,
+            heap: BinaryHeap::new(),
+            evs: BTreeMap::new(),
+            seq: 0,
+        }
+    }
+
+    pub fn at(&mut self, after: Span, ev: Ev) {
+        self.seq += 1;
+        self.heap.push(Reverse((self.now + after, self.seq)));
+        self.evs.insert(self.seq, ev);
+    }
+
+    /// Does something later.
+    pub fn later(&mut self, after: Span, f: impl FnOnce(&mut World) + 'static) {
+        self.at(after, Ev::Do(Box::new(f)));
+    }
+
+    pub fn run(&mut self, span: Span) {
+        let end = self.now + span;
+        while let Some(Reverse((t, id))) = self.heap.peek().copied().filter(|Reverse((t, _))| *t <= end) {
+            self.heap.pop();
+            self.now = t;
+            let ev = self.evs.remove(&id).expect("queued with its id");
+            self.handle(ev);
+        }
+        self.now = end;
+    }
+
+    /// Runs until it holds, at most so long; false if it never did.
+    pub fn until(&mut self, most: Span, f: impl Fn(&World) -> bool) -> bool {
+        let end = self.now + most;
+        while self.now < end {
+            if f(self) {
+                return true;
+            }
+            self.run(Span::ms(20));
+        }
+        f(self)
+    }
+
+    fn handle(&mut self, ev: Ev) {
+        // What reaches a frozen process waits until it thaws.
+        let to = match &ev {
+            Ev::Msg(_, to, _) | Ev::Ask(to, ..) | Ev::Tick(to, _) | Ev::Leave(to, ..) => Some(*to),
+            Ev::Synced(to, ..) | Ev::Probe(to, _) => Some(*to),
+            _ => None,
+        };
+        let frozen = to.and_then(|a| self.procs.get_mut(&a)).filter(|p| p.frozen);
+        if let Some(p) = frozen {
+            return p.parked.push(ev);
+        }
+        match ev {
+            Ev::Msg(from, to, m) => self.step(to, In::Msg(from, m)),
+            Ev::Ask(to, t, a) => self.step(to, In::Ask(t, a)),
+            Ev::Tick(a, life) => self.tick(a, life),
+            Ev::Synced(a, life, batch) => self.synced(a, life, batch),
+            Ev::Leave(g, life, r) => self.leave(g, life, r),
+            Ev::Arrive(g, life, r) => self.arrive(g, life, r),
+            Ev::Answer(g, life, r, birth, whole) => self.answer(g, life, r, birth, whole),
+            Ev::Beat(a, life) => self.beat(a, life),
+            Ev::Probe(a, life) => self.probe(a, life),
+            Ev::Do(f) => f(self),
+        }
+    }
+
+    /// One-way time between two addresses, with a little jitter.
+    pub fn distance(&mut self, a: Addr, b: Addr) -> Span {
+        let zone = |x: Addr| {
+            let p = self.procs.get(&x).map(|p| p.zone.clone());
+            p.or(self.blooms.get(&x).map(|b| b.zone.clone())).unwrap_or_default()
+        };
+        let (za, zb) = (zone(a), zone(b));
+        let base = match (za == zb, za.region() == zb.region()) {
+            (true, _) => self.plan.away[0],
+            (_, true) => self.plan.away[1],
+            _ => self.plan.away[2],
+        };
+        Span(base + self.rng.u64(0..base / 4 + 50))
+    }
+
+    pub fn cut(&mut self, a: Addr, b: Addr) {
+        self.cuts.insert((a, b));
+        self.cuts.insert((b, a));
+    }
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+    }
+
+    /// Cuts a set of addresses off from all others (not from origins or people).
+    pub fn isolate(&mut self, set: &[Addr]) {
+        let all: Vec<Addr> = self.procs.keys().copied().collect();
+        for a in set {
+            for b in all.iter().filter(|b| !set.contains(b)) {
+                self.cut(*a, *b);
+            }
+        }
+    }
+
+    pub fn count(&mut self, name: &'static str) {
+        *self.counts.entry(name).or_default() += 1;
+    }
+}
