--- a/crates/apiary/src/main.rs
+++ b/crates/apiary/src/main.rs
@@ -1,5 +1,8 @@
 //! Development only: a fleet on one machine.
 mod fleet;
+mod plays;
+mod rehearse;
+mod watch;
 
 use clap::{value_parser, Arg, Command};
 use fleet::{Fleet, Result};
@@ -24,6 +27,20 @@
                 .arg(env())
                 .arg(dir()),
         )
+        .subcommand(
+            Command::new("rehearse")
+                .about("Bring about a failure under the deployment's own mix, and look from outside")
+                .arg(Arg::new("play").required(true).value_parser(plays::names()).help("Which failure"))
+                .arg(env())
+                .arg(dir())
+                .arg(
+                    Arg::new("rate")
+                        .long("rate")
+                        .default_value("0")
+                        .value_parser(value_parser!(u64))
+                        .help("Requests a second; 0 takes the settings' own"),
+                ),
+        )
 }
 
 fn up(mut f: Fleet) -> Result<()> {
@@ -46,7 +63,11 @@
     let path = |n: &str| m.get_one::<PathBuf>(n).expect("required or has a default").clone();
     let f = Fleet::new(&path("env"), &path("dir"));
     let r = f.and_then(|f| match name {
-        _ => up(f),
+        "up" => up(f),
+        _ => {
+            let play = m.get_one::<String>("play").expect("required");
+            rehearse::run(f, play, *m.get_one("rate").expect("has a default"))
+        }
     });
     r.map(|()| ExitCode::SUCCESS).unwrap_or_else(|p| {
         eprintln!("apiary: {p}");
--- /dev/null
+++ b/crates/apiary/src/rehearse.rs
@@ -0,0 +1,90 @@
+//! A rehearsal: the mix runs, a failure is brought about, the outside looks.
+use crate::fleet::{Fleet, FleetProblem, Result, ViolationsSnafu};
+use crate::plays;
+use brood::Role;
+use meadow::audit::{self, Count};
+use meadow::forager::{self, ForagerEnv, Harvest};
+use snafu::ensure;
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+use wax::Addr;
+
+/// Lets origins go without losing what they counted.
+#[derive(Clone, Default)]
+pub struct Ledger(Arc<Mutex<BTreeMap<Addr, Vec<Count>>>>);
+
+impl Ledger {
+    /// Call before an origin is ended.
+    pub fn save(&self, f: &Fleet, at: Addr) {
+        let one = f.mix.origins.iter().filter(|o| o.at == at).cloned().collect();
+        let mix = meadow::mix::Mix { origins: one, ..f.mix.clone() };
+        let c = audit::collect(&mix);
+        self.0.lock().expect("sound").entry(at).or_default().extend(c);
+    }
+    fn all(&self) -> Vec<Count> {
+        self.0.lock().expect("sound").values().flatten().cloned().collect()
+    }
+}
+
+/// What a play may use while the mix runs.
+pub struct Scene {
+    pub ledger: Ledger,
+    pub notes: Vec<String>,
+    pub began: Instant,
+}
+
+impl Scene {
+    pub fn note(&mut self, s: impl Into<String>) {
+        let s = format!("{:5.1} s  {}", self.began.elapsed().as_secs_f64(), s.into());
+        println!("{s}");
+        self.notes.push(s);
+    }
+    pub fn pause(&self, ms: u64) {
+        thread::sleep(Duration::from_millis(ms));
+    }
+}
+
+pub fn run(mut f: Fleet, name: &str, rate: u64) -> Result<()> {
+    let play = plays::find(name);
+    f.start_whole()?;
+    // The pace a shared machine can be trusted with; the report says it.
+    let rate = if rate == 0 { f.mix.rate } else { rate };
+    let env = ForagerEnv {
+        gates: f.nodes(Role::Gate).iter().map(|p| p.http).collect(),
+        mix: f.mix.clone(),
+        rate,
+        span: Duration::from_secs(play.secs),
+        seed: 1,
+        pushy: play.pushy,
+    };
+    let callers = thread::spawn(move || forager::run(env));
+    let mut s = Scene { ledger: Ledger::default(), notes: vec![], began: Instant::now() };
+    let outcome = (play.act)(&mut f, &mut s);
+    let harvest = callers.join().unwrap_or_default();
+    outcome?;
+    let mut counts = audit::collect(&f.mix);
+    counts.extend(s.ledger.all());
+    print!("{}", audit::report(&f.mix, &counts, &harvest, rate));
+    println!("whole answers by second: {}", seconds(&harvest));
+    let mut all = audit::violations(&f.mix, &counts, &harvest);
+    all.extend(too_little(&harvest, play.secs, rate, play.least));
+    all.iter().for_each(|v| println!("VIOLATION {v}"));
+    f.stop_all()?;
+    ensure!(all.is_empty(), ViolationsSnafu { all });
+    println!("{name}: no violation");
+    Ok::<(), FleetProblem>(())
+}
+
+fn seconds(h: &Harvest) -> String {
+    let last = h.good.keys().max().copied().unwrap_or(0);
+    (0..=last).map(|s| h.good.get(&s).copied().unwrap_or(0).to_string()).collect::<Vec<_>>().join(" ")
+}
+
+/// Over the last five seconds the fleet must serve again.
+fn too_little(h: &Harvest, secs: u64, rate: u64, least: u64) -> Option<String> {
+    let n: u64 = h.good.range(secs.saturating_sub(5)..secs).map(|(_, n)| n).sum();
+    let want = 5 * rate * least / 100;
+    (n < want).then(|| format!("only {n} whole answers in the last 5 s, {want} are wanted"))
+}
--- a/crates/brood/src/cmd.rs
+++ b/crates/brood/src/cmd.rs
@@ -33,6 +33,8 @@
 pub enum Cmd {
     Noop,
     Change(Change),
+    /// Reads: clashes with every change, so that its place among them is known.
+    Look,
     /// Ends the era: the next one starts from the state at this point, among
     /// these members. Clashes with everything but the noop.
     Cut(Vec<Member>),
@@ -64,6 +66,8 @@
         match (self, other) {
             (Cmd::Noop, _) | (_, Cmd::Noop) => false,
             (Cmd::Cut(_), _) | (_, Cmd::Cut(_)) => true,
+            (Cmd::Look, Cmd::Look) => false,
+            (Cmd::Look, _) | (_, Cmd::Look) => true,
             (Cmd::Change(a), Cmd::Change(b)) => {
                 let same_id = a.id.is_some() && a.id == b.id;
                 let rows = (a.op.asks_rows() && b.op.is_row()) || (b.op.asks_rows() && a.op.is_row());
--- a/crates/brood/src/msg.rs
+++ b/crates/brood/src/msg.rs
@@ -86,6 +86,9 @@
     Beats(Vec<(Beat, Span)>),
     AskForce(Era, Cid),
     InForce(Era, Cid, Kid),
+    /// The sender has applied it from a synced decision.
+    Applied(Era, Cid, Kid),
+    AskApplied(Era, Cid),
     DutyAsk(Kid, Epoch, Mono),
     DutySaid(Kid, Epoch, Option<Mono>),
     // subscribers and keepers
--- a/crates/brood/src/state.rs
+++ b/crates/brood/src/state.rs
@@ -101,7 +101,11 @@
             }
             Op::Remove(a, b) => {
                 let is = self.origin(a).is_some_and(|o| o.birth == *b);
-                is.then(|| self.put(Key::Origin(*a), None)).unwrap_or(Verdict::Void(Void::OtherLife))
+                if is {
+                    self.put(Key::Origin(*a), None)
+                } else {
+                    Verdict::Void(Void::OtherLife)
+                }
             }
             Op::Join(id, n) => self.join(*id, n),
             Op::DrainNode(id) => self
@@ -112,7 +116,11 @@
                 .unwrap_or(Verdict::Void(Void::Absent)),
             Op::RemoveNode(id) => {
                 let is = self.node(id).is_some();
-                is.then(|| self.put(Key::Node(*id), None)).unwrap_or(Verdict::Void(Void::Absent))
+                if is {
+                    self.put(Key::Node(*id), None)
+                } else {
+                    Verdict::Void(Void::Absent)
+                }
             }
             Op::Purge(scopes) => Verdict::Done(
                 scopes
--- a/crates/keeper/src/apply.rs
+++ b/crates/keeper/src/apply.rs
@@ -44,7 +44,13 @@
 
     fn deliver(&mut self, now: Mono, cid: Cid, cmd: Cmd, out: &mut Vec<Out>) {
         match cmd {
+            Cmd::Look => {
+                let t = self.looks.remove(&cid);
+                let all = Receipt::Table(Box::new(self.pic.clone()), self.beats_now(now));
+                out.extend(t.map(|t| Out::Tell(t, all)));
+            }
             Cmd::Noop => {
+                self.deny_look(cid, out);
                 let p = self.pending.remove(&cid);
                 p.into_iter().for_each(|p| self.submit(now, p.token, p.change, out));
             }
@@ -59,7 +65,7 @@
                     (Verdict::Done(ks), true) => ks.iter().map(|(k, _)| k.clone()).collect(),
                     _ => vec![],
                 };
-                self.push(now, &news, out);
+                self.hide(now, cid, &news, out);
                 self.owe(now, cid);
                 self.pending.entry(cid).and_modify(|p| p.verdict = Some(verdict));
                 self.conclude(cid, out);
--- a/crates/keeper/src/era.rs
+++ b/crates/keeper/src/era.rs
@@ -48,6 +48,10 @@
         self.base = p.clone();
         self.pic = p;
         self.owed.clear();
+        self.hidden.clear();
+        self.heard.clear();
+        let looks = std::mem::take(&mut self.looks);
+        out.extend(looks.into_values().map(|t| Out::Tell(t, Receipt::NotNow("the era ended; ask again"))));
         self.cutting = None;
         out.push(Out::Base(Kept::Base(self.birth, Box::new(self.base.clone())).encode()));
         self.seat(now);
@@ -74,7 +78,7 @@
             .collect();
         self.count("adopted");
         self.enter(now, p, out);
-        self.push(now, &news, out);
+        self.number(&news, None);
     }
 
     pub(crate) fn on_wag(
@@ -87,6 +91,9 @@
         out: &mut Vec<Out>,
     ) {
         if era == self.base.era {
+            if self.heard.insert(kid) {
+                self.push(now, out);
+            }
             self.with_machine(now, out, |m, o| m.take(now, kid, w, o));
         } else if self.hush(from, now) {
             out.push(if era > self.base.era {
--- a/crates/keeper/src/feeds.rs
+++ b/crates/keeper/src/feeds.rs
@@ -2,6 +2,7 @@
 use crate::keeper::Keeper;
 use brood::*;
 use std::collections::VecDeque;
+use waggle::Cid;
 use wax::{Addr, Mono, NodeId, Span};
 
 /// One subscriber. Numbers are of this feed alone: two keepers may apply
@@ -13,7 +14,9 @@
     pub sent: u64,
     pub got: u64,
     /// What each number not yet acknowledged changed.
-    pub line: VecDeque<(u64, Key)>,
+    pub line: VecDeque<(u64, Key, Option<Cid>)>,
+    /// The last number that went out.
+    pub out: u64,
     /// Until when a lease from here may be alive, by this keeper's clock.
     pub lent: Mono,
     pub pushed: Mono,
@@ -29,6 +32,7 @@
             sent: 1,
             got: 0,
             line: VecDeque::new(),
+            out: 0,
             lent,
             pushed: Mono(0),
             begun: Mono(0),
@@ -40,7 +44,7 @@
 }
 
 /// A feed with more unacknowledged news than this starts anew.
-const LONGEST: usize = 2000;
+pub(crate) const LONGEST: usize = 2000;
 
 impl Keeper {
     pub(crate) fn assume_lent(&mut self, until: Mono) {
@@ -51,38 +55,6 @@
         self.feeds = ids.map(|n| (n, Feed::unsure(until))).collect();
     }
 
-    /// Sends the news of these keys to every subscriber.
-    pub(crate) fn push(&mut self, now: Mono, news: &[Key], out: &mut Vec<Out>) {
-        if news.is_empty() {
-            return;
-        }
-        for f in self.feeds.values_mut() {
-            let from = f.sent;
-            for k in news {
-                f.sent += 1;
-                f.line.push_back((f.sent, k.clone()));
-            }
-            if f.line.len() > LONGEST {
-                f.line.clear();
-                f.feed = 0;
-            }
-            f.pushed = now;
-            let items = news.iter().map(|k| (k.clone(), self.pic.item(k))).collect();
-            let n = News {
-                feed: f.feed,
-                from,
-                to: f.sent,
-                full: false,
-                items,
-                era: self.base.era,
-                members: self.base.members.clone(),
-                reply: None,
-            };
-            out.extend(f.addr.filter(|_| f.feed != 0).map(|a| Out::Send(a, Msg::News(Box::new(n)))));
-        }
-        self.count("pushes");
-    }
-
     pub(crate) fn on_sub(&mut self, now: Mono, from: Addr, s: Sub, out: &mut Vec<Out>) {
         if self.mach.is_none() {
             return;
@@ -93,25 +65,28 @@
         if !seated && self.connected(now) {
             self.derive(now, Op::Join(s.id, s.node.clone()), out);
         }
+        // A full picture would show what is not yet to be seen.
+        let shown = self.all_shown();
         let f = self.feeds.entry(s.id).or_insert_with(|| Feed::unsure(Mono(0)));
         f.addr = Some(from);
         // Askings that crossed a new feed's first news must not start it once more:
         // two of them would keep voiding each other's feed for ever.
         let other = f.feed == 0 || s.feed != f.feed;
-        let anew = other && (f.feed == 0 || now - f.begun >= Span::ms(300));
+        let anew = other && shown && (f.feed == 0 || now - f.begun >= Span::ms(300));
         if anew {
             self.feed_no += 1;
             f.feed = self.feed_no;
             f.begun = now;
             f.sent = 1;
+            f.out = 1;
             f.got = 0;
             f.line.clear();
         } else if !other {
             f.got = f.got.max(s.got.min(f.sent));
             let got = f.got;
-            f.line.retain(|(n, _)| *n > got);
+            f.line.retain(|(n, ..)| *n > got);
         }
-        let again = f.behind() && !other && now - f.pushed >= Span::ms(100);
+        let again = f.got < f.out && !other && now - f.pushed >= Span::ms(100);
         if anew || again {
             f.pushed = now;
         }
@@ -123,17 +98,21 @@
         let items: Vec<(Key, Item)> = if anew {
             self.pic.items.iter().map(|(k, i)| (k.clone(), i.clone())).collect()
         } else if again {
-            f.line.iter().map(|(_, k)| (k.clone(), self.pic.item(k))).collect()
+            f.line
+                .iter()
+                .take_while(|(n, ..)| *n <= f.out)
+                .map(|(_, k, _)| (k.clone(), self.pic.item(k)))
+                .collect()
         } else {
             vec![]
         };
-        let (feed, to) = (f.feed, f.sent);
+        let (feed, to) = (f.feed, f.out);
         let from_no = if anew {
             0
         } else if again {
             f.got
         } else {
-            f.sent
+            f.out
         };
         let reply = Reply {
             ask: s.ask,
--- a/crates/keeper/src/keeper.rs
+++ b/crates/keeper/src/keeper.rs
@@ -2,6 +2,7 @@
 use crate::feeds::Feed;
 use crate::force::Pending;
 use crate::recs::Kept;
+use crate::show::Hidden;
 use brood::*;
 use std::collections::{BTreeMap, BTreeSet};
 use waggle::{classic, Cid, Kid, Machine, Pace};
@@ -44,6 +45,11 @@
     pub(crate) pending: BTreeMap<Cid, Pending>,
     /// Delivered changes that some gate with a live lease from here still lacks.
     pub(crate) owed: BTreeMap<Cid, Vec<(NodeId, u64)>>,
+    /// Applied here, but not yet known to be applied by a classic quorum.
+    pub(crate) hidden: BTreeMap<Cid, Hidden>,
+    /// Who was heard in this era.
+    pub(crate) heard: BTreeSet<Kid>,
+    pub(crate) looks: BTreeMap<Cid, Token>,
     pub(crate) duty: Duty,
     pub(crate) said: BTreeMap<Addr, Mono>,
     pub(crate) cutting: Option<Mono>,
@@ -67,6 +73,9 @@
             derived: BTreeMap::new(),
             pending: BTreeMap::new(),
             owed: BTreeMap::new(),
+            hidden: BTreeMap::new(),
+            heard: BTreeSet::new(),
+            looks: BTreeMap::new(),
             duty: Duty::new(now),
             said: BTreeMap::new(),
             cutting: None,
@@ -95,6 +104,10 @@
     pub fn picture(&self) -> &Picture {
         &self.pic
     }
+    /// Commands of this era known here.
+    pub fn known(&self) -> usize {
+        self.mach.as_ref().map_or(0, |m| m.size())
+    }
     pub fn tally(&self) -> waggle::Tally {
         self.mach.as_ref().map(|m| m.tally).unwrap_or_default()
     }
@@ -136,7 +149,8 @@
             }
             Ask::Beat(_) => Receipt::NotNow("no quorum of keepers in reach"),
             Ask::Replace { old, new } => self.replace(now, old, new, out),
-            Ask::Table => Receipt::Table(Box::new(self.pic.clone()), self.beats_now(now)),
+            Ask::Table if ready => return self.look(now, t, out),
+            Ask::Table => Receipt::NotNow("no quorum of keepers in reach"),
             Ask::Ready => Receipt::Health(self.health(now)),
             _ => Receipt::Took,
         };
@@ -170,6 +184,7 @@
         }
         self.with_machine(now, out, |m, o| m.tick(now, o));
         self.force(now, out);
+        self.ask_applied(now, out);
         self.do_duty(now, out);
         if self.due("beats", Span::ms(200), now) {
             self.relay_beats(now, out);
@@ -191,6 +206,8 @@
                 Msg::Beats(bs) => bs.into_iter().for_each(|(b, age)| self.on_beat(now, b, age, out)),
                 Msg::AskForce(era, cid) => self.on_ask_force(from, era, cid, out),
                 Msg::InForce(era, cid, kid) => self.on_in_force(era, cid, kid, out),
+                Msg::Applied(era, cid, kid) => self.on_applied(now, era, cid, kid, out),
+                Msg::AskApplied(era, cid) => self.on_ask_applied(from, era, cid, out),
                 Msg::DutyAsk(kid, e, t) => self.on_duty_ask(now, from, kid, e, t, out),
                 Msg::DutySaid(kid, e, t) => self.on_duty_said(now, kid, e, t),
                 Msg::Sub(s) => self.on_sub(now, from, *s, out),
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -8,6 +8,7 @@
 mod found;
 mod keeper;
 mod recs;
+mod show;
 
 pub use keeper::{Keeper, KeeperEnv};
 pub use recs::Kept;
--- /dev/null
+++ b/crates/keeper/src/show.rs
@@ -0,0 +1,137 @@
+//! What may be seen outside, and when.
+//!
+//! Invariant: news leaves only once a classic quorum of keepers is known to
+//! have applied it. A gate's lease needs renewals from a classic quorum, each
+//! given only to a gate that holds all its keeper applied; so whatever any gate
+//! ever showed, no gate, not even one that starts anew, serves without.
+use crate::feeds::LONGEST;
+use crate::keeper::Keeper;
+use brood::*;
+use std::collections::BTreeSet;
+use waggle::{classic, Cid, Kid};
+use wax::{Addr, Mono, Span, Token};
+
+pub(crate) struct Hidden {
+    pub keys: Vec<Key>,
+    pub by: BTreeSet<Kid>,
+    pub asked: Mono,
+}
+
+impl Keeper {
+    fn quorum(&self) -> usize {
+        classic(self.base.members.len())
+    }
+
+    pub(crate) fn all_shown(&self) -> bool {
+        self.hidden.is_empty() && self.heard.len() >= self.quorum()
+    }
+
+    /// Numbers the news for every feed, so that no lease is renewed without it.
+    pub(crate) fn number(&mut self, news: &[Key], cid: Option<Cid>) {
+        for f in self.feeds.values_mut() {
+            for k in news {
+                f.sent += 1;
+                f.line.push_back((f.sent, k.clone(), cid));
+            }
+            if f.line.len() > LONGEST {
+                f.line.clear();
+                f.feed = 0;
+            }
+        }
+    }
+
+    /// A change was applied: others are told, and gates once enough have it.
+    pub(crate) fn hide(&mut self, now: Mono, cid: Cid, news: &[Key], out: &mut Vec<Out>) {
+        if news.is_empty() {
+            return;
+        }
+        self.number(news, Some(cid));
+        let by = BTreeSet::from([self.kid]);
+        self.hidden.insert(cid, Hidden { keys: news.to_vec(), by, asked: now });
+        let (era, kid, me) = (self.base.era, self.kid, self.env.addr);
+        let others = self.base.members.iter().filter(|m| m.addr != me);
+        out.extend(others.map(|m| Out::Send(m.addr, Msg::Applied(era, cid, kid))));
+    }
+
+    pub(crate) fn on_applied(&mut self, now: Mono, era: Era, cid: Cid, kid: Kid, out: &mut Vec<Out>) {
+        if era != self.base.era {
+            return;
+        }
+        let need = self.quorum();
+        let enough = self.hidden.get_mut(&cid).is_some_and(|h| {
+            h.by.insert(kid);
+            h.by.len() >= need
+        });
+        if enough {
+            self.hidden.remove(&cid);
+            self.push(now, out);
+        }
+    }
+
+    /// Asks again for what was lost on the way.
+    pub(crate) fn ask_applied(&mut self, now: Mono, out: &mut Vec<Out>) {
+        let (era, me) = (self.base.era, self.env.addr);
+        for (cid, h) in self.hidden.iter_mut().filter(|(_, h)| now - h.asked >= Span::ms(100)) {
+            h.asked = now;
+            let others = self.base.members.iter().filter(|m| m.addr != me && !h.by.contains(&m.kid));
+            out.extend(others.map(|m| Out::Send(m.addr, Msg::AskApplied(era, *cid))));
+        }
+    }
+
+    pub(crate) fn on_ask_applied(&self, from: Addr, era: Era, cid: Cid, out: &mut Vec<Out>) {
+        let has = self.mach.as_ref().is_some_and(|m| m.delivered(cid));
+        if era == self.base.era && has {
+            out.push(Out::Send(from, Msg::Applied(era, cid, self.kid)));
+        }
+    }
+
+    /// Sends every feed what it may see and was not sent, in the order of its
+    /// numbers.
+    pub(crate) fn push(&mut self, now: Mono, out: &mut Vec<Out>) {
+        if self.heard.len() < self.quorum() {
+            return;
+        }
+        let veiled: BTreeSet<&Key> = self.hidden.values().flat_map(|h| &h.keys).collect();
+        let mut pushed = 0;
+        for f in self.feeds.values_mut().filter(|f| f.feed != 0) {
+            let may = |(_, k, cid): &&(u64, Key, Option<Cid>)| {
+                !veiled.contains(k) && cid.is_none_or(|c| !self.hidden.contains_key(&c))
+            };
+            let next = f.line.iter().filter(|(n, ..)| *n > f.out);
+            let go: Vec<&(u64, Key, Option<Cid>)> = next.take_while(may).collect();
+            let Some(to) = go.last().map(|l| l.0) else { continue };
+            let items = go.iter().map(|(_, k, _)| (k.clone(), self.pic.item(k))).collect();
+            let n = News {
+                feed: f.feed,
+                from: f.out,
+                to,
+                full: false,
+                items,
+                era: self.base.era,
+                members: self.base.members.clone(),
+                reply: None,
+            };
+            f.out = to;
+            f.pushed = now;
+            pushed += 1;
+            out.extend(f.addr.map(|a| Out::Send(a, Msg::News(Box::new(n)))));
+        }
+        *self.counts.entry("pushes").or_default() += pushed;
+    }
+
+    /// Reads the whole state at a known place among all changes, so that
+    /// nothing acknowledged before can be missing.
+    pub(crate) fn look(&mut self, now: Mono, t: Token, out: &mut Vec<Out>) {
+        let mut o = vec![];
+        if let Some(m) = &mut self.mach {
+            let cid = m.propose(now, Cmd::Look, &mut o);
+            self.looks.insert(cid, t);
+        }
+        self.carry(now, o, out);
+    }
+
+    pub(crate) fn deny_look(&mut self, cid: Cid, out: &mut Vec<Out>) {
+        let t = self.looks.remove(&cid);
+        out.extend(t.map(|t| Out::Tell(t, Receipt::NotNow("the reading was overtaken; ask again"))));
+    }
+}
--- a/crates/meadow/src/flower.rs
+++ b/crates/meadow/src/flower.rs
@@ -90,7 +90,7 @@
             ("mood", text(&mood)),
         ]);
         let heard = env.keepers.get(k).and_then(|a| web::post(&agent, *a, "lanewing/beats", &b));
-        if !heard.is_some_and(|(s, _)| s == 200) {
+        if heard.is_none_or(|(s, _)| s != 200) {
             k = (k + 1) % env.keepers.len().max(1);
         }
         thread::sleep(Duration::from_millis(200));
--- a/crates/skep/src/lib.rs
+++ b/crates/skep/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod logs;
 pub mod net;
 pub mod ring;
+mod scan;
 pub mod shell;
 
 use std::sync::OnceLock;
