--- /dev/null
+++ b/crates/swarm/tests/origins.rs
@@ -0,0 +1,158 @@
+//! Stories of origins that fail, and of keys and ceilings meanwhile.
+mod common;
+use brood::*;
+use common::*;
+use swarm::*;
+use wax::Span;
+
+#[test]
+fn given_an_origin_that_leaves_or_dies_then_its_understudy_takes_over_in_time() {
+    for (seed, mood) in [(60, Some(Mood::Leaving)), (61, Some(Mood::Gone)), (62, None)] {
+        let (mut w, f) = World::standing(Plan::trinacria(), seed);
+        traffic(&mut w, &f, 12, 100);
+        w.run(Span::secs(2));
+        let (at, since) = (f.desks[1], w.now);
+        match mood {
+            Some(m) => w.take_leave(at, m),
+            None => w.wither(at),
+        }
+        w.run(Span::secs(12));
+        let (ok, n) = lately(&w, since);
+        println!("{mood:?}: {ok} of {n} served");
+        assert!(ok * 100 >= n * 95, "{ok} of {n}");
+        let gone = w.keeper(f.keepers[0]).unwrap().picture().origin(&at).is_none();
+        assert!(gone || mood == Some(Mood::Leaving), "it was never removed");
+        clean(&mut w);
+    }
+}
+
+#[test]
+fn given_an_address_that_passes_to_another_service_then_nothing_meant_for_the_old_one_reaches_it() {
+    for seed in 63..67 {
+        let (mut w, f) = World::standing(Plan::bersatu(), seed);
+        traffic(&mut w, &f, 12, 120);
+        w.run(Span::secs(2));
+        let at = f.pages[0];
+        w.take_leave(at, Mood::Gone);
+        w.run(Span::ms(300));
+        w.wither(at);
+        w.run(Span::ms(2200 - 100 * (seed - 63)));
+        w.bloom(at, "desk", "barat/a");
+        w.run(Span::secs(12));
+        clean(&mut w);
+    }
+}
+
+#[test]
+fn given_origins_that_run_and_lose_the_answer_then_keys_are_in_doubt_and_nothing_runs_twice() {
+    let (mut w, f) = World::standing(Plan::trinacria(), 68);
+    f.desks.iter().chain(&f.pages).for_each(|a| w.blooms.get_mut(a).unwrap().lose = 0.4);
+    traffic(&mut w, &f, 15, 100);
+    w.run(Span::secs(20));
+    let doubts = w.steps().filter(|(_, s)| matches!(s, Step::Doubt(_))).count();
+    assert!(doubts > 30, "{doubts} in doubt");
+    clean(&mut w);
+}
+
+#[test]
+fn given_a_slow_origin_then_requests_go_round_it() {
+    let (mut w, f) = World::standing(Plan::trinacria(), 69);
+    traffic(&mut w, &f, 14, 100);
+    w.blooms.get_mut(&f.desks[0]).unwrap().work = Span::ms(1200);
+    w.run(Span::secs(7));
+    let hits = |w: &World| w.blooms[&f.desks[0]].hits.values().sum::<u64>();
+    let before = hits(&w);
+    w.run(Span::secs(8));
+    let after = hits(&w) - before;
+    println!("{before} requests met the slow origin in 7 s, {after} in the next 8 s");
+    assert!(after * 4 < before.max(8) * 3, "{before} before, {after} after");
+    clean(&mut w);
+}
+
+#[test]
+fn given_a_comb_back_empty_then_it_grants_nothing_in_the_window_and_keys_go_on_with_the_others() {
+    let (mut w, f) = World::standing(Plan::trinacria(), 70);
+    traffic(&mut w, &f, 10, 100);
+    w.run(Span::secs(10));
+    let c = f.combs[0];
+    w.kill(c);
+    w.wipe(c);
+    w.start(c);
+    let since = w.now;
+    traffic(&mut w, &f, 10, 100);
+    w.run(Span::secs(14));
+    assert!(!w.comb(c).unwrap().is_open(), "it grants on an empty disk");
+    let (ok, n) = lately(&w, since);
+    assert!(ok * 100 >= n * 97, "{ok} of {n}");
+    w.run(Span::secs(90));
+    assert!(w.comb(c).unwrap().is_open(), "it never grants again");
+    clean(&mut w);
+}
+
+#[test]
+fn given_every_comb_and_gate_killed_while_keys_run_then_no_key_runs_twice() {
+    for seed in 71..75 {
+        let (mut w, f) = World::standing(Plan::bersatu(), seed);
+        for i in 0..400u64 {
+            let g = f.gates[w.rng.usize(0..f.gates.len())];
+            w.later(Span::ms(i * 20), move |w| {
+                w.post(g, "pay", "sum", Some(&format!("k{}", i % 40)));
+            });
+        }
+        for i in 0..6u64 {
+            let all: Vec<_> = f.gates.iter().chain(&f.combs).copied().collect();
+            w.later(Span::ms(900 + 1300 * i), move |w| {
+                all.iter().for_each(|a| w.kill(*a));
+                all.iter().for_each(|a| w.start(*a));
+            });
+        }
+        w.run(Span::secs(14));
+        clean(&mut w);
+    }
+}
+
+#[test]
+fn given_a_pressed_ceiling_when_the_duty_holder_dies_freezes_and_thaws_then_it_still_holds() {
+    let plan = Plan { gates: 13, ..Plan::bersatu() };
+    let (mut w, f) = World::standing(plan, 76);
+    w.allow("small", "desk", 60, Span(0));
+    w.set_row(f.keepers[0], "s", "small", "desk", 0, row(60, Kind::Plain, Span(0)));
+    w.run(Span::secs(1));
+    for i in 0..2400u64 {
+        let g = f.gates[i as usize % 13];
+        w.later(Span::ms(i * 8), move |w| {
+            w.get(g, "small", &format!("{i}"));
+        });
+    }
+    let (a, b) = (f.keepers[0], f.keepers[1]);
+    w.later(Span::secs(3), move |w| w.freeze(a));
+    w.later(Span::secs(6), move |w| w.thaw(a));
+    w.later(Span::secs(9), move |w| w.kill(a));
+    w.later(Span::secs(12), move |w| w.freeze(b));
+    w.later(Span::secs(12), move |w| w.start(a));
+    w.later(Span::secs(14), move |w| w.thaw(b));
+    w.run(Span::secs(22));
+    println!("{} of 2400 served under a ceiling of 60 in 19 s of failing holders", served(&w));
+    assert!(served(&w) > 400);
+    clean(&mut w);
+}
+
+#[test]
+fn given_a_gate_that_drains_then_what_origins_work_on_is_answered() {
+    let (mut w, f) = World::standing(Plan::trinacria(), 77);
+    f.desks.iter().for_each(|a| w.blooms.get_mut(a).unwrap().work = Span::ms(1500));
+    let g = f.gates[0];
+    (0..10).for_each(|i| {
+        w.post(g, "ask", &format!("slow{i}"), None);
+    });
+    w.run(Span::ms(200));
+    w.ask(g, Want::Drain);
+    w.run(Span::ms(10));
+    w.get(g, "ask", "late");
+    w.run(Span::secs(4));
+    let ok = served(&w);
+    assert_eq!(ok, 10);
+    let late = w.steps().filter(|(_, s)| matches!(s, Step::Deny(Denied::Leaving, _))).count();
+    assert_eq!(late, 1);
+    clean(&mut w);
+}
