--- a/crates/brood/src/follow.rs
+++ b/crates/brood/src/follow.rs
@@ -85,7 +85,8 @@
         out.extend(all.into_iter().map(|a| self.sub(now, a, wants, epoch)));
     }
 
-    fn sub(&self, now: Mono, to: Addr, wants: &[(Svc, u32)], epoch: Epoch) -> Out {
+    /// One asking, of one keeper.
+    pub fn sub(&self, now: Mono, to: Addr, wants: &[(Svc, u32)], epoch: Epoch) -> Out {
         let (feed, got) = self.got.get(&to).copied().unwrap_or_default();
         let e = &self.env;
         let node = Node {
@@ -102,7 +103,7 @@
     }
 
     /// Takes news in; returns what is newer than what was held.
-    pub fn on_news(&mut self, now: Mono, from: Addr, n: &News, epoch: Epoch, out: &mut Vec<Out>) -> Vec<Key> {
+    pub fn on_news(&mut self, from: Addr, n: &News, out: &mut Vec<Out>) -> Vec<Key> {
         if n.era >= self.era {
             self.era = n.era;
             self.members = n.members.clone();
@@ -118,7 +119,8 @@
             let to = if n.feed == feed { n.to.max(got) } else { n.to };
             self.got.insert(from, (n.feed, to));
             if !n.items.is_empty() {
-                out.push(self.sub(now, from, &[], epoch));
+                let id = self.env.id;
+                out.push(Out::Send(from, Msg::Got { id, feed: n.feed, got: to }));
             }
         }
         if let Some(r) = n.reply.as_ref().filter(|r| r.lent) {
--- a/crates/brood/src/msg.rs
+++ b/crates/brood/src/msg.rs
@@ -94,6 +94,12 @@
     // subscribers and keepers
     Sub(Box<Sub>),
     News(Box<News>),
+    /// A subscriber holds this feed up to this number.
+    Got {
+        id: NodeId,
+        feed: u64,
+        got: u64,
+    },
     // between gates
     CopyAsk {
         ask: u64,
--- a/crates/comb/src/comb.rs
+++ b/crates/comb/src/comb.rs
@@ -156,7 +156,7 @@
             In::Ask(t, _) => out.push(Out::Tell(t, Receipt::NotNow("not asked of a comb"))),
             In::Msg(from, m) => match m {
                 Msg::News(n) => {
-                    self.follow.on_news(now, from, &n, Epoch(0), out);
+                    self.follow.on_news(from, &n, out);
                     self.maybe_open(now, out);
                 }
                 Msg::Claim { key, print, round } => self.on_claim(now, from, key, print, round, out),
--- a/crates/gate/src/news.rs
+++ b/crates/gate/src/news.rs
@@ -14,7 +14,7 @@
     }
 
     pub(crate) fn on_news(&mut self, now: Mono, from: Addr, n: News, out: &mut Vec<Out>) {
-        let new = self.follow.on_news(now, from, &n, self.press.epoch, out);
+        let new = self.follow.on_news(from, &n, out);
         if !new.is_empty() {
             self.table = Arc::new(Table::build(&self.follow.items));
         }
@@ -25,7 +25,7 @@
         }
         if let Some(r) = &n.reply {
             self.take_beats(r);
-            self.take_slices(now, r, out);
+            self.take_slices(now, from, r, out);
         }
         self.check_lapse(now);
         self.draining |= self.follow.myself().is_some_and(|m| m.standing == Standing::Leaving);
--- a/crates/gate/src/press.rs
+++ b/crates/gate/src/press.rs
@@ -2,12 +2,15 @@
 use crate::gate::Gate;
 use brood::*;
 use std::collections::BTreeMap;
-use wax::{Epoch, Mono, Span};
+use wax::{Addr, Epoch, Mono, Span};
 
 #[derive(Debug, Default)]
 pub(crate) struct Press {
     /// Invariant: never goes down; slices of lower epochs are not used.
     pub epoch: Epoch,
+    /// Who lends now, and when it was last asked out of turn.
+    holder: Option<Addr>,
+    urged: Mono,
     purses: BTreeMap<Svc, Purse>,
 }
 
@@ -29,6 +32,8 @@
 /// Each first try earns this much of an extra one: well under a fifth.
 const EARN: f64 = 0.1;
 const EXTRA_MOST: f64 = 2.0;
+/// Out of turn at most this often.
+const URGE: Span = Span::ms(20);
 
 impl Purse {
     fn fill(&mut self, now: Mono, s: &Share) {
@@ -110,11 +115,23 @@
         v
     }
 
-    pub(crate) fn take_slices(&mut self, now: Mono, r: &Reply, out: &mut Vec<Out>) {
-        if r.slices.is_empty() || r.epoch < self.press.epoch {
+    /// Somebody waits in line: the holder is asked at once, not in turn.
+    pub(crate) fn urge(&mut self, now: Mono, out: &mut Vec<Out>) {
+        let Some(to) = self.press.holder.filter(|_| now - self.press.urged >= URGE) else { return };
+        self.press.urged = now;
+        let wants = self.wants(now);
+        out.push(self.follow.sub(now, to, &wants, self.press.epoch));
+    }
+
+    pub(crate) fn take_slices(&mut self, now: Mono, from: Addr, r: &Reply, out: &mut Vec<Out>) {
+        if r.epoch < self.press.epoch || r.epoch == Epoch(0) {
             return;
         }
         self.press.epoch = r.epoch;
+        self.press.holder = Some(from);
+        if r.slices.is_empty() {
+            return;
+        }
         for (svc, n) in &r.slices {
             let until = r.ask + LENT;
             self.purse(now, svc).into_iter().for_each(|p| {
--- a/crates/gate/src/rounds.rs
+++ b/crates/gate/src/rounds.rs
@@ -61,7 +61,7 @@
         if lease <= now || leave <= now {
             return self.deny(now, id, Denied::NoLease, out);
         }
-        let Some(token) = self.spend(now, &svc) else { return };
+        let Some(token) = self.spend(now, &svc) else { return self.urge(now, out) };
         let n = self.number();
         let r = Round {
             n,
--- a/crates/keeper/src/feeds.rs
+++ b/crates/keeper/src/feeds.rs
@@ -38,6 +38,12 @@
             begun: Mono(0),
         }
     }
+    /// The subscriber acknowledged this number.
+    fn hold(&mut self, got: u64) {
+        self.got = self.got.max(got.min(self.out));
+        let got = self.got;
+        self.line.retain(|(n, ..)| *n > got);
+    }
     pub(crate) fn behind(&self) -> bool {
         self.got < self.sent
     }
@@ -55,6 +61,12 @@
         self.feeds = ids.map(|n| (n, Feed::unsure(until))).collect();
     }
 
+    pub(crate) fn on_got(&mut self, id: NodeId, feed: u64, got: u64) {
+        if let Some(f) = self.feeds.get_mut(&id).filter(|f| f.feed == feed && feed != 0) {
+            f.hold(got);
+        }
+    }
+
     pub(crate) fn on_sub(&mut self, now: Mono, from: Addr, s: Sub, out: &mut Vec<Out>) {
         if self.mach.is_none() {
             return;
@@ -82,9 +94,7 @@
             f.got = 0;
             f.line.clear();
         } else if !other {
-            f.got = f.got.max(s.got.min(f.sent));
-            let got = f.got;
-            f.line.retain(|(n, ..)| *n > got);
+            f.hold(s.got);
         }
         let again = f.got < f.out && !other && now - f.pushed >= Span::ms(100);
         if anew || again {
--- a/crates/keeper/src/keeper.rs
+++ b/crates/keeper/src/keeper.rs
@@ -210,6 +210,7 @@
                 Msg::AskApplied(era, cid) => self.on_ask_applied(from, era, cid, out),
                 Msg::DutyAsk(kid, e, t) => self.on_duty_ask(now, from, kid, e, t, out),
                 Msg::DutySaid(kid, e, t) => self.on_duty_said(now, kid, e, t),
+                Msg::Got { id, feed, got } => self.on_got(id, feed, got),
                 Msg::Sub(s) => self.on_sub(now, from, *s, out),
                 _ => self.count("stray"),
             },
--- a/crates/swarm/src/field.rs
+++ b/crates/swarm/src/field.rs
@@ -104,7 +104,10 @@
 
     pub(crate) fn arrive(&mut self, g: Addr, life: u64, r: Round) {
         let there = self.blooms.get(&r.addr).filter(|b| b.up).cloned();
-        let Some(b) = there else { return self.report(g, life, r.n, Fetched::NotSent) };
+        let Some(b) = there else {
+            // Nobody there: the connection is given up after a while.
+            return self.report_in(Span::ms(800), g, life, r.n, Fetched::NotSent);
+        };
         self.rules.arrived(self.now, &b, &r);
         let whole = self.rng.f64() >= b.lose;
         let path = r.req.path.clone();
@@ -127,10 +130,14 @@
     }
 
     fn report(&mut self, g: Addr, life: u64, n: u64, f: Fetched) {
+        self.report_in(Span(300), g, life, n, f);
+    }
+
+    fn report_in(&mut self, after: Span, g: Addr, life: u64, n: u64, f: Fetched) {
         if self.procs.get(&g).is_some_and(|p| p.life == life) {
             self.next_token += 1;
             let t = Token(self.next_token);
-            self.at(Span(300), Ev::Ask(g, t, Ask::Done(n, f)));
+            self.at(after, Ev::Ask(g, t, Ask::Done(n, f)));
         }
     }
 
