--- a/crates/apiary/src/fleet.rs
+++ b/crates/apiary/src/fleet.rs
@@ -10,6 +10,7 @@
 use std::fs::File;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
 use std::thread;
 use std::time::{Duration, Instant};
 use wax::{Addr, Look, LookProblem};
@@ -41,6 +42,9 @@
 
 pub type Result<T> = std::result::Result<T, FleetProblem>;
 
+/// Every process started by this one, ended or not.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(vec![]);
+
 /// Invariant: every process it started is ended when it is dropped.
 pub struct Fleet {
     pub env: Env,
@@ -51,6 +55,13 @@
     procs: BTreeMap<String, Child>,
 }
 
+/// Ends whatever was started; for when this process itself is told to end.
+pub fn end_started() {
+    for id in STARTED.lock().expect("sound").iter() {
+        let _ = kill(Pid::from_raw(*id as i32), Signal::SIGKILL);
+    }
+}
+
 pub fn node_name(p: &Place) -> String {
     format!("{}-{}", role_name(p.role), p.node)
 }
@@ -79,6 +90,7 @@
             .stderr(log)
             .spawn()
             .with_context(|_| what())?;
+        STARTED.lock().expect("sound").push(c.id());
         self.procs.insert(name, c);
         Ok(())
     }
--- a/crates/apiary/src/main.rs
+++ b/crates/apiary/src/main.rs
@@ -57,6 +57,18 @@
     f.stop_all()
 }
 
+/// A rehearsal that is told to end takes its fleet with it.
+fn end_on_signal() {
+    let signals = signal_hook::iterator::Signals::new([2, 15]);
+    std::thread::spawn(move || {
+        if let Ok(mut s) = signals {
+            s.forever().next();
+            fleet::end_started();
+            std::process::exit(130);
+        }
+    });
+}
+
 fn main() -> ExitCode {
     let m = command().get_matches();
     let (name, m) = m.subcommand().expect("required");
@@ -65,6 +77,7 @@
     let r = f.and_then(|f| match name {
         "up" => up(f),
         _ => {
+            end_on_signal();
             let play = m.get_one::<String>("play").expect("required");
             rehearse::run(f, play, *m.get_one("rate").expect("has a default"))
         }
--- a/crates/hive/src/roles.rs
+++ b/crates/hive/src/roles.rs
@@ -139,6 +139,7 @@
         lease: l.lease,
         cut_at: l.cut_at,
         vanish: l.vanish,
+        base_after: l.ring_mb << 18,
         pace: waggle::Pace::default(),
     };
     let mut out = vec![];
--- a/crates/keeper/src/apply.rs
+++ b/crates/keeper/src/apply.rs
@@ -26,7 +26,11 @@
         let era = self.base.era;
         for x in o {
             match x {
-                waggle::Out::Save(r) => out.push(Out::Save(Kept::Wag(era, r).encode())),
+                waggle::Out::Save(r) => {
+                    let b = Kept::Wag(era, r).encode();
+                    self.written += b.len();
+                    out.push(Out::Save(b));
+                }
                 waggle::Out::Send(to, w) => {
                     let at = self.base.member(to).map(|m| m.addr);
                     out.extend(at.map(|a| Out::Send(a, Msg::wag(era, self.kid, w))));
--- a/crates/keeper/src/era.rs
+++ b/crates/keeper/src/era.rs
@@ -16,6 +16,11 @@
                     self.base = *p;
                     recs.clear();
                 }
+                Kept::Whole(b, p, all) => {
+                    self.birth = b;
+                    self.base = *p;
+                    recs = all;
+                }
                 Kept::Wag(era, r) if era == self.base.era => recs.push(r),
                 Kept::Wag(..) => (),
             }
@@ -47,6 +52,7 @@
         let tally = self.tally();
         self.base = p.clone();
         self.pic = p;
+        self.written = 0;
         self.owed.clear();
         self.hidden.clear();
         self.heard.clear();
@@ -121,6 +127,17 @@
         }
     }
 
+    /// Writes the era anew in short before the ring fills up.
+    pub(crate) fn shorten(&mut self, out: &mut Vec<Out>) {
+        let m = self.mach.as_ref().filter(|_| self.written > self.env.base_after);
+        if let Some(recs) = m.map(|m| m.dump()) {
+            self.written = 0;
+            self.count("shortened");
+            let whole = Kept::Whole(self.birth, Box::new(self.base.clone()), recs);
+            out.push(Out::Base(whole.encode()));
+        }
+    }
+
     /// Ends the era once it has grown; the holder of the duty sees to it.
     pub(crate) fn maybe_cut(&mut self, now: Mono, out: &mut Vec<Out>) {
         let size = self.mach.as_ref().map_or(0, |m| m.size());
--- a/crates/keeper/src/keeper.rs
+++ b/crates/keeper/src/keeper.rs
@@ -23,6 +23,8 @@
     pub cut_at: usize,
     /// An origin silent for this long is removed.
     pub vanish: Span,
+    /// Bytes of records after which all is written anew in short.
+    pub base_after: usize,
     pub pace: Pace,
 }
 
@@ -53,6 +55,7 @@
     pub(crate) duty: Duty,
     pub(crate) said: BTreeMap<Addr, Mono>,
     pub(crate) cutting: Option<Mono>,
+    pub(crate) written: usize,
     pub(crate) counts: BTreeMap<&'static str, u64>,
     last: BTreeMap<&'static str, Mono>,
 }
@@ -79,6 +82,7 @@
             duty: Duty::new(now),
             said: BTreeMap::new(),
             cutting: None,
+            written: 0,
             counts: BTreeMap::new(),
             last: BTreeMap::new(),
             env,
@@ -190,6 +194,7 @@
             self.relay_beats(now, out);
         }
         self.maybe_cut(now, out);
+        self.shorten(out);
     }
 }
 
--- a/crates/keeper/src/recs.rs
+++ b/crates/keeper/src/recs.rs
@@ -12,6 +12,8 @@
     /// of the same era after it, all that this disk ever promised.
     Base(Birth, Box<Picture>),
     Wag(Era, Rec<Cmd>),
+    /// All of an era so far, in short.
+    Whole(Birth, Box<Picture>, Vec<Rec<Cmd>>),
 }
 
 impl Kept {
--- a/crates/skep/src/ring.rs
+++ b/crates/skep/src/ring.rs
@@ -34,6 +34,8 @@
     rec: u64,
     /// The base was written but not synced: what it frees is still needed.
     pending_live: Option<u64>,
+    /// The segment has its seal; whatever comes begins the next one.
+    sealed: bool,
 }
 
 impl Ring {
@@ -60,8 +62,17 @@
             fs.push(f);
         }
         File::open(dir).and_then(|d| d.sync_all()).context(DiskSnafu { path: at(dir) })?;
-        let mut ring =
-            Ring { dir: at(dir), files: fs, size, seg: 0, live: 0, at: 0, rec: 0, pending_live: None };
+        let mut ring = Ring {
+            dir: at(dir),
+            files: fs,
+            size,
+            seg: 0,
+            live: 0,
+            at: 0,
+            rec: 0,
+            pending_live: None,
+            sealed: false,
+        };
         let recs = ring.recover()?;
         Ok((ring, recs))
     }
@@ -106,9 +117,7 @@
         self.seg = top;
         self.live = live;
         self.at = last.end;
-        if last.recs.last().is_some_and(|r| r.1 == Sort::Seal) {
-            self.next(live)?;
-        }
+        self.sealed = last.recs.last().is_some_and(|r| r.1 == Sort::Seal);
         Ok(out)
     }
 
@@ -131,8 +140,10 @@
     }
 
     /// Begins the next segment; `live` is the first one needed from then on.
+    /// One file is kept back for a base, so that a full ring can be emptied.
     fn next(&mut self, live: u64) -> Result<()> {
-        if self.seg + 1 - self.live >= self.files.len() as u64 {
+        let spare = (live <= self.seg) as u64;
+        if self.seg + 1 + spare - self.live >= self.files.len() as u64 {
             return FullSnafu.fail();
         }
         self.seg += 1;
@@ -143,14 +154,16 @@
         h.extend(c.to_le_bytes());
         self.file().write_all_at(&h, 0).context(DiskSnafu { path: self.path(self.seg) })?;
         self.at = HEAD as u64;
+        self.sealed = false;
         Ok(())
     }
 
     fn seal(&mut self) -> Result<()> {
-        if self.at >= HEAD as u64 {
+        if self.at >= HEAD as u64 && !self.sealed {
             self.put(Sort::Seal, &[])?;
             let path = self.path(self.seg);
             self.file().sync_data().context(DiskSnafu { path })?;
+            self.sealed = true;
         }
         Ok(())
     }
@@ -166,7 +179,7 @@
         if self.at == 0 {
             return self.base(data);
         }
-        if self.at + need > self.size {
+        if self.sealed || self.at + need > self.size {
             self.seal()?;
             self.next(self.live)?;
         }
--- /dev/null
+++ b/crates/skep/tests/settings.rs
@@ -0,0 +1,23 @@
+//! Each settings file under `tests/env` against what should be said of it.
+use skep::env::read_env;
+use std::path::Path;
+use wax::{parse, Look};
+
+fn given_a_settings_file_then_it_is_taken_or_denied_with_place_and_reason(
+    p: &Path,
+) -> datatest_stable::Result<()> {
+    let s = std::fs::read_to_string(p)?;
+    let want = std::fs::read_to_string(p.with_extension("txt"))?;
+    let said = parse(&s).and_then(|v| read_env(&Look::at(&v, "")));
+    let said = said.map_or_else(|e| e.to_string(), |e| format!("{} nodes", e.nodes.len()));
+    assert_eq!(said, want.trim());
+    Ok(())
+}
+
+datatest_stable::harness! {
+    {
+        test = given_a_settings_file_then_it_is_taken_or_denied_with_place_and_reason,
+        root = "tests/env",
+        pattern = r"^.*\.json$",
+    },
+}
--- a/crates/swarm/src/stage.rs
+++ b/crates/swarm/src/stage.rs
@@ -47,6 +47,7 @@
             lease: self.plan.lease,
             cut_at: self.plan.cut_at,
             vanish: Span::secs(3),
+            base_after: 20_000,
             pace: waggle::Pace { first_rtt: Span::ms(60), ..waggle::Pace::default() },
         };
         let boot = move |disk: Vec<Vec<u8>>, life: u64, now: Mono, out: &mut Vec<Out>| {
--- /dev/null
+++ b/crates/waggle/src/disk.rs
@@ -0,0 +1,37 @@
+//! What the disk gives back, and what it must hold.
+use crate::machine::Machine;
+use crate::types::*;
+use wax::Mono;
+
+impl<C: Command> Machine<C> {
+    /// Takes back one record of the disk; call for all, in order, before any input.
+    pub fn replay(&mut self, rec: Rec<C>) {
+        match rec {
+            Rec::Tuple(cid, t) => {
+                self.clock = self.clock.max(t.stamp.k + 1);
+                let b = self.ballots.entry(cid).or_default();
+                *b = (*b).max(t.ballot);
+                self.note_stable(cid, t.status);
+                self.h.insert(cid, t);
+            }
+            Rec::Ballot(cid, b) => {
+                let was = self.ballots.entry(cid).or_default();
+                *was = (*was).max(b);
+            }
+            Rec::Clock(k) => self.clock = self.clock.max(k),
+        }
+        self.bound = self.bound.max(self.clock);
+    }
+
+    /// After the last `replay`: delivers again what was delivered before.
+    pub fn resume(&mut self, now: Mono, out: &mut Vec<Out<C>>) {
+        self.deliver(now, out);
+    }
+
+    /// Everything a disk must hold of this machine, in short.
+    pub fn dump(&self) -> Vec<Rec<C>> {
+        let tuples = self.h.iter().map(|(c, t)| Rec::Tuple(*c, t.clone()));
+        let ballots = self.ballots.iter().map(|(c, b)| Rec::Ballot(*c, *b));
+        ballots.chain(tuples).chain([Rec::Clock(self.bound)]).collect()
+    }
+}
--- a/crates/waggle/src/lib.rs
+++ b/crates/waggle/src/lib.rs
@@ -3,6 +3,7 @@
 //! deliveries. It knows no socket, disk, thread or wall clock.
 mod accept;
 mod deliver;
+mod disk;
 mod lead;
 mod machine;
 mod recover;
--- a/crates/waggle/src/machine.rs
+++ b/crates/waggle/src/machine.rs
@@ -108,30 +108,6 @@
         }
     }
 
-    /// Takes back one record of the disk; call for all, in order, before any input.
-    pub fn replay(&mut self, rec: Rec<C>) {
-        match rec {
-            Rec::Tuple(cid, t) => {
-                self.clock = self.clock.max(t.stamp.k + 1);
-                let b = self.ballots.entry(cid).or_default();
-                *b = (*b).max(t.ballot);
-                self.note_stable(cid, t.status);
-                self.h.insert(cid, t);
-            }
-            Rec::Ballot(cid, b) => {
-                let was = self.ballots.entry(cid).or_default();
-                *was = (*was).max(b);
-            }
-            Rec::Clock(k) => self.clock = self.clock.max(k),
-        }
-        self.bound = self.bound.max(self.clock);
-    }
-
-    /// After the last `replay`: delivers again what was delivered before.
-    pub fn resume(&mut self, now: Mono, out: &mut Vec<Out<C>>) {
-        self.deliver(now, out);
-    }
-
     /// Carries the clock over into a new era, so that ids stay unique.
     pub fn start_above(&mut self, k: u64, out: &mut Vec<Out<C>>) {
         self.clock = self.clock.max(k);
@@ -200,7 +176,7 @@
         self.h.insert(cid, t);
     }
 
-    fn note_stable(&mut self, cid: Cid, s: Status) {
+    pub(crate) fn note_stable(&mut self, cid: Cid, s: Status) {
         let was = self.h.get(&cid).is_some_and(|t| t.status == Status::Stable);
         if s == Status::Stable && !was {
             self.stables += 1;
