--- /dev/null
+++ b/crates/hive/src/books.rs
@@ -0,0 +1,98 @@
+//! Runbooks at the command line.
+use crate::ops::{change_id, keepers, OpsProblem};
+use clap::{Arg, ArgAction, ArgMatches, Command};
+use meadow::web;
+use scout::{page, read_book, Book, Hands};
+use std::collections::BTreeMap;
+use std::io::{BufRead, IsTerminal};
+use std::time::{Duration, Instant};
+use tinyjson::JsonValue;
+use wax::{parse, Addr, Look};
+
+pub fn command(run: Command) -> Command {
+    let name = || Arg::new("name").required(true).help("A shipped book's name, or a file");
+    let set = Arg::new("set").long("set").value_name("NAME=VALUE").action(ArgAction::Append);
+    let yes = Arg::new("yes").long("yes").action(ArgAction::SetTrue);
+    Command::new("runbook")
+        .about("Show or execute a runbook")
+        .subcommand_required(true)
+        .subcommand(Command::new("list").about("The shipped runbooks"))
+        .subcommand(Command::new("show").about("A runbook as a page").arg(name()))
+        .subcommand(
+            run.arg(name())
+                .arg(set.help("What the book must be told"))
+                .arg(yes.help("Take all that is asked of people as done")),
+        )
+}
+
+fn load(name: &str) -> Result<Book, OpsProblem> {
+    let shipped = scout::SHIPPED.iter().find(|(n, _)| *n == name).map(|(_, s)| s.to_string());
+    let file = |source| OpsProblem::File { path: name.to_string(), source };
+    let s = shipped.map(Ok).unwrap_or_else(|| std::fs::read_to_string(name).map_err(file))?;
+    Ok(read_book(&Look::at(&parse(&s)?, ""))?)
+}
+
+struct Real {
+    at: Vec<Addr>,
+    agent: ureq::Agent,
+    yes: bool,
+    began: Instant,
+}
+
+impl Hands for Real {
+    fn say(&mut self, s: &str) {
+        println!("{s}");
+    }
+    fn confirm(&mut self, _: &str) -> bool {
+        if self.yes {
+            return true;
+        }
+        let stdin = std::io::stdin();
+        if stdin.is_terminal() {
+            println!("    press Enter when done, or type anything else to stop");
+        }
+        let mut s = String::new();
+        stdin.lock().read_line(&mut s).is_ok_and(|n| n > 0) && s.trim().is_empty()
+    }
+    fn post(&mut self, path: &str, v: &JsonValue) -> Option<(u16, JsonValue)> {
+        let got: Vec<_> =
+            self.at.iter().filter_map(|a| web::post(&self.agent, *a, path, v)).take(1).collect();
+        got.into_iter().next()
+    }
+    fn get(&mut self, at: Addr, path: &str) -> Option<JsonValue> {
+        web::get(&self.agent, at, path).map(|(_, v)| v)
+    }
+    fn pause(&mut self, began: u64, secs: u64) -> bool {
+        std::thread::sleep(Duration::from_millis(200));
+        self.clock() - began < secs * 1000
+    }
+    fn clock(&mut self) -> u64 {
+        self.began.elapsed().as_millis() as u64
+    }
+}
+
+pub fn run(m: &ArgMatches) -> Result<(), OpsProblem> {
+    let (sub, m) = m.subcommand().expect("required");
+    if sub == "list" {
+        scout::SHIPPED.iter().for_each(|(n, _)| println!("{n}"));
+        return Ok(());
+    }
+    let name = m.get_one::<String>("name").expect("required");
+    let b = load(name)?;
+    if sub == "show" {
+        print!("{}", page(name, &b));
+        return Ok(());
+    }
+    let mut told = BTreeMap::new();
+    for s in m.get_many::<String>("set").into_iter().flatten() {
+        let pair = s.split_once('=').ok_or(OpsProblem::NoPair { set: s.clone() })?;
+        told.insert(pair.0.to_string(), pair.1.to_string());
+    }
+    let mut h = Real {
+        at: keepers(m),
+        agent: web::agent(Duration::from_secs(30)),
+        yes: m.get_flag("yes"),
+        began: Instant::now(),
+    };
+    Ok(scout::run(&b, &change_id(m), &told, &mut h)?)
+}
--- a/crates/hive/src/cli.rs
+++ b/crates/hive/src/cli.rs
@@ -1,5 +1,5 @@
 //! The command line.
-use crate::{ops, play, roles, HiveProblem};
+use crate::{books, ops, play, roles, HiveProblem};
 use brood::{Role, Zone};
 use clap::{value_parser, Arg, ArgAction, ArgMatches, Command};
 use skep::env::Env;
@@ -126,6 +126,7 @@
         .subcommand(Command::new("check").about("Check a settings file").arg(
             Arg::new("file").required(true).value_parser(value_parser!(PathBuf)).help("The settings file"),
         ))
+        .subcommand(books::command(op("run", "Execute a runbook").arg(id())))
         .subcommand(play::flower_command())
         .subcommand(play::forager_command(env_arg()))
 }
@@ -151,6 +152,7 @@
         "gate" => Ok(roles::gate(start(m, Role::Gate)?)?),
         "comb" => Ok(roles::comb(start(m, Role::Comb)?)?),
         "flower" => Ok(play::flower(m)?),
+        "runbook" => Ok(books::run(m)?),
         "forager" => Ok(play::forager(m)?),
         _ => Ok(ops::run(name, m)?),
     }
--- a/crates/hive/src/main.rs
+++ b/crates/hive/src/main.rs
@@ -1,4 +1,5 @@
 //! lanewing: `hive` runs every role and speaks for operators.
+mod books;
 mod cli;
 mod desk;
 mod ops;
--- a/crates/hive/src/ops.rs
+++ b/crates/hive/src/ops.rs
@@ -19,6 +19,10 @@
     File { path: String, source: std::io::Error },
     #[snafu(display("{path}, line {line}: {source}"))]
     Line { path: String, line: usize, source: LookProblem },
+    #[snafu(display("{source}"), context(false))]
+    Book { source: scout::RunProblem },
+    #[snafu(display("--set {set} should be NAME=VALUE"))]
+    NoPair { set: String },
     #[snafu(display("none of the addresses answers"))]
     Silent,
     #[snafu(display("denied ({status}): {body}"))]
@@ -32,7 +36,7 @@
 impl OpsProblem {
     pub fn code(&self) -> u8 {
         match self {
-            OpsProblem::Denied { .. } | OpsProblem::Silent => 1,
+            OpsProblem::Book { .. } | OpsProblem::Denied { .. } | OpsProblem::Silent => 1,
             OpsProblem::Doubt { .. } => 3,
             _ => 2,
         }
@@ -45,7 +49,7 @@
     println!("{}", v.format().unwrap_or_default());
 }
 
-fn at(m: &ArgMatches) -> Vec<Addr> {
+pub fn keepers(m: &ArgMatches) -> Vec<Addr> {
     m.get_many("at").map(|a| a.copied().collect()).unwrap_or_default()
 }
 
@@ -56,7 +60,7 @@
 ) -> Result<(u16, JsonValue)> {
     let a = web::agent(Duration::from_secs(30));
     let mut last = None;
-    for at in at(m) {
+    for at in keepers(m) {
         let got = f(&a, at);
         if got.as_ref().is_some_and(|(s, _)| *s != 503) {
             return got.ok_or(OpsProblem::Silent);
@@ -85,7 +89,7 @@
     text(m.get_one::<String>(name).expect("required"))
 }
 
-fn change_id(m: &ArgMatches) -> String {
+pub fn change_id(m: &ArgMatches) -> String {
     m.get_one::<String>("id").cloned().unwrap_or_else(|| format!("c-{:x}", skep::life()))
 }
 
