--- a/crates/brood/src/cmd.rs
+++ b/crates/brood/src/cmd.rs
@@ -32,7 +32,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Cmd {
     Noop,
-    Change(Change),
+    /// Most often one; purges that came together travel as one command.
+    Changes(Vec<Change>),
     /// Reads: clashes with every change, so that its place among them is known.
     Look,
     /// Ends the era: the next one starts from the state at this point, among
@@ -61,6 +62,17 @@
     }
 }
 
+impl Change {
+    fn clashes(&self, b: &Change) -> bool {
+        let same_id = self.id.is_some() && self.id == b.id;
+        let asks = |x: &Op, y: &Op| x.asks_rows() && y.is_row();
+        same_id || asks(&self.op, &b.op) || asks(&b.op, &self.op) || {
+            let ks = b.op.keys();
+            self.op.keys().iter().any(|k| ks.contains(k))
+        }
+    }
+}
+
 impl Command for Cmd {
     fn clashes(&self, other: &Cmd) -> bool {
         match (self, other) {
@@ -68,14 +80,7 @@
             (Cmd::Cut(_), _) | (_, Cmd::Cut(_)) => true,
             (Cmd::Look, Cmd::Look) => false,
             (Cmd::Look, _) | (_, Cmd::Look) => true,
-            (Cmd::Change(a), Cmd::Change(b)) => {
-                let same_id = a.id.is_some() && a.id == b.id;
-                let rows = (a.op.asks_rows() && b.op.is_row()) || (b.op.asks_rows() && a.op.is_row());
-                same_id || rows || {
-                    let ks = b.op.keys();
-                    a.op.keys().iter().any(|k| ks.contains(k))
-                }
-            }
+            (Cmd::Changes(a), Cmd::Changes(b)) => a.iter().any(|a| b.iter().any(|b| a.clashes(b))),
         }
     }
     fn noop() -> Cmd {
--- a/crates/hive/src/desk.rs
+++ b/crates/hive/src/desk.rs
@@ -3,6 +3,7 @@
 use skep::front::{common, Call, Reply};
 use skep::net::Counts;
 use skep::shell::Handle;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering::Relaxed;
 use std::sync::Arc;
 use std::time::Duration;
@@ -59,12 +60,22 @@
     Reply::json(200, obj(v))
 }
 
+/// Changes being waited for; beats must always find a free thread.
+static OPEN: AtomicUsize = AtomicUsize::new(0);
+const MOST: usize = 96;
+
 fn change(h: &Handle, c: &Call) -> Reply {
     let ch = match c.json(read_change) {
         Ok(ch) => ch,
         Err(r) => return r,
     };
-    match h.ask(Ask::Change(ch), CHANGE) {
+    if OPEN.fetch_add(1, Relaxed) >= MOST {
+        OPEN.fetch_sub(1, Relaxed);
+        return Reply::problem(503, "not now", "too many changes at once").after(1);
+    }
+    let got = h.ask(Ask::Change(ch), CHANGE);
+    OPEN.fetch_sub(1, Relaxed);
+    match got {
         Some(Receipt::Change(v)) => {
             let status = match &v {
                 Verdict::Done(_) => 200,
--- a/crates/hive/src/roles.rs
+++ b/crates/hive/src/roles.rs
@@ -144,7 +144,7 @@
     };
     let mut out = vec![];
     let k = keeper::Keeper::start(env, kept, skep::life(), skep::now(), &mut out);
-    s.run(Box::new(k), out, Some(ring), 16)
+    s.run(Box::new(k), out, Some(ring), 128)
 }
 
 pub fn gate(s: Start) -> Result<()> {
--- a/crates/keeper/src/apply.rs
+++ b/crates/keeper/src/apply.rs
@@ -56,23 +56,28 @@
             Cmd::Noop => {
                 self.deny_look(cid, out);
                 let p = self.pending.remove(&cid);
-                p.into_iter().for_each(|p| self.submit(now, p.token, p.change, out));
+                p.into_iter().for_each(|p| self.again(now, p, out));
             }
             Cmd::Cut(members) => {
                 let clock = self.mach.as_ref().map_or(0, |m| m.clock());
                 let next = self.pic.cut(&members, clock);
                 self.enter(now, next, out);
             }
-            Cmd::Change(c) => {
-                let (verdict, first) = self.pic.apply(&c);
-                let news: Vec<Key> = match (&verdict, first) {
-                    (Verdict::Done(ks), true) => ks.iter().map(|(k, _)| k.clone()).collect(),
-                    _ => vec![],
-                };
+            Cmd::Changes(all) => {
+                let mut news: Vec<Key> = vec![];
+                let mut verdicts = vec![];
+                for c in &all {
+                    let (verdict, first) = self.pic.apply(c);
+                    if let (Verdict::Done(ks), true) = (&verdict, first) {
+                        news.extend(ks.iter().map(|(k, _)| k.clone()));
+                    }
+                    verdicts.push(verdict);
+                }
                 self.hide(now, cid, &news, out);
                 self.owe(now, cid);
-                self.pending.entry(cid).and_modify(|p| p.verdict = Some(verdict));
+                self.pending.entry(cid).and_modify(|p| p.verdicts = Some(verdicts));
                 self.conclude(cid, out);
+                self.send_line(now, out);
             }
         }
     }
--- a/crates/keeper/src/era.rs
+++ b/crates/keeper/src/era.rs
@@ -67,7 +67,7 @@
         });
         self.count("eras");
         let open = std::mem::take(&mut self.pending);
-        open.into_values().for_each(|p| self.submit(now, p.token, p.change, out));
+        open.into_values().for_each(|p| self.again(now, p, out));
     }
 
     /// A picture of a later era replaces what this keeper has.
--- a/crates/keeper/src/keeper.rs
+++ b/crates/keeper/src/keeper.rs
@@ -45,6 +45,8 @@
     /// What was lately proposed without an operator, so as not to repeat it.
     pub(crate) derived: BTreeMap<u64, Mono>,
     pub(crate) pending: BTreeMap<Cid, Pending>,
+    /// Purges that wait for the one under way, to travel together.
+    pub(crate) line: Vec<(Option<Token>, Change)>,
     /// Delivered changes that some gate with a live lease from here still lacks.
     pub(crate) owed: BTreeMap<Cid, Vec<(NodeId, u64)>>,
     /// Applied here, but not yet known to be applied by a classic quorum.
@@ -75,6 +77,7 @@
             beats: BTreeMap::new(),
             derived: BTreeMap::new(),
             pending: BTreeMap::new(),
+            line: vec![],
             owed: BTreeMap::new(),
             hidden: BTreeMap::new(),
             heard: BTreeSet::new(),
@@ -187,6 +190,7 @@
             self.show_blank(out);
         }
         self.with_machine(now, out, |m, o| m.tick(now, o));
+        self.send_line(now, out);
         self.force(now, out);
         self.ask_applied(now, out);
         self.do_duty(now, out);
