--- a/crates/apiary/src/plays.rs
+++ b/crates/apiary/src/plays.rs
@@ -73,6 +73,7 @@
     s.ledger.save(f, at);
     f.kill9(&origin_name(at))?;
     s.note(format!("{at} vanished"));
+    s.pause(2000);
     f.start_origin_as(at, &other.unwrap_or_default())?;
     s.note("another service has its address");
     s.pause(6000);
--- a/crates/brood/src/lib.rs
+++ b/crates/brood/src/lib.rs
@@ -8,6 +8,7 @@
 mod part;
 mod read;
 mod share;
+mod shelf;
 mod show;
 mod state;
 
@@ -19,5 +20,6 @@
 pub use part::*;
 pub use read::*;
 pub use share::*;
+pub use shelf::*;
 pub use show::*;
 pub use state::*;
--- /dev/null
+++ b/crates/brood/src/shelf.rs
@@ -0,0 +1,67 @@
+//! A bounded shelf of things that live until a point in time.
+use std::collections::BTreeMap;
+use wax::Mono;
+
+pub trait Shelved {
+    fn until(&self) -> Mono;
+    fn size(&self) -> usize;
+}
+
+/// Invariant: the sizes of all on it come to at most `room`; what ends soonest
+/// goes first.
+#[derive(Debug)]
+pub struct Shelf<K, T> {
+    all: BTreeMap<K, T>,
+    bytes: usize,
+    room: usize,
+}
+
+impl<K: Ord + Clone, T: Shelved> Shelf<K, T> {
+    pub fn new(room: usize) -> Shelf<K, T> {
+        Shelf { all: BTreeMap::new(), bytes: 0, room }
+    }
+
+    /// Only what is still alive.
+    pub fn get(&self, now: Mono, k: &K) -> Option<&T> {
+        self.all.get(k).filter(|t| t.until() > now)
+    }
+
+    pub fn put(&mut self, k: K, t: T) {
+        self.bytes += t.size();
+        let was = self.all.insert(k, t);
+        self.bytes -= was.map_or(0, |w| w.size());
+        while self.bytes > self.room {
+            let soonest = self.all.iter().min_by_key(|(_, t)| t.until()).map(|(k, _)| k.clone());
+            soonest.into_iter().for_each(|k| self.remove(&k));
+        }
+    }
+
+    fn remove(&mut self, k: &K) {
+        self.bytes -= self.all.remove(k).map_or(0, |t| t.size());
+    }
+
+    pub fn drop_where(&mut self, gone: impl Fn(&K, &T) -> bool) {
+        let ks: Vec<K> = self.all.iter().filter(|(k, t)| gone(k, t)).map(|(k, _)| k.clone()).collect();
+        ks.iter().for_each(|k| self.remove(k));
+    }
+
+    pub fn drop_old(&mut self, now: Mono) {
+        self.drop_where(|_, t| t.until() <= now);
+    }
+
+    pub fn clear(&mut self) {
+        self.drop_where(|_, _| true);
+    }
+
+    pub fn values(&self) -> impl Iterator<Item = &T> {
+        self.all.values()
+    }
+
+    pub fn len(&self) -> usize {
+        self.all.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.all.is_empty()
+    }
+}
--- a/crates/comb/src/comb.rs
+++ b/crates/comb/src/comb.rs
@@ -36,7 +36,7 @@
     /// Starts on what the disk holds; `life` is a fresh random number.
     pub fn start(mut env: CombEnv, kept: Vec<Kept>, life: u64, now: Mono, out: &mut Vec<Out>) -> Comb {
         let mut ledger = Ledger::default();
-        let mut stock = Stock::default();
+        let mut stock = Stock::new(env.room);
         let mut birth = None;
         let mut open = false;
         for k in kept {
@@ -45,15 +45,16 @@
                 Kept::Open => open = true,
                 Kept::Base(b, o, _, copies) => {
                     (birth, open) = (Some(*b), *o);
-                    stock = Stock::default();
-                    copies.iter().for_each(|s| stock.keep(s.clone(), env.room));
+                    stock.clear();
+                    copies.iter().for_each(|s| stock.put(s.object.clone(), s.clone()));
                 }
-                Kept::Copy(s) => stock.keep(s.clone(), env.room),
+                Kept::Copy(s) => stock.put(s.object.clone(), s.clone()),
                 _ => (),
             }
             ledger.apply(k, now);
         }
-        stock.drop_old(now, env.boot);
+        // Another boot's clock says nothing here.
+        stock.drop_where(|_, s| s.boot != env.boot || s.until <= now);
         let new = birth.is_none();
         env.follow.birth = birth.unwrap_or(Birth(life));
         if new {
@@ -82,7 +83,7 @@
         self.written += b.len();
         out.push(Out::Save(b));
         if let Kept::Copy(s) = &k {
-            self.stock.keep(s.clone(), self.env.room);
+            self.stock.put(s.object.clone(), s.clone());
         }
         self.ledger.apply(k, now);
     }
@@ -152,7 +153,12 @@
         self.ledger.drop_old(now, self.env.window);
         if self.written > self.env.base_after {
             self.written = 0;
-            let b = Kept::Base(self.follow.env.birth, self.open, self.ledger.dump(), self.stock.dump());
+            let b = Kept::Base(
+                self.follow.env.birth,
+                self.open,
+                self.ledger.dump(),
+                self.stock.values().cloned().collect(),
+            );
             out.push(Out::Base(b.encode()));
         }
         self.mend(now, out);
--- a/crates/comb/src/stock.rs
+++ b/crates/comb/src/stock.rs
@@ -4,7 +4,6 @@
 use crate::ledger::Kept;
 use brood::*;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
 use wax::{Addr, Mono, Span};
 
 pub(crate) type Object = (Svc, Lane, String);
@@ -21,39 +20,17 @@
     pub mark: u64,
 }
 
-/// Invariant: the bodies' bytes stay at most `room`.
-#[derive(Debug, Default)]
-pub(crate) struct Stock {
-    all: BTreeMap<Object, Stocked>,
-    bytes: usize,
-}
-
-impl Stock {
-    pub fn keep(&mut self, s: Stocked, room: usize) {
-        self.bytes += s.whole.body.len();
-        let was = self.all.insert(s.object.clone(), s);
-        self.bytes -= was.map_or(0, |w| w.whole.body.len());
-        while self.bytes > room {
-            let soonest = self.all.values().min_by_key(|s| s.until).map(|s| s.object.clone());
-            soonest.into_iter().for_each(|o| self.remove(&o));
-        }
-    }
-    fn remove(&mut self, o: &Object) {
-        self.bytes -= self.all.remove(o).map_or(0, |w| w.whole.body.len());
+impl Shelved for Stocked {
+    fn until(&self) -> Mono {
+        self.until
     }
-    pub fn drop_old(&mut self, now: Mono, boot: u64) {
-        let old = |s: &&Stocked| s.until <= now || s.boot != boot;
-        let gone: Vec<Object> = self.all.values().filter(old).map(|s| s.object.clone()).collect();
-        gone.iter().for_each(|o| self.remove(o));
-    }
-    pub fn dump(&self) -> Vec<Stocked> {
-        self.all.values().cloned().collect()
-    }
-    pub fn len(&self) -> usize {
-        self.all.len()
+    fn size(&self) -> usize {
+        self.whole.body.len()
     }
 }
 
+pub(crate) type Stock = Shelf<Object, Stocked>;
+
 impl Comb {
     /// A gate has a copy to leave here. The asking's time is this comb's, so a
     /// word read late makes the copy's life shorter, never longer.
@@ -83,7 +60,7 @@
         object: Object,
         out: &mut Vec<Out>,
     ) {
-        let held = self.stock.all.get(&object).filter(|s| s.until > now && s.boot == self.env.boot);
+        let held = self.stock.get(now, &object).filter(|s| s.boot == self.env.boot);
         let held = held.filter(|s| self.follow.leased(now) && s.mark == mark(&self.follow.items, &object));
         let copy = held.map(|s| (s.whole.clone(), s.until - now));
         self.count(if copy.is_some() { "copies given" } else { "copies lacking" });
@@ -93,7 +70,7 @@
     pub(crate) fn mind_stock(&mut self, now: Mono) {
         if now - self.swept >= Span::secs(1) {
             self.swept = now;
-            self.stock.drop_old(now, self.env.boot);
+            self.stock.drop_old(now);
         }
     }
 }
--- a/crates/gate/src/read.rs
+++ b/crates/gate/src/read.rs
@@ -145,7 +145,7 @@
                 let (obj, whole, stocked) = (j.object(), Arc::new(w), j.stocked);
                 if stocked {
                     self.count("filled from combs");
-                    self.copies.keep(now, obj, Copy { whole: whole.clone(), until });
+                    self.keep(now, obj, Copy { whole: whole.clone(), until });
                 }
                 let s = self.record(&whole, Shared::Copy, until);
                 self.finish(now, ask, s, out);
@@ -154,6 +154,12 @@
         }
     }
 
+    fn keep(&mut self, now: Mono, obj: (Svc, Lane, String), c: Copy) {
+        if c.until > now && c.whole.body.len() <= self.env.copies {
+            self.copies.put(obj, c);
+        }
+    }
+
     /// A whole answer for a fill: kept if it may be, then served.
     pub(crate) fn filled(&mut self, now: Mono, id: u64, sent: Mono, w: Whole, out: &mut Vec<Out>) {
         let Some(j) = self.jobs.get(&id) else { return };
@@ -161,7 +167,7 @@
         let whole = Arc::new(w);
         let fine = whole.status == 200 && self.leased(now);
         if fine {
-            self.copies.keep(now, obj.clone(), Copy { whole: whole.clone(), until });
+            self.keep(now, obj.clone(), Copy { whole: whole.clone(), until });
             if until - now >= WORTH {
                 let to = self.stock_of(now, &obj);
                 out.extend(to.map(|a| Out::Send(a, Msg::StockOffer(id))));
@@ -176,7 +182,7 @@
 
     /// A purge takes the copies, and spoils what is being fetched.
     pub(crate) fn purge(&mut self, now: Mono, svc: &Svc, prefix: &str, out: &mut Vec<Out>) {
-        self.copies.purge(svc, prefix);
+        self.copies.drop_where(|k, _| k.0 == *svc && k.2.starts_with(prefix));
         self.count("purges");
         let hit = |o: &(Svc, Lane, String)| o.0 == *svc && o.2.starts_with(prefix);
         self.fills.retain(|o, _| !hit(o));
--- a/crates/meadow/src/forager.rs
+++ b/crates/meadow/src/forager.rs
@@ -40,16 +40,20 @@
     pub good: BTreeMap<u64, u64>,
 }
 
+/// Enough hands that callers who wait at one frozen gate hold up nobody else.
+const HANDS: u64 = 384;
+const PATIENCE: Duration = Duration::from_secs(5);
+
 pub fn run(env: ForagerEnv) -> Harvest {
     let all: Arc<Mutex<Harvest>> = Arc::default();
     let next = Arc::new(AtomicU64::new(0));
     let start = Instant::now();
     let total = env.rate * env.span.as_secs();
-    let hands: Vec<_> = (0..128u64)
+    let hands: Vec<_> = (0..HANDS)
         .map(|w| {
             let (all, next, env) = (all.clone(), next.clone(), env.clone());
             thread::spawn(move || {
-                let agent = web::agent(Duration::from_secs(12));
+                let agent = web::agent(PATIENCE);
                 let mut rng = Rng::with_seed(env.seed ^ (w << 32));
                 loop {
                     let i = next.fetch_add(1, Ordering::Relaxed);
