--- a/crates/hive/src/books.rs
+++ b/crates/hive/src/books.rs
@@ -1,6 +1,9 @@
 //! Runbooks at the command line.
+use crate::args::{id, op};
+use crate::kernel::{Plugin, PLUGINS};
 use crate::ops::{change_id, keepers, OpsProblem};
 use clap::{Arg, ArgAction, ArgMatches, Command};
+use linkme::distributed_slice;
 use meadow::web;
 use scout::{page, read_book, Book, Hands};
 use std::collections::BTreeMap;
@@ -9,7 +12,11 @@
 use tinyjson::JsonValue;
 use wax::{parse, Addr, Look};
 
-pub fn command(run: Command) -> Command {
+#[distributed_slice(PLUGINS)]
+static BOOKS: Plugin = Plugin { place: 2, commands: || vec![command()], run: |_, m| Ok(run(m)?) };
+
+fn command() -> Command {
+    let run = op("run", "Execute a runbook").arg(id());
     let name = || Arg::new("name").required(true).help("A shipped book's name, or a file");
     let set = Arg::new("set").long("set").value_name("NAME=VALUE").action(ArgAction::Append);
     let yes = Arg::new("yes").long("yes").action(ArgAction::SetTrue);
@@ -71,7 +78,7 @@
     }
 }
 
-pub fn run(m: &ArgMatches) -> Result<(), OpsProblem> {
+fn run(m: &ArgMatches) -> Result<(), OpsProblem> {
     let (sub, m) = m.subcommand().expect("required");
     if sub == "list" {
         scout::SHIPPED.iter().for_each(|(n, _)| println!("{n}"));
--- /dev/null
+++ b/crates/hive/src/kernel.rs
@@ -0,0 +1,49 @@
+//! The kernel: knows no role and no command; plug-ins register themselves.
+use crate::HiveProblem;
+use clap::{ArgMatches, Command};
+use linkme::distributed_slice;
+
+pub struct Plugin {
+    /// Where its commands stand in the help.
+    pub place: u8,
+    pub commands: fn() -> Vec<Command>,
+    pub run: fn(&str, &ArgMatches) -> Result<(), HiveProblem>,
+}
+
+/// Invariant: no two plug-ins name the same command; clap refuses that.
+#[distributed_slice]
+pub static PLUGINS: [Plugin];
+
+fn sorted() -> Vec<&'static Plugin> {
+    let mut all: Vec<&Plugin> = PLUGINS.iter().collect();
+    all.sort_by_key(|p| p.place);
+    all
+}
+
+pub fn command() -> Command {
+    let hive = Command::new("hive")
+        .about("lanewing: a content delivery network that shields a few huge, fragile origins")
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .arg_required_else_help(true);
+    sorted().into_iter().fold(hive, |h, p| h.subcommands((p.commands)()))
+}
+
+pub fn run(m: &ArgMatches) -> Result<(), HiveProblem> {
+    let (name, m) = m.subcommand().expect("required");
+    let has = |p: &&Plugin| (p.commands)().iter().any(|c| c.get_name() == name);
+    sorted().into_iter().find(has).map_or(Ok(()), |p| (p.run)(name, m))
+}
+
+#[cfg(test)]
+mod tests {
+    #[test]
+    fn given_all_plugins_then_the_command_line_is_sound_and_every_role_is_there() {
+        super::command().debug_assert();
+        let names: Vec<String> =
+            super::command().get_subcommands().map(|c| c.get_name().to_string()).collect();
+        for n in ["keeper", "gate", "comb", "table", "set", "purge", "runbook", "plan", "flower", "forager"] {
+            assert!(names.iter().any(|m| m == n), "{n} is missing from {names:?}");
+        }
+    }
+}
--- a/crates/hive/src/main.rs
+++ b/crates/hive/src/main.rs
@@ -1,8 +1,12 @@
 //! lanewing: `hive` runs every role and speaks for operators.
+mod args;
 mod books;
-mod cli;
+mod commands;
+mod daemons;
 mod desk;
+mod kernel;
 mod ops;
+mod plan;
 mod play;
 mod roles;
 
@@ -33,8 +37,8 @@
 }
 
 fn main() -> ExitCode {
-    let m = cli::command().get_matches();
-    cli::run(&m).map(|()| ExitCode::SUCCESS).unwrap_or_else(|p| {
+    let m = kernel::command().get_matches();
+    kernel::run(&m).map(|()| ExitCode::SUCCESS).unwrap_or_else(|p| {
         eprintln!("hive: {p}");
         ExitCode::from(p.code())
     })
--- a/crates/hive/src/ops.rs
+++ b/crates/hive/src/ops.rs
@@ -21,6 +21,8 @@
     Line { path: String, line: usize, source: LookProblem },
     #[snafu(display("{source}"), context(false))]
     Book { source: scout::RunProblem },
+    #[snafu(display("patch: {reason}"))]
+    Patch { reason: String },
     #[snafu(display("--set {set} should be NAME=VALUE"))]
     NoPair { set: String },
     #[snafu(display("none of the addresses answers"))]
@@ -75,8 +77,12 @@
     (status < 300).then_some(v).ok_or(OpsProblem::Denied { status, body })
 }
 
+pub fn fetch(m: &ArgMatches, path: &str) -> Result<JsonValue> {
+    good(call(m, |a, at| web::get(a, at, path))?)
+}
+
 fn get(m: &ArgMatches, path: &str) -> Result<()> {
-    show(&good(call(m, |a, at| web::get(a, at, path))?)?);
+    show(&fetch(m, path)?);
     Ok(())
 }
 
@@ -94,7 +100,7 @@
 }
 
 /// Sends one change; the same id again is safe.
-fn send(m: &ArgMatches, id: &str, v: &JsonValue) -> Result<()> {
+pub fn send(m: &ArgMatches, id: &str, v: &JsonValue) -> Result<()> {
     let (status, got) = call(m, |a, at| web::post(a, at, "lanewing/changes", v))?;
     if status == 504 {
         return Err(OpsProblem::Doubt { id: id.to_string() });
--- a/crates/hive/src/play.rs
+++ b/crates/hive/src/play.rs
@@ -1,6 +1,9 @@
 //! The stand-ins as subcommands, for rehearsals.
+use crate::args::env_arg;
+use crate::kernel::{Plugin, PLUGINS};
 use brood::Role;
 use clap::{value_parser, Arg, ArgMatches, Command};
+use linkme::distributed_slice;
 use meadow::{audit, flower, forager, mix};
 use skep::env::{Env, EnvProblem};
 use snafu::Snafu;
@@ -22,6 +25,13 @@
     Violations { count: usize },
 }
 
+#[distributed_slice(PLUGINS)]
+static STAND_INS: Plugin = Plugin {
+    place: 3,
+    commands: || vec![flower_command(), forager_command(env_arg())],
+    run: |name, m| Ok(if name == "flower" { flower(m) } else { forager(m) }?),
+};
+
 fn need(name: &'static str, help: &'static str) -> Arg {
     Arg::new(name).long(name).required(true).help(help)
 }
@@ -30,7 +40,7 @@
     Arg::new(name).long(name).default_value(or).value_parser(value_parser!(u64)).help(help)
 }
 
-pub fn flower_command() -> Command {
+fn flower_command() -> Command {
     Command::new("flower")
         .about("Rehearsals: run a stand-in origin")
         .arg(need("at", "Its address").value_parser(value_parser!(Addr)))
@@ -43,7 +53,7 @@
         .arg(count("work-ms", "5", "How long an answer takes"))
 }
 
-pub fn forager_command(env: Arg) -> Command {
+fn forager_command(env: Arg) -> Command {
     Command::new("forager")
         .about("Rehearsals: run callers against a fleet, and check from outside")
         .arg(env)
@@ -53,7 +63,7 @@
         .arg(count("pushy", "0", "How often a denied caller asks again at once"))
 }
 
-pub fn flower(m: &ArgMatches) -> Result<(), PlayProblem> {
+fn flower(m: &ArgMatches) -> Result<(), PlayProblem> {
     let text = |n: &str| m.get_one::<String>(n).expect("required").clone();
     let addr = *m.get_one::<Addr>("at").expect("required");
     let env = flower::FlowerEnv {
@@ -67,7 +77,7 @@
     flower::run(env).then_some(()).ok_or(PlayProblem::Listen { addr })
 }
 
-pub fn forager(m: &ArgMatches) -> Result<(), PlayProblem> {
+fn forager(m: &ArgMatches) -> Result<(), PlayProblem> {
     let env = Env::load(m.get_one::<PathBuf>("env").expect("required"))?;
     let r = env.rehearsal.as_ref().ok_or(PlayProblem::NoMix)?;
     let mix = mix::read_mix(&Look::at(r, "rehearsal"))?;
