--- a/crates/brood/src/part.rs
+++ b/crates/brood/src/part.rs
@@ -140,6 +140,8 @@
     Tell(Token, Receipt),
     /// The executor runs this round and reports with `Ask::Done`.
     Fetch(Round),
+    /// Something worth remembering when something goes wrong.
+    Note(&'static str),
     /// Something went wrong: the log ring is written out.
     Alarm(&'static str),
 }
--- a/crates/comb/src/comb.rs
+++ b/crates/comb/src/comb.rs
@@ -59,6 +59,7 @@
         env.follow.birth = birth.unwrap_or(Birth(life));
         if new {
             out.push(Out::Base(Kept::Birth(env.follow.birth).encode()));
+            out.push(Out::Note("the disk is new"));
         }
         Comb {
             follow: Follow::new(env.follow.clone()),
@@ -95,6 +96,7 @@
         let waited = self.follow.myself().is_some() && now - self.boot >= self.env.window.padded();
         if !self.open && (clean || waited) {
             self.open = true;
+            out.push(Out::Note("grants keys from now on"));
             self.save(now, Kept::Open, out);
         }
     }
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -106,8 +106,12 @@
     }
 
     fn tick(&mut self, now: Mono, out: &mut Vec<Out>) {
+        let before = self.lapsed;
         self.subscribe(now, out);
         self.check_lapse(now);
+        if self.lapsed && !before {
+            out.push(Out::Alarm("the setup lease ran out: too few keepers renew it"));
+        }
         self.serve_line(now, out);
         self.expire_jobs(now, out);
         self.push_outcomes(now, out);
@@ -120,7 +124,6 @@
 
 impl Part for Gate {
     fn step(&mut self, now: Mono, inp: In, out: &mut Vec<Out>) {
-        self.check_lapse(now);
         match inp {
             In::Tick => self.tick(now, out),
             In::Ask(t, a) => match a {
@@ -137,6 +140,7 @@
                 Ask::Ready => out.push(Out::Tell(t, Receipt::Health(self.health(now)))),
                 Ask::Drain => {
                     self.draining = true;
+                    out.push(Out::Note("draining"));
                     out.push(Out::Tell(t, Receipt::Health(self.health(now))));
                 }
                 Ask::Table => {
--- a/crates/gate/src/jobs.rs
+++ b/crates/gate/src/jobs.rs
@@ -158,8 +158,11 @@
         }
     }
 
+    /// Denied means that nothing went out; after a try that did, it is doubt.
     pub(crate) fn deny(&mut self, now: Mono, id: u64, d: Denied, out: &mut Vec<Out>) {
-        self.finish(now, id, Step::Deny(d, come_back(d)), out);
+        let sent = self.jobs.get(&id).is_some_and(|j| j.tries > 0);
+        let s = if sent { Step::Doubt(come_back(d)) } else { Step::Deny(d, come_back(d)) };
+        self.finish(now, id, s, out);
     }
 
     /// Waits that have gone on too long.
--- a/crates/gate/src/news.rs
+++ b/crates/gate/src/news.rs
@@ -14,6 +14,8 @@
     }
 
     pub(crate) fn on_news(&mut self, now: Mono, from: Addr, n: News, out: &mut Vec<Out>) {
+        // A lapse is seen before this news may end it.
+        self.check_lapse(now);
         let new = self.follow.on_news(from, &n, out);
         if !new.is_empty() {
             self.table = Arc::new(Table::build(&self.follow.items));
@@ -40,6 +42,7 @@
         }
         if held && self.lapsed {
             self.lapsed = false;
+            self.count("leases");
             self.copies.clear();
             self.fills.clear();
             self.jobs.values_mut().for_each(|j| j.spoiled = true);
--- a/crates/gate/src/press.rs
+++ b/crates/gate/src/press.rs
@@ -31,7 +31,7 @@
 
 /// Each first try earns this much of an extra one: well under a fifth.
 const EARN: f64 = 0.1;
-const EXTRA_MOST: f64 = 2.0;
+const EXTRA_MOST: f64 = 1.0;
 /// Out of turn at most this often.
 const URGE: Span = Span::ms(20);
 
--- a/crates/gate/src/rounds.rs
+++ b/crates/gate/src/rounds.rs
@@ -113,8 +113,7 @@
                 let s = self.record(&std::sync::Arc::new(w.clone()), Shared::Origin, Mono(u64::MAX));
                 match kind {
                     Kind::Read if spoiled => {
-                        let d = Step::Deny(Denied::NoOrigin, Span::secs(1));
-                        self.retry_or(now, id, true, d, out);
+                        self.retry_or(now, id, true, Step::Doubt(Span::secs(1)), out);
                     }
                     _ if failed && safe => {
                         self.note_bad(now, r.addr, r.birth);
--- a/crates/keeper/src/duty.rs
+++ b/crates/keeper/src/duty.rs
@@ -83,6 +83,7 @@
                 d.since = now;
                 d.words.clear();
                 d.purses.clear();
+                out.push(Out::Note("taking the duty under a new epoch"));
             }
             let e = d.epoch();
             let ask = |m: &Member| Out::Send(m.addr, Msg::DutyAsk(self.kid, e, now));
--- a/crates/keeper/src/era.rs
+++ b/crates/keeper/src/era.rs
@@ -66,6 +66,10 @@
             m.start_above(clock, o);
         });
         self.count("eras");
+        out.push(Out::Note("an era began"));
+        if self.mach.is_none() {
+            out.push(Out::Alarm("the new roster has no seat for this keeper"));
+        }
         let open = std::mem::take(&mut self.pending);
         open.into_values().for_each(|p| self.again(now, p, out));
     }
--- a/crates/keeper/src/found.rs
+++ b/crates/keeper/src/found.rs
@@ -71,6 +71,7 @@
         }
         self.cutting = Some(now);
         self.count("swaps");
+        out.push(Out::Note("proposing a new keeper in an old one's seat"));
         let kid = Kid(self.pic.next_kid);
         let swap = |m: &Member| if m.addr == old { Member { kid, ..new.clone() } } else { m.clone() };
         let members: Vec<Member> = self.pic.members.iter().map(swap).collect();
--- a/crates/keeper/src/keeper.rs
+++ b/crates/keeper/src/keeper.rs
@@ -56,6 +56,8 @@
     pub(crate) looks: BTreeMap<Cid, Token>,
     pub(crate) duty: Duty,
     pub(crate) said: BTreeMap<Addr, Mono>,
+    /// Heard enough of the others when last looked at.
+    near: bool,
     pub(crate) cutting: Option<Mono>,
     pub(crate) written: usize,
     pub(crate) counts: BTreeMap<&'static str, u64>,
@@ -84,6 +86,7 @@
             looks: BTreeMap::new(),
             duty: Duty::new(now),
             said: BTreeMap::new(),
+            near: false,
             cutting: None,
             written: 0,
             counts: BTreeMap::new(),
@@ -190,6 +193,11 @@
             self.show_blank(out);
         }
         self.with_machine(now, out, |m, o| m.tick(now, o));
+        let near = self.connected(now);
+        if self.near && !near {
+            out.push(Out::Alarm("too few other keepers are heard: nothing can be decided"));
+        }
+        self.near = near;
         self.send_line(now, out);
         self.force(now, out);
         self.ask_applied(now, out);
--- a/crates/skep/src/shell.rs
+++ b/crates/skep/src/shell.rs
@@ -146,6 +146,7 @@
             Out::Fetch(r) => self.rounds.iter().for_each(|tx| {
                 let _ = tx.send(r.clone());
             }),
+            Out::Note(what) => info!(self.log, "{}", what),
             Out::Alarm(why) => error!(self.log, "{}", why),
             Out::Save(_) | Out::Base(_) => (),
         }
--- a/crates/swarm/src/carry.rs
+++ b/crates/swarm/src/carry.rs
@@ -63,7 +63,8 @@
                 let life = self.procs[&a].life;
                 self.at(Span(50), Ev::Leave(a, life, r));
             }
-            Out::Save(_) | Out::Base(_) | Out::Alarm(_) => (),
+            Out::Alarm(_) => self.count("alarms"),
+            Out::Save(_) | Out::Base(_) | Out::Note(_) => (),
         }
     }
 
