--- a/crates/gate/src/read.rs
+++ b/crates/gate/src/read.rs
@@ -143,10 +143,8 @@
         match life.filter(|(_, until)| *until > now) {
             Some((w, until)) => {
                 let (obj, whole, stocked) = (j.object(), Arc::new(w), j.stocked);
-                if stocked {
-                    self.count("filled from combs");
-                    self.keep(now, obj, Copy { whole: whole.clone(), until });
-                }
+                self.count(if stocked { "filled from combs" } else { "filled from homes" });
+                self.keep(now, obj, Copy { whole: whole.clone(), until });
                 let s = self.record(&whole, Shared::Copy, until);
                 self.finish(now, ask, s, out);
             }
--- a/crates/meadow/src/web.rs
+++ b/crates/meadow/src/web.rs
@@ -8,6 +8,8 @@
     let c = Agent::config_builder()
         .http_status_as_error(false)
         .max_redirects(0)
+        .input_buffer_size(16 << 10)
+        .output_buffer_size(4 << 10)
         .proxy(None)
         .timeout_connect(Some(Duration::from_millis(500)))
         .timeout_global(Some(most))
