--- a/crates/hive/src/commands.rs
+++ b/crates/hive/src/commands.rs
@@ -2,7 +2,7 @@
 use crate::args::{flag, id, op, text};
 use crate::kernel::{Plugin, PLUGINS};
 use crate::ops;
-use clap::{value_parser, Arg, Command};
+use clap::{value_parser, Arg, ArgAction, Command};
 use linkme::distributed_slice;
 use std::path::PathBuf;
 use wax::Addr;
@@ -10,6 +10,10 @@
 #[distributed_slice(PLUGINS)]
 static OPERATORS: Plugin = Plugin { place: 1, commands, run: |name, m| Ok(ops::run(name, m)?) };
 
+fn json() -> Arg {
+    Arg::new("json").long("json").action(ArgAction::SetTrue).help("Print the answer as JSON")
+}
+
 fn commands() -> Vec<Command> {
     let row = op("set", "Add or edit a row of the table")
         .arg(text("lane", "The lane"))
@@ -28,7 +32,7 @@
         .arg(id());
     let node = || text("node", "The node's number").value_parser(value_parser!(u16));
     let all = Command::new("all")
-        .subcommand(op("table", "Show the whole table"))
+        .subcommand(op("table", "Show the whole table").arg(json()))
         .subcommand(row)
         .subcommand(del)
         .subcommand(
@@ -37,8 +41,8 @@
                 .arg(text("prefix", "How the paths begin; \"\" for all"))
                 .arg(id()),
         )
-        .subcommand(op("origins", "Show origins, their beats and understudies"))
-        .subcommand(op("nodes", "Show keepers, gates and combs"))
+        .subcommand(op("origins", "Show origins, their beats and understudies").arg(json()))
+        .subcommand(op("nodes", "Show keepers, gates and combs").arg(json()))
         .subcommand(op("health", "Ask a node whether it is ready, and for its counters"))
         .subcommand(op("drain", "Let a node take no new work").arg(node()).arg(id()))
         .subcommand(op("remove", "Take a node out of the list for good").arg(node()).arg(id()))
--- a/crates/hive/src/main.rs
+++ b/crates/hive/src/main.rs
@@ -9,6 +9,7 @@
 mod plan;
 mod play;
 mod roles;
+mod sheet;
 
 use snafu::Snafu;
 use std::process::ExitCode;
--- a/crates/hive/src/ops.rs
+++ b/crates/hive/src/ops.rs
@@ -81,8 +81,13 @@
     good(call(m, |a, at| web::get(a, at, path))?)
 }
 
+/// As sheets, or as JSON for other programs.
 fn get(m: &ArgMatches, path: &str) -> Result<()> {
-    show(&fetch(m, path)?);
+    let v = fetch(m, path)?;
+    match crate::sheet::sheets(&v).filter(|_| !m.get_flag("json")) {
+        Some(s) => print!("{s}"),
+        None => show(&v),
+    }
     Ok(())
 }
 
