--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -60,7 +60,9 @@
             offers: BTreeMap::new(),
             outgoing: vec![],
             mute: BTreeMap::new(),
-            next: 0,
+            // Numbers of an earlier life must mean nothing in this one: answers to
+            // its askings may still be on their way.
+            next: env.follow.birth.0 << 20,
             draining: false,
             counts: BTreeMap::new(),
             env,
@@ -161,7 +163,7 @@
                     self.on_copy_ask(now, from, ask, svc, lane, path, out)
                 }
                 Msg::CopyWait(ask) => self.on_copy_wait(ask),
-                Msg::CopyGot { ask, copy } => self.on_copy_got(now, ask, copy, out),
+                Msg::CopyGot { ask, copy } => self.on_copy_got(now, from, ask, copy, out),
                 Msg::StockWant { ask, at } => self.on_stock_want(now, from, ask, at, out),
                 Msg::Claimed { round, said, .. } => self.on_claimed(now, from, round, said, out),
                 Msg::Kept { round, .. } => self.on_kept(from, round),
--- a/crates/gate/src/read.rs
+++ b/crates/gate/src/read.rs
@@ -131,12 +131,18 @@
     pub(crate) fn on_copy_got(
         &mut self,
         now: Mono,
+        from: Addr,
         ask: u64,
         copy: Option<(Whole, Span)>,
         out: &mut Vec<Out>,
     ) {
         let Some(j) = self.jobs.get(&ask) else { return };
-        let Stage::Home(_, asked, _) = j.stage else { return };
+        let Stage::Home(whom, asked, _) = j.stage else { return };
+        // A job may have asked two, one after the other; only the last one's word
+        // is younger than the asking its life is counted from.
+        if whom != from {
+            return;
+        }
         let good = !j.spoiled && self.leased(now);
         // The copy's rest of life counts from when it was asked for.
         let life = copy.filter(|_| good).map(|(w, left)| (w, (asked + left).min(self.leased_until())));
--- a/crates/swarm/tests/chaos.rs
+++ b/crates/swarm/tests/chaos.rs
@@ -159,3 +159,10 @@
         trial(seed);
     }
 }
+
+/// A home answered late, while its asker had turned to the comb: the copy's life
+/// was counted from the later asking.
+#[test]
+fn given_the_seed_in_which_a_copy_outlived_its_life_then_it_no_longer_does() {
+    wild(3068);
+}
