--- a/crates/brood/src/follow.rs
+++ b/crates/brood/src/follow.rs
@@ -19,6 +19,8 @@
     pub seeds: Vec<Addr>,
     /// A gate's life, or the life of a comb's disk.
     pub birth: Birth,
+    /// This process's life; renewals asked for by an earlier one lend nothing.
+    pub life: u64,
     pub lease: Span,
 }
 
@@ -98,7 +100,7 @@
             clean: false,
             standing: Standing::Serving,
         };
-        let sub = Sub { id: e.id, node, feed, got, ask: now, wants: wants.to_vec(), epoch };
+        let sub = Sub { id: e.id, node, feed, got, ask: now, life: e.life, wants: wants.to_vec(), epoch };
         Out::Send(to, Msg::Sub(Box::new(sub)))
     }
 
@@ -123,7 +125,7 @@
                 out.push(Out::Send(from, Msg::Got { id, feed: n.feed, got: to }));
             }
         }
-        if let Some(r) = n.reply.as_ref().filter(|r| r.lent) {
+        if let Some(r) = n.reply.as_ref().filter(|r| r.lent && r.life == self.env.life) {
             let l = self.leases.entry(r.kid).or_default();
             *l = (*l).max(r.ask + self.env.lease);
         }
--- a/crates/brood/src/msg.rs
+++ b/crates/brood/src/msg.rs
@@ -44,6 +44,8 @@
     pub got: u64,
     /// When it asked, by its own clock; comes back in the reply.
     pub ask: Mono,
+    /// Which life of its process asked; comes back with `ask`.
+    pub life: u64,
     /// Requests it would let out beyond its share, by service.
     pub wants: Vec<(Svc, u32)>,
     pub epoch: Epoch,
@@ -67,6 +69,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Reply {
     pub ask: Mono,
+    pub life: u64,
     pub kid: Kid,
     /// The setup lease is renewed from `ask` on.
     pub lent: bool,
--- a/crates/gate/src/news.rs
+++ b/crates/gate/src/news.rs
@@ -25,7 +25,8 @@
                 self.purge(now, svc, prefix, out);
             }
         }
-        if let Some(r) = &n.reply {
+        // Times of an earlier life's asking would make old beats and slices new.
+        if let Some(r) = n.reply.as_ref().filter(|r| r.life == self.follow.env.life) {
             self.take_beats(r);
             self.take_slices(now, from, r, out);
         }
--- a/crates/hive/src/roles.rs
+++ b/crates/hive/src/roles.rs
@@ -55,6 +55,7 @@
             zone: p.zone,
             seeds: p.seeds,
             birth: Birth(birth),
+            life: skep::life(),
             lease: self.env.limits.lease,
         }
     }
--- a/crates/keeper/src/feeds.rs
+++ b/crates/keeper/src/feeds.rs
@@ -20,6 +20,9 @@
     /// Until when a lease from here may be alive, by this keeper's clock.
     pub lent: Mono,
     pub pushed: Mono,
+    /// Which life of the subscriber it is for: what an earlier one acknowledged,
+    /// this one may not hold.
+    pub life: u64,
     /// When the feed was started anew.
     pub begun: Mono,
 }
@@ -36,6 +39,7 @@
             lent,
             pushed: Mono(0),
             begun: Mono(0),
+            life: 0,
         }
     }
     /// The subscriber acknowledged this number.
@@ -83,12 +87,13 @@
         f.addr = Some(from);
         // Askings that crossed a new feed's first news must not start it once more:
         // two of them would keep voiding each other's feed for ever.
-        let other = f.feed == 0 || s.feed != f.feed;
+        let other = f.feed == 0 || s.feed != f.feed || s.life != f.life;
         let anew = other && shown && (f.feed == 0 || now - f.begun >= Span::ms(300));
         if anew {
             self.feed_no += 1;
             f.feed = self.feed_no;
             f.begun = now;
+            f.life = s.life;
             f.sent = 1;
             f.out = 1;
             f.got = 0;
@@ -126,6 +131,7 @@
         };
         let reply = Reply {
             ask: s.ask,
+            life: s.life,
             kid: self.kid,
             lent,
             beats: self.beats_now(now),
--- a/crates/swarm/src/stage.rs
+++ b/crates/swarm/src/stage.rs
@@ -32,6 +32,7 @@
         zone: zone.into(),
         seeds: seeds.to_vec(),
         birth: Birth(0),
+        life: 0,
         lease,
     }
 }
@@ -61,7 +62,7 @@
         let f = follow(id, Role::Gate, a, zone, seeds, self.plan.lease);
         let boot = move |_: Vec<Vec<u8>>, life: u64, _: Mono, _: &mut Vec<Out>| {
             let env = gate::GateEnv {
-                follow: FollowEnv { birth: Birth(life), ..f.clone() },
+                follow: FollowEnv { birth: Birth(life), life, ..f.clone() },
                 fresh: Span::ms(1000),
                 patience: Span::secs(5),
                 copies: 1 << 20,
@@ -76,8 +77,8 @@
         let window = self.plan.window;
         let boot = move |disk: Vec<Vec<u8>>, life: u64, now: Mono, out: &mut Vec<Out>| {
             let kept = disk.iter().filter_map(|b| comb::Kept::decode(b)).collect();
-            let env =
-                comb::CombEnv { follow: f.clone(), window, base_after: 1 << 18, room: 1 << 17, boot: 1 };
+            let follow = FollowEnv { life, ..f.clone() };
+            let env = comb::CombEnv { follow, window, base_after: 1 << 18, room: 1 << 17, boot: 1 };
             Role3::Comb(Box::new(comb::Comb::start(env, kept, life, now, out)))
         };
         self.add(a, zone.into(), Role::Comb, Box::new(boot));
--- a/crates/swarm/tests/versions.rs
+++ b/crates/swarm/tests/versions.rs
@@ -51,3 +51,17 @@
         clean(&mut w);
     }
 }
+
+#[test]
+fn given_a_gate_restarted_while_renewals_for_its_last_life_are_on_their_way_then_they_lend_it_nothing() {
+    let plan = Plan { dup: 1.0, away: [17_500; 3], ..Plan::bersatu() };
+    let (mut w, f) = World::standing(plan, 31);
+    for i in 0..20u64 {
+        let g = f.gates[i as usize % 5];
+        w.kill(g);
+        w.start(g);
+        w.run(Span::ms(137));
+    }
+    w.run(Span::secs(2));
+    clean(&mut w);
+}
