--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -73,10 +73,6 @@
         &self.follow.items
     }
 
-    pub fn table(&self) -> &Arc<Table> {
-        &self.table
-    }
-
     pub(crate) fn count(&mut self, name: &'static str) {
         *self.counts.entry(name).or_default() += 1;
     }
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -11,4 +11,3 @@
 mod table;
 
 pub use gate::{Gate, GateEnv};
-pub use table::Table;
--- a/crates/waggle/src/machine.rs
+++ b/crates/waggle/src/machine.rs
@@ -78,7 +78,6 @@
     pub(crate) stables: u64,
     pub(crate) digest: u64,
     pub(crate) compared: Mono,
-    pub(crate) halted: bool,
     pub tally: Tally,
 }
 
@@ -103,7 +102,6 @@
             stables: 0,
             digest: 0,
             compared: now,
-            halted: false,
             tally: Tally::default(),
         }
     }
@@ -117,18 +115,12 @@
     pub fn clock(&self) -> u64 {
         self.clock
     }
-    pub fn bound(&self) -> u64 {
-        self.bound
-    }
     pub fn size(&self) -> usize {
         self.h.len()
     }
     pub fn roster(&self) -> &[Kid] {
         &self.roster
     }
-    pub fn tuple(&self, cid: Cid) -> Option<&Tuple<C>> {
-        self.h.get(&cid)
-    }
     pub fn delivered(&self, cid: Cid) -> bool {
         self.done.contains(&cid)
     }
@@ -185,7 +177,7 @@
     }
 
     pub fn take(&mut self, now: Mono, from: Kid, msg: Wag<C>, out: &mut Vec<Out<C>>) {
-        if self.halted || !self.roster.contains(&from) {
+        if !self.roster.contains(&from) {
             return;
         }
         self.heard.insert(from, now);
@@ -204,9 +196,6 @@
     }
 
     pub fn tick(&mut self, now: Mono, out: &mut Vec<Out<C>>) {
-        if self.halted {
-            return;
-        }
         self.heard.insert(self.me, now);
         self.push_leads(now, out);
         self.chase(now, out);
@@ -216,9 +205,4 @@
             self.send_all(have, out);
         }
     }
-
-    /// Nothing more is decided here: the era is over.
-    pub fn halt(&mut self) {
-        self.halted = true;
-    }
 }
