--- a/crates/waggle/src/accept.rs
+++ b/crates/waggle/src/accept.rs
@@ -30,14 +30,21 @@
         pred
     }
 
-    /// WAIT, asked anew whenever H has changed.
-    fn verdict(&self, cid: Cid, cmd: &C, stamp: Stamp) -> Verdict {
+    /// WAIT, asked anew whenever H has changed. Under a recovery's ballot only a
+    /// stable command may refuse: an accepted one's predecessors are not final,
+    /// so its refusal does not prove that the timestamp was never decided.
+    fn verdict(&self, o: &Offer<C>) -> Verdict {
+        let (cid, cmd, stamp) = (o.cid, &o.cmd, o.stamp);
         let against = || {
             self.h.iter().filter(move |(id, t)| {
                 **id != cid && stamp < t.stamp && !t.pred.contains(&cid) && t.cmd.clashes(cmd)
             })
         };
-        let settled = |t: &Tuple<C>| matches!(t.status, Status::Accepted | Status::Stable);
+        let first = o.ballot.n == 0;
+        let settled = |t: &Tuple<C>| match t.status {
+            Status::Accepted => first,
+            s => s == Status::Stable,
+        };
         if self.pace.wait_rule && against().any(|(_, t)| !settled(t)) {
             Verdict::Wait
         } else if against().any(|(_, t)| settled(t)) {
@@ -142,7 +149,7 @@
                 self.waits.remove(&cid);
                 continue;
             }
-            match self.verdict(cid, &o.cmd, o.stamp) {
+            match self.verdict(o) {
                 Verdict::Wait => self.tally.waited += 1,
                 v => {
                     let w = self.waits.remove(&cid).expect("listed above");
--- a/crates/waggle/src/recover.rs
+++ b/crates/waggle/src/recover.rs
@@ -77,27 +77,27 @@
         let with = |s: Status| set.iter().find(|t| t.status == s);
         let offer =
             |t: &Tuple<C>| Offer { cid, cmd: t.cmd.clone(), ballot, stamp: t.stamp, pred: t.pred.clone() };
+        // A refusal under ballot 0 may have come from a command that was merely
+        // accepted, beside a fast decision: what a quorum may have decided goes
+        // before it. See docs/paper.md.
+        let pending: Vec<&Tuple<C>> = set.iter().filter(|t| t.status == Status::FastPending).collect();
+        let need = overlap(self.n());
+        let maybe_fast = pending.len() >= need || pending.iter().any(|t| t.forced);
         if let Some(t) = with(Status::Stable) {
             self.stable(offer(t), out);
         } else if let Some(t) = with(Status::Accepted) {
             self.start(now, offer(t), Phase::Retry, false, out);
-        } else if let Some(t) = with(Status::Rejected) {
-            let mut o = offer(t);
-            o.stamp = self.next_stamp(out);
-            o.pred = Preds::new();
-            self.start(now, o, Phase::Fast, false, out);
         } else if let Some(t) = with(Status::SlowPending) {
             self.start(now, offer(t), Phase::Slow, false, out);
-        } else if let Some(t) = set.first() {
+        } else if let Some(t) = pending.first().filter(|_| maybe_fast || with(Status::Rejected).is_none()) {
             let mut o = offer(t);
-            let all: Preds = set.iter().flat_map(|t| t.pred.iter().copied()).collect();
-            let need = overlap(self.n());
-            let white = if let Some(f) = set.iter().find(|t| t.forced) {
+            let all: Preds = pending.iter().flat_map(|t| t.pred.iter().copied()).collect();
+            let white = if let Some(f) = pending.iter().find(|t| t.forced) {
                 // Forced sets of one ballot may differ; the paper takes their union.
                 debug_assert_eq!(f.stamp, t.stamp);
                 Some(all)
-            } else if set.len() >= need {
-                let lacking = |c: &Cid| set.iter().filter(|t| !t.pred.contains(c)).count();
+            } else if pending.len() >= need {
+                let lacking = |c: &Cid| pending.iter().filter(|t| !t.pred.contains(c)).count();
                 Some(all.into_iter().filter(|c| lacking(c) < need).collect())
             } else {
                 None
@@ -105,6 +105,11 @@
             let forced = white.is_some();
             o.pred = white.unwrap_or_default();
             self.start(now, o, Phase::Fast, forced, out);
+        } else if let Some(t) = with(Status::Rejected) {
+            let mut o = offer(t);
+            o.stamp = self.next_stamp(out);
+            o.pred = Preds::new();
+            self.start(now, o, Phase::Fast, false, out);
         } else {
             // Nobody of the quorum ever saw it: the id is filled, with the command
             // if this keeper happens to hold it, otherwise without effect.
