--- /dev/null
+++ b/crates/waggle/tests/sim/cmd.rs
@@ -0,0 +1,17 @@
+//! A command of the trials: an id and what it touches.
+use waggle::Command;
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Cmd {
+    pub id: u64,
+    pub keys: Vec<u8>,
+}
+
+impl Command for Cmd {
+    fn clashes(&self, o: &Cmd) -> bool {
+        self.keys.iter().any(|k| o.keys.contains(k))
+    }
+    fn noop() -> Cmd {
+        Cmd { id: 0, keys: vec![] }
+    }
+}
--- a/crates/waggle/tests/sim/mod.rs
+++ b/crates/waggle/tests/sim/mod.rs
@@ -1,26 +1,14 @@
 //! Keepers over a virtual network, disk and clock, from one seed.
 mod check;
+mod cmd;
+
+pub use cmd::Cmd;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 use waggle::*;
 use wax::{Mono, Span};
 
-#[derive(Clone, Debug, PartialEq)]
-pub struct Cmd {
-    pub id: u64,
-    pub keys: Vec<u8>,
-}
-
-impl Command for Cmd {
-    fn clashes(&self, o: &Cmd) -> bool {
-        self.keys.iter().any(|k| o.keys.contains(k))
-    }
-    fn noop() -> Cmd {
-        Cmd { id: 0, keys: vec![] }
-    }
-}
-
 pub enum Ev {
     Msg(usize, usize, Wag<Cmd>),
     Synced(usize, u64, Vec<Out<Cmd>>),
