--- a/crates/comb/src/comb.rs
+++ b/crates/comb/src/comb.rs
@@ -170,6 +170,10 @@
     pub fn id(&self) -> NodeId {
         self.follow.env.id
     }
+    /// Keys held now.
+    pub fn held(&self) -> usize {
+        self.ledger.keys.len()
+    }
     pub fn is_open(&self) -> bool {
         self.open
     }
--- a/crates/swarm/tests/origins.rs
+++ b/crates/swarm/tests/origins.rs
@@ -82,6 +82,10 @@
     traffic(&mut w, &f, 10, 100);
     w.run(Span::secs(14));
     assert!(!w.comb(c).unwrap().is_open(), "it grants on an empty disk");
+    // Meanwhile the others have given it back what it should hold.
+    let held = w.comb(c).unwrap().held();
+    println!("{held} keys mended");
+    assert!(held > 20, "{held} keys");
     let (ok, n) = lately(&w, since);
     assert!(ok * 100 >= n * 97, "{ok} of {n}");
     w.run(Span::secs(90));
