--- a/crates/comb/src/comb.rs
+++ b/crates/comb/src/comb.rs
@@ -14,6 +14,9 @@
     pub base_after: usize,
     /// Bytes of copies kept; with all keys they must fit one file of the ring.
     pub room: usize,
+    /// Bytes of keys and outcomes kept; beyond it no key is granted. With `room`
+    /// they must fit one file of the ring, or they could not be written in short.
+    pub most: usize,
     /// Which boot of the machine this is.
     pub boot: u64,
 }
@@ -112,7 +115,7 @@
     ) {
         self.ledger.drop_old(now, self.env.window);
         let said = match self.ledger.look(&key, print, round) {
-            Claimed::Granted if !self.open => Claimed::Unable,
+            Claimed::Granted if !self.open || self.ledger.bytes > self.env.most => Claimed::Unable,
             s => s,
         };
         if said == Claimed::Granted && !self.ledger.keys.contains_key(&key) {
@@ -129,7 +132,9 @@
         if held.is_none() {
             self.save(now, grant, out);
         }
-        if held.is_none_or(|(same, known)| same && !known) {
+        // Too large to keep: later tries are in doubt, as if the answer were lost.
+        let small = whole.body.len() <= self.env.most / 16;
+        if small && held.is_none_or(|(same, known)| same && !known) {
             self.count("outcomes");
             self.save(now, Kept::Outcome { key: key.clone(), round, whole }, out);
         }
@@ -144,6 +149,7 @@
         };
         let mut counts: Vec<_> = self.counts.iter().map(|(k, v)| (*k, *v)).collect();
         counts.push(("keys", self.ledger.keys.len() as u64));
+        counts.push(("key bytes", self.ledger.bytes as u64));
         counts.push(("copies", self.stock.len() as u64));
         Health { ready: why.is_empty(), why, in_hand: 0, counts }
     }
--- a/crates/comb/src/ledger.rs
+++ b/crates/comb/src/ledger.rs
@@ -54,6 +54,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Ledger {
     pub keys: BTreeMap<String, Grant>,
+    /// What they come to, as of the last look at their ages.
+    pub bytes: usize,
 }
 
 impl Ledger {
@@ -92,6 +94,8 @@
 
     pub fn drop_old(&mut self, now: Mono, window: Span) {
         self.keys.retain(|_, g| now - g.at < window);
+        let size = |(k, g): (&String, &Grant)| 96 + k.len() + g.whole.as_ref().map_or(0, |w| w.body.len());
+        self.bytes = self.keys.iter().map(size).sum();
     }
 
     pub fn dump(&self) -> Vec<(String, u64, RoundId, Option<Whole>)> {
--- a/crates/hive/src/roles.rs
+++ b/crates/hive/src/roles.rs
@@ -164,11 +164,14 @@
     let kept = recs.iter().map(|r| comb::Kept::decode(r)).collect::<Option<Vec<_>>>();
     let kept = kept.ok_or(StartProblem::Undecodable)?;
     let base_after = s.env.limits.ring_mb << 18;
+    let room = s.env.limits.ring_mb << 16;
     let env = comb::CombEnv {
         follow: s.follow(0),
         window: s.env.limits.window,
         base_after,
-        room: s.env.limits.ring_mb << 17,
+        room,
+        // One file of the ring, less the copies and an eighth to spare.
+        most: base_after - room - base_after / 8,
         boot: skep::boot(),
     };
     let mut out = vec![];
--- a/crates/skep/src/ring.rs
+++ b/crates/skep/src/ring.rs
@@ -16,6 +16,8 @@
     Missing { path: PathBuf },
     #[snafu(display("the ring is full of records still needed"))]
     Full,
+    #[snafu(display("{} has {is} bytes, the settings say {size}: a ring keeps the size it was made with", path.display()))]
+    OtherSize { path: PathBuf, is: u64, size: u64 },
     #[snafu(display("a record of {size} bytes does not fit a file of the ring"))]
     TooLarge { size: usize },
 }
@@ -38,6 +40,15 @@
     sealed: bool,
 }
 
+/// Whole or not there: filled under another name first.
+fn preallocate(path: &Path, size: u64) -> io::Result<()> {
+    let new = path.with_extension("new");
+    let f = File::create(&new)?;
+    f.write_all_at(&vec![0u8; size as usize], 0)?;
+    f.sync_all()?;
+    std::fs::rename(&new, path)
+}
+
 impl Ring {
     /// Opens the ring, making it if need be, and reads back all that counts.
     pub fn open(dir: &Path, files: usize, size: u64) -> Result<(Ring, Vec<Vec<u8>>)> {
@@ -46,18 +57,17 @@
         let mut fs = vec![];
         for i in 0..files {
             let path = dir.join(format!("ring-{i}"));
+            if !path.exists() {
+                preallocate(&path, size).context(DiskSnafu { path: at(&path) })?;
+            }
             let f = OpenOptions::new()
                 .read(true)
                 .write(true)
-                .create(true)
-                .truncate(false)
                 .open(&path)
                 .context(DiskSnafu { path: at(&path) })?;
-            if f.metadata().context(DiskSnafu { path: at(&path) })?.len() < size {
-                let zeros = vec![0u8; size as usize];
-                f.write_all_at(&zeros, 0)
-                    .and_then(|_| f.sync_all())
-                    .context(DiskSnafu { path: at(&path) })?;
+            let is = f.metadata().context(DiskSnafu { path: at(&path) })?.len();
+            if is != size {
+                return OtherSizeSnafu { path, is, size }.fail();
             }
             fs.push(f);
         }
--- a/crates/skep/tests/ring.rs
+++ b/crates/skep/tests/ring.rs
@@ -135,3 +135,14 @@
     assert_eq!(open(&d).unwrap().1, ["a shorter one", "more"]);
     std::fs::remove_dir_all(d).unwrap();
 }
+
+#[test]
+fn given_a_ring_made_with_another_size_then_it_is_left_alone() {
+    let d = dir("size");
+    let (mut r, _) = open(&d).unwrap();
+    r.base(b"base").unwrap();
+    drop(r);
+    assert!(matches!(Ring::open(&d, 4, 2 * SIZE), Err(RingProblem::OtherSize { .. })));
+    assert_eq!(open(&d).unwrap().1, ["base"]);
+    std::fs::remove_dir_all(d).unwrap();
+}
--- a/crates/swarm/src/stage.rs
+++ b/crates/swarm/src/stage.rs
@@ -78,7 +78,8 @@
         let boot = move |disk: Vec<Vec<u8>>, life: u64, now: Mono, out: &mut Vec<Out>| {
             let kept = disk.iter().filter_map(|b| comb::Kept::decode(b)).collect();
             let follow = FollowEnv { life, ..f.clone() };
-            let env = comb::CombEnv { follow, window, base_after: 1 << 18, room: 1 << 17, boot: 1 };
+            let env =
+                comb::CombEnv { follow, window, base_after: 1 << 18, room: 1 << 17, most: 1 << 18, boot: 1 };
             Role3::Comb(Box::new(comb::Comb::start(env, kept, life, now, out)))
         };
         self.add(a, zone.into(), Role::Comb, Box::new(boot));
