--- /dev/null
+++ b/crates/comb/tests/room.rs
@@ -0,0 +1,61 @@
+//! A comb's ledger never outgrows the file its short form must fit.
+use brood::*;
+use comb::{Comb, CombEnv, Kept};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use wax::{Addr, Birth, Mono, NodeId, Span};
+
+fn addr(port: u16) -> Addr {
+    Addr(SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), port))
+}
+
+fn comb() -> Comb {
+    let follow = FollowEnv {
+        id: NodeId(1),
+        role: Role::Comb,
+        addr: addr(1),
+        http: addr(2),
+        zone: "a/b".into(),
+        seeds: vec![addr(3)],
+        birth: Birth(7),
+        life: 1,
+        lease: Span::secs(10),
+    };
+    let window = Span::secs(90);
+    let env = CombEnv { follow, window, base_after: 20_000, room: 1000, most: 40_000, boot: 1 };
+    Comb::start(env, vec![Kept::Birth(Birth(7)), Kept::Open], 1, Mono(1_000_000), &mut vec![])
+}
+
+#[test]
+fn given_more_keys_and_answers_than_fit_then_it_grants_no_more_and_its_short_form_stays_small() {
+    let mut c = comb();
+    let (mut granted, mut unable, mut largest) = (0, 0, 0);
+    for n in 0..400u64 {
+        let now = Mono(1_000_000 + n * 10_000);
+        let round = RoundId { node: NodeId(9), birth: Birth(1), n };
+        let key = format!("pay/k{n}");
+        let mut out = vec![];
+        c.step(now, In::Msg(addr(5), Msg::Claim { key: key.clone(), print: 1, round }), &mut out);
+        let ok = out.iter().any(|o| matches!(o, Out::Send(_, Msg::Claimed { said: Claimed::Granted, .. })));
+        granted += ok as u32;
+        unable += !ok as u32;
+        if ok {
+            let size = if n == 3 { 9000 } else { 600 };
+            let whole = Whole { status: 200, mime: String::new(), body: vec![1; size] };
+            c.step(now, In::Msg(addr(5), Msg::Outcome { key, print: 1, round, whole }), &mut out);
+        }
+        c.step(now, In::Tick, &mut out);
+        let bases = out.iter().filter_map(|o| match o {
+            Out::Base(b) => Some(b.len()),
+            _ => None,
+        });
+        largest = bases.max().unwrap_or(0).max(largest);
+    }
+    assert!(granted > 30 && unable > 300, "{granted} granted, {unable} denied");
+    assert!(largest > 0 && largest < 45_000, "a base of {largest} bytes");
+    // Once the window is over there is room again.
+    let later = Mono(200_000_000);
+    let round = RoundId { node: NodeId(9), birth: Birth(1), n: 1000 };
+    let mut out = vec![];
+    c.step(later, In::Msg(addr(5), Msg::Claim { key: "pay/new".into(), print: 1, round }), &mut out);
+    assert!(out.iter().any(|o| matches!(o, Out::Send(_, Msg::Claimed { said: Claimed::Granted, .. }))));
+}
