--- a/crates/brood/src/read.rs
+++ b/crates/brood/src/read.rs
@@ -14,7 +14,8 @@
 ];
 const ROW: [&str; 8] = ["lane", "service", "expect", "weight", "ceiling", "rank", "kind", "ttl_ms"];
 /// Purge scopes in one change.
-const SCOPES: usize = 500;
+const SCOPES: usize = 100;
+const PREFIX: usize = 256;
 
 fn lane(l: &Look) -> Result<Lane> {
     let f = l.field("lane")?;
@@ -83,14 +84,14 @@
 fn scopes(f: &Look) -> Result<Vec<(Svc, String)>> {
     let all = f.list()?;
     if all.is_empty() || all.len() > SCOPES {
-        return f.bad(Reason::Not { what: "a list of 1 to 500 scopes" });
+        return f.bad(Reason::Not { what: "a list of 1 to 100 scopes" });
     }
     let one = |s: &Look| {
         s.only(&["service", "prefix"])?;
         let p = s.field("prefix")?;
         let prefix = p.text()?;
-        if prefix.len() > 1000 {
-            return p.bad(Reason::Not { what: "a text of at most 1000 bytes" });
+        if prefix.len() > PREFIX {
+            return p.bad(Reason::Not { what: "a text of at most 256 bytes" });
         }
         Ok((svc(s)?, prefix))
     };
--- a/crates/brood/src/state.rs
+++ b/crates/brood/src/state.rs
@@ -30,6 +30,8 @@
 
 /// Keep at least this many receipts; older whole eras of them are dropped at a cut.
 const RECEIPTS: usize = 4096;
+/// Purges of one service remembered singly over a cut.
+const PURGES: usize = 2000;
 
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Picture {
@@ -166,6 +168,21 @@
         self.members.iter().find(|m| m.kid == kid)
     }
 
+    /// A service with very many purges gets one of everything in their place:
+    /// more is purged than was asked, and what must be remembered stays small.
+    fn gather_purges(&mut self) {
+        let mut count: BTreeMap<Svc, usize> = BTreeMap::new();
+        for k in self.items.keys() {
+            if let Key::Purge(s, _) = k {
+                *count.entry(s.clone()).or_default() += 1;
+            }
+        }
+        for (svc, _) in count.into_iter().filter(|(_, n)| *n > PURGES) {
+            self.items.retain(|k, _| !matches!(k, Key::Purge(s, p) if *s == svc && !p.is_empty()));
+            self.put(Key::Purge(svc, String::new()), Some(Body::Purge));
+        }
+    }
+
     /// Ends the era. Pure, and the same on every keeper: the cut clashes with
     /// all, so the state at it is the same everywhere.
     pub fn cut(&self, members: &[Member], clock: u64) -> Picture {
@@ -175,6 +192,7 @@
         p.clock = clock;
         p.next_kid = members.iter().map(|m| m.kid.0 + 1).max().unwrap_or(0).max(self.next_kid);
         p.items.retain(|k, it| !old_purge(p.era, k, it));
+        p.gather_purges();
         while p.receipts.len() > RECEIPTS {
             let oldest = p.receipts.values().map(|(e, ..)| *e).min().unwrap_or_default();
             p.receipts.retain(|_, (e, ..)| *e > oldest);
--- a/crates/keeper/src/apply.rs
+++ b/crates/keeper/src/apply.rs
@@ -61,7 +61,9 @@
             Cmd::Cut(members) => {
                 let clock = self.mach.as_ref().map_or(0, |m| m.clock());
                 let next = self.pic.cut(&members, clock);
+                let news = self.differs(&next);
                 self.enter(now, next, out);
+                self.number(&news, None);
             }
             Cmd::Changes(all) => {
                 let mut news: Vec<Key> = vec![];
--- a/crates/keeper/src/era.rs
+++ b/crates/keeper/src/era.rs
@@ -74,18 +74,19 @@
         open.into_values().for_each(|p| self.again(now, p, out));
     }
 
+    /// What a picture has otherwise than the state now.
+    pub(crate) fn differs(&self, p: &Picture) -> Vec<Key> {
+        let other = |(k, it): &(&Key, &Item)| self.pic.items.get(*k) != Some(it);
+        p.items.iter().filter(other).map(|(k, _)| k.clone()).collect()
+    }
+
     /// A picture of a later era replaces what this keeper has.
     pub(crate) fn adopt(&mut self, now: Mono, p: Picture, out: &mut Vec<Out>) {
         let mine = p.members.iter().any(|m| m.addr == self.env.addr && m.birth == self.birth);
         if p.era <= self.base.era || !(mine || self.mach.is_some()) {
             return;
         }
-        let news: Vec<Key> = p
-            .items
-            .iter()
-            .filter(|(k, it)| self.pic.items.get(k) != Some(it))
-            .map(|(k, _)| k.clone())
-            .collect();
+        let news = self.differs(&p);
         self.count("adopted");
         self.enter(now, p, out);
         self.number(&news, None);
--- a/crates/keeper/src/force.rs
+++ b/crates/keeper/src/force.rs
@@ -23,6 +23,7 @@
 const FORGET: Span = Span::secs(60);
 /// Purges in one command.
 const BATCH: usize = 100;
+const BYTES: usize = 32 << 10;
 
 impl Keeper {
     pub(crate) fn submit(&mut self, now: Mono, token: Option<Token>, change: Change, out: &mut Vec<Out>) {
@@ -44,7 +45,16 @@
         let purge = |p: &Pending| p.asked.iter().any(|(_, c)| matches!(c.op, Op::Purge(_)));
         let busy = self.pending.values().any(|p| p.verdicts.is_none() && purge(p));
         if !busy && !self.line.is_empty() {
-            let n = self.line.len().min(BATCH);
+            // As many as stay small together, but at least one.
+            let mut bytes = 0;
+            let fits = |(_, c): &&(Option<Token>, Change)| {
+                bytes += match &c.op {
+                    Op::Purge(s) => s.iter().map(|(_, p)| p.len() + 40).sum::<usize>(),
+                    _ => 0,
+                };
+                bytes <= BYTES
+            };
+            let n = self.line.iter().take(BATCH).take_while(fits).count().max(1);
             let all = self.line.drain(..n).collect();
             self.propose(now, all, out);
         }
--- a/crates/swarm/src/rules.rs
+++ b/crates/swarm/src/rules.rs
@@ -80,7 +80,8 @@
     }
 
     fn change(&mut self, now: Mono, c: &Change, ks: &[(Key, Version)]) {
-        for (k, v) in ks {
+        // Purges are checked by what is served, and gathered in time.
+        for (k, v) in ks.iter().filter(|(k, _)| !matches!(k, Key::Purge(..))) {
             let was = self.acked.entry(k.clone()).or_insert((*v, now));
             if *v > was.0 {
                 *was = (*v, now);
@@ -131,9 +132,7 @@
 
     /// A gate serves by its table: looked at whenever it may serve.
     pub fn in_force(&mut self, now: Mono, a: Addr, has: impl Fn(&Key) -> Version) {
-        let lacks = |(k, (v, at)): &(&Key, &(Version, Mono))| {
-            !matches!(k, Key::Purge(..)) && now - *at > Span::ms(0) && has(k) < *v
-        };
+        let lacks = |(k, (v, at)): &(&Key, &(Version, Mono))| now - *at > Span::ms(0) && has(k) < *v;
         let missing: Vec<String> =
             self.acked.iter().filter(lacks).map(|(k, v)| format!("{a} {k:?} {v:?}")).collect();
         missing.into_iter().for_each(|m| self.broke("acknowledged but not in force", m));
--- a/crates/swarm/tests/path.rs
+++ b/crates/swarm/tests/path.rs
@@ -174,3 +174,33 @@
     assert!(n < 100 && worst < 2000, "{n} commands, {worst} ms");
     clean(&mut w);
 }
+
+#[test]
+fn given_thousands_of_purged_scopes_then_they_are_gathered_and_still_in_force() {
+    let (mut w, f) = World::standing(Plan { cut_at: 30, ..Plan::trinacria() }, 12);
+    traffic(&mut w, &f, 14, 60);
+    for i in 0..120u64 {
+        let (pages, k) = (f.pages.clone(), f.keepers[i as usize % 4]);
+        w.later(Span::ms(i * 100), move |w| {
+            pages.iter().for_each(|p| w.blooms.get_mut(p).unwrap().edition += 1);
+            w.rules.editions.insert("pages".into(), (w.blooms[&pages[0]].edition, w.now));
+            let all = (0..60).map(|n| ("pages".into(), format!("o{}/{}", i % 12, i * 60 + n)));
+            let scopes: Vec<_> = all.chain([("pages".into(), format!("o{}", i % 12))]).collect();
+            w.ask(
+                k,
+                Want::Change(Change { id: Some(format!("f{i}").as_str().into()), op: Op::Purge(scopes) }),
+            );
+        });
+    }
+    w.run(Span::secs(18));
+    let purges = |k: wax::Addr| {
+        let p = w.keeper(k).unwrap().picture();
+        p.items.keys().filter(|k| matches!(k, Key::Purge(..))).count()
+    };
+    let most = f.keepers.iter().map(|k| purges(*k)).max().unwrap();
+    println!("{most} of 7212 purges remembered");
+    assert_eq!(done(&w), 123);
+    assert!(most < 4500, "{most} purges remembered");
+    whole(&mut w, &f);
+    clean(&mut w);
+}
