--- a/crates/apiary/src/fleet.rs
+++ b/crates/apiary/src/fleet.rs
@@ -5,7 +5,7 @@
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
 use skep::env::{role_name, Env, EnvProblem, Place};
-use snafu::{OptionExt, ResultExt, Snafu};
+use snafu::{ensure, OptionExt, ResultExt, Snafu};
 use std::collections::BTreeMap;
 use std::fs::File;
 use std::path::{Path, PathBuf};
@@ -156,11 +156,27 @@
             self.start_origin(o.at)?;
         }
         self.wait_ready(40)?;
+        self.all_alive()?;
         self.load_table()?;
         self.wait_origins(20)
     }
 
-    pub fn signal(&self, name: &str, s: Signal) -> Result<()> {
+    /// Every process that should run does, and is ours: one that could not even
+    /// listen must not be taken for one that was killed.
+    pub fn all_alive(&mut self) -> Result<()> {
+        let names = self.names();
+        names.iter().try_for_each(|n| self.alive(n))
+    }
+
+    fn alive(&mut self, name: &str) -> Result<()> {
+        let c = self.procs.get_mut(name).with_context(|| NoProcessSnafu { name })?;
+        let ended = c.try_wait().context(OsSnafu { what: name })?;
+        ensure!(ended.is_none(), NoFailureSnafu { why: format!("{name} had ended by itself; see its log") });
+        Ok(())
+    }
+
+    pub fn signal(&mut self, name: &str, s: Signal) -> Result<()> {
+        self.alive(name)?;
         let c = self.procs.get(name).with_context(|| NoProcessSnafu { name })?;
         kill(Pid::from_raw(c.id() as i32), s).context(SignalSnafu { name })
     }
@@ -200,7 +216,10 @@
     /// Ends every process: politely first, all at once.
     pub fn stop_all(&mut self) -> Result<()> {
         let names: Vec<String> = self.procs.keys().cloned().collect();
-        names.iter().try_for_each(|n| self.signal(n, Signal::SIGTERM))?;
+        // One that has ended already needs no telling.
+        names.iter().for_each(|n| {
+            let _ = self.signal(n, Signal::SIGTERM);
+        });
         names.iter().try_for_each(|n| self.reap(n, 25))
     }
 
--- a/crates/apiary/src/rehearse.rs
+++ b/crates/apiary/src/rehearse.rs
@@ -64,6 +64,7 @@
     let outcome = (play.act)(&mut f, &mut s);
     let harvest = callers.join().unwrap_or_default();
     outcome?;
+    f.all_alive()?;
     let mut counts = audit::collect(&f.mix);
     counts.extend(s.ledger.all());
     print!("{}", audit::report(&f.mix, &counts, &harvest, rate));
