--- a/crates/brood/src/cmd.rs
+++ b/crates/brood/src/cmd.rs
@@ -1,5 +1,6 @@
 //! What keepers agree on, and which of it clashes.
 use crate::items::*;
+use crate::roll::Seat;
 use serde::{Deserialize, Serialize};
 use waggle::Command;
 use wax::{Addr, Birth, NodeId, Version};
@@ -20,6 +21,17 @@
     DrainNode(NodeId),
     RemoveNode(NodeId),
     Purge(Vec<(Svc, String)>),
+    /// Names the ledger's combs anew, beside the set there is; the same again
+    /// only makes the version new, to count its time in force from.
+    Seats {
+        expect: Version,
+        next: Vec<Seat>,
+    },
+    /// The older set has lost its force. Early: at once, if no row ever existed.
+    Settle {
+        expect: Version,
+        early: bool,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -48,14 +60,14 @@
             Op::Row { lane, svc, .. } => vec![Key::Row(lane.clone(), svc.clone())],
             Op::Register(a, _) | Op::Drain(a, _) | Op::Remove(a, _) => vec![Key::Origin(*a)],
             Op::Join(n, _) | Op::DrainNode(n) | Op::RemoveNode(n) => vec![Key::Node(*n)],
+            Op::Seats { .. } | Op::Settle { .. } => vec![Key::Roll],
             Op::Purge(s) => s.iter().map(|(v, p)| Key::Purge(v.clone(), p.clone())).collect(),
         }
     }
 
-    /// A comb's disk asks whether any row ever existed, so its place among all
-    /// row changes matters.
+    /// Asks whether any row ever existed, so its place among all row changes matters.
     fn asks_rows(&self) -> bool {
-        matches!(self, Op::Join(_, n) if n.role == Role::Comb)
+        matches!(self, Op::Settle { early: true, .. })
     }
     fn is_row(&self) -> bool {
         matches!(self, Op::Row { .. })
--- a/crates/brood/src/follow.rs
+++ b/crates/brood/src/follow.rs
@@ -97,7 +97,6 @@
             http: e.http,
             zone: e.zone.clone(),
             birth: e.birth,
-            clean: false,
             standing: Standing::Serving,
         };
         let sub = Sub { id: e.id, node, feed, got, ask: now, life: e.life, wants: wants.to_vec(), epoch };
--- a/crates/brood/src/items.rs
+++ b/crates/brood/src/items.rs
@@ -52,6 +52,8 @@
     Origin(Addr),
     Node(NodeId),
     Purge(Svc, String),
+    /// Which combs keep the ledger of keys.
+    Roll,
 }
 
 /// What requests of a lane are. Where rows of one lane differ, the strictest
@@ -112,9 +114,6 @@
     pub zone: Zone,
     /// A gate's life, or the life of a comb's disk.
     pub birth: Birth,
-    /// A comb only. Invariant: true only if no row had ever existed when this
-    /// disk was registered, so that no key can have been granted before.
-    pub clean: bool,
     pub standing: Standing,
 }
 
@@ -124,6 +123,7 @@
     Origin(Origin),
     Node(Node),
     Purge,
+    Roll(crate::roll::Roll),
 }
 
 /// Invariant: `ver` grows by one with each change of the item, also across its
--- a/crates/brood/src/msg.rs
+++ b/crates/brood/src/msg.rs
@@ -4,7 +4,7 @@
 use crate::state::{Era, Picture};
 use serde::{Deserialize, Serialize};
 use waggle::{Cid, Kid, Wag};
-use wax::{Addr, Birth, Epoch, Mono, NodeId, Span};
+use wax::{Birth, Epoch, Mono, NodeId, Span};
 
 /// One try at a keyed request: who tries, in which life, and its count.
 #[derive(Copy, Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -178,18 +178,3 @@
         Msg::Wag(era, kid, Box::new(w))
     }
 }
-
-/// Where a keyed request's combs are: ranked by hash, zones first spread out.
-pub fn name_combs(key: &str, all: &[(NodeId, Addr, Zone)]) -> Vec<Addr> {
-    let ranked = wax::rank(&key, all, |c| c.0 .0 as u64);
-    let mut picked: Vec<&(NodeId, Addr, Zone)> = vec![];
-    for c in &ranked {
-        if picked.len() < 3 && picked.iter().all(|p| p.2 != c.2) {
-            picked.push(c);
-        }
-    }
-    let rest = ranked.iter().filter(|c| !picked.iter().any(|p| p.0 == c.0));
-    let fill: Vec<_> = rest.take(3 - picked.len().min(3)).collect();
-    picked.extend(fill);
-    picked.into_iter().map(|c| c.1).collect()
-}
--- /dev/null
+++ b/crates/brood/src/roll.rs
@@ -0,0 +1,69 @@
+//! The roll: which combs a key is claimed from, and how that set changes.
+use crate::items::*;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use wax::{Addr, Birth, NodeId};
+
+/// One comb's place in the ledger: where it sits, and the life of the disk that
+/// it came with. Invariant: a disk of another life at the same place has lost
+/// grants, and must wait for their window before it grants.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Seat {
+    pub id: NodeId,
+    pub addr: Addr,
+    pub zone: Zone,
+    pub birth: Birth,
+}
+
+/// Invariant: one set, or two while the set changes; a round needs two of a key's
+/// three combs in every set. The older one goes only a window after the newer was
+/// in force at every gate, so any two rounds of a key that could run within the
+/// window of one another meet in some comb's memory.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Roll {
+    pub sets: Vec<Vec<Seat>>,
+}
+
+impl Roll {
+    pub fn of(items: &BTreeMap<Key, Item>) -> Roll {
+        match items.get(&Key::Roll).and_then(|it| it.body.as_ref()) {
+            Some(Body::Roll(r)) => r.clone(),
+            _ => Roll::default(),
+        }
+    }
+
+    /// A key's combs, for each set.
+    pub fn named(&self, key: &str) -> Vec<Vec<Addr>> {
+        self.sets.iter().map(|s| name_combs(key, s)).collect()
+    }
+
+    pub fn seats(&self) -> impl Iterator<Item = &Seat> {
+        self.sets.iter().flatten()
+    }
+
+    /// The set as it should be with these combs: a place once taken keeps the life
+    /// that it was taken with.
+    pub fn wanted(&self, combs: impl Iterator<Item = Seat>) -> Vec<Seat> {
+        let was = self.sets.last().cloned().unwrap_or_default();
+        let same = |a: &Seat, b: &Seat| (a.id, a.addr, &a.zone) == (b.id, b.addr, &b.zone);
+        let mut v: Vec<Seat> =
+            combs.map(|c| was.iter().find(|w| same(w, &c)).cloned().unwrap_or(c)).collect();
+        v.sort();
+        v
+    }
+}
+
+/// Ranked by hash, zones first spread out.
+fn name_combs(key: &str, all: &[Seat]) -> Vec<Addr> {
+    let ranked = wax::rank(&key, all, |c| c.id.0 as u64);
+    let mut picked: Vec<&Seat> = vec![];
+    for c in &ranked {
+        if picked.len() < 3 && picked.iter().all(|p| p.zone != c.zone) {
+            picked.push(c);
+        }
+    }
+    let rest = ranked.iter().filter(|c| !picked.iter().any(|p| p.id == c.id));
+    let fill: Vec<_> = rest.take(3 - picked.len().min(3)).collect();
+    picked.extend(fill);
+    picked.into_iter().map(|c| c.addr).collect()
+}
--- a/crates/brood/src/show.rs
+++ b/crates/brood/src/show.rs
@@ -1,5 +1,6 @@
 //! The control state as JSON, for operators.
 use crate::items::*;
+use crate::roll::Seat;
 use crate::state::*;
 use std::collections::HashMap;
 use tinyjson::JsonValue;
@@ -40,6 +41,7 @@
         Key::Row(l, s) => f.extend([("lane", text(l)), ("service", text(s))]),
         Key::Origin(a) => f.push(("address", text(a))),
         Key::Node(n) => f.push(("node", num(n.0 as u64))),
+        Key::Roll => f.push(("roll", text("ledger"))),
         Key::Purge(s, p) => f.extend([("service", text(s)), ("prefix", text(p))]),
     }
     match &it.body {
@@ -66,11 +68,16 @@
             ("birth", text(n.birth)),
             ("standing", standing(n.standing)),
         ]),
+        Some(Body::Roll(r)) => f.push(("sets", list(r.sets.iter().map(|s| show_seats(s)).collect()))),
         Some(Body::Purge) => (),
     }
     obj(f)
 }
 
+fn show_seats(s: &[Seat]) -> JsonValue {
+    list(s.iter().map(|s| obj(vec![("node", num(s.id.0 as u64)), ("cohort", text(s.addr))])).collect())
+}
+
 /// The live items of one sort, or with `all` the tombstones too.
 pub fn show_items(p: &Picture, all: bool, want: fn(&Key) -> bool) -> JsonValue {
     let live = p.items.iter().filter(|(k, it)| want(k) && (all || it.body.is_some()));
--- a/crates/brood/src/state.rs
+++ b/crates/brood/src/state.rs
@@ -1,6 +1,7 @@
 //! Applying decided commands.
 use crate::cmd::*;
 use crate::items::*;
+use crate::roll::{Roll, Seat};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use wax::Version;
@@ -124,6 +125,8 @@
                     Verdict::Void(Void::Absent)
                 }
             }
+            Op::Seats { expect, next } => self.name_seats(*expect, next),
+            Op::Settle { expect, early } => self.settle(*expect, *early),
             Op::Purge(scopes) => Verdict::Done(
                 scopes
                     .iter()
@@ -139,15 +142,45 @@
     }
 
     fn join(&mut self, id: wax::NodeId, n: &Node) -> Verdict {
-        let rows = self.items.keys().any(|k| matches!(k, Key::Row(..)));
-        let was = self.node(&id);
-        if was.is_some_and(|w| Node { clean: n.clean, ..w.clone() } == *n) {
+        if self.node(&id) == Some(n) {
             return Verdict::Void(Void::NothingNew);
         }
-        // A comb on its old disk stays what it was.
-        let kept = was.filter(|w| w.birth == n.birth && w.role == n.role).map(|w| w.clean);
-        let clean = kept.unwrap_or(n.role == Role::Comb && !rows);
-        self.put(Key::Node(id), Some(Body::Node(Node { clean, ..n.clone() })))
+        self.put(Key::Node(id), Some(Body::Node(n.clone())))
+    }
+
+    /// Whether a row ever existed, so that keys can have been granted.
+    pub fn rows(&self) -> bool {
+        self.items.keys().any(|k| matches!(k, Key::Row(..)))
+    }
+
+    fn name_seats(&mut self, expect: Version, next: &[Seat]) -> Verdict {
+        let was = self.item(&Key::Roll);
+        if was.ver != expect {
+            return Verdict::Stale(Key::Roll, was);
+        }
+        let mut sets = Roll::of(&self.items).sets;
+        let again = sets.len() == 2 && sets[1] == next;
+        let first = sets.is_empty() || (sets.len() == 1 && sets[0] != next);
+        if !again && !first {
+            return Verdict::Void(Void::NothingNew);
+        }
+        if first {
+            sets.push(next.to_vec());
+        }
+        self.put(Key::Roll, Some(Body::Roll(Roll { sets })))
+    }
+
+    fn settle(&mut self, expect: Version, early: bool) -> Verdict {
+        let was = self.item(&Key::Roll);
+        if was.ver != expect {
+            return Verdict::Stale(Key::Roll, was);
+        }
+        let mut sets = Roll::of(&self.items).sets;
+        if sets.len() < 2 || (early && self.rows()) {
+            return Verdict::Void(Void::NothingNew);
+        }
+        sets.remove(0);
+        self.put(Key::Roll, Some(Body::Roll(Roll { sets })))
     }
 
     pub fn origin(&self, a: &wax::Addr) -> Option<&Origin> {
--- a/crates/comb/src/comb.rs
+++ b/crates/comb/src/comb.rs
@@ -92,10 +92,12 @@
         self.ledger.apply(k, now);
     }
 
-    /// May grant: at once on a disk that cannot have missed anything, else only
-    /// after every grant it may have missed has lost its force.
+    /// May grant: at once on the disk that its seat in the roll was taken with, else
+    /// only after every grant that an earlier disk made has lost its force.
     fn maybe_open(&mut self, now: Mono, out: &mut Vec<Out>) {
-        let clean = self.follow.myself().is_some_and(|n| n.clean);
+        let (me, life) = (self.follow.env.clone(), self.follow.env.birth);
+        let clean =
+            Roll::of(&self.follow.items).seats().any(|s| (s.id, s.addr, s.birth) == (me.id, me.addr, life));
         let waited = self.follow.myself().is_some() && now - self.boot >= self.env.window.padded();
         if !self.open && (clean || waited) {
             self.open = true;
--- a/crates/comb/src/mend.rs
+++ b/crates/comb/src/mend.rs
@@ -2,6 +2,7 @@
 use crate::comb::Comb;
 use crate::ledger::*;
 use brood::*;
+use std::collections::BTreeSet;
 use wax::{Addr, Mono, Span};
 
 /// Ranges by the top bits of a key's hash.
@@ -13,25 +14,20 @@
 }
 
 impl Comb {
-    fn others(&self) -> Vec<(wax::NodeId, Addr, Zone)> {
-        let comb = |(k, it): (&Key, &Item)| match (k, &it.body) {
-            (Key::Node(id), Some(Body::Node(n))) if n.role == Role::Comb => {
-                Some((*id, n.addr, n.zone.clone()))
-            }
-            _ => None,
-        };
-        self.follow.items.iter().filter_map(comb).collect()
+    fn others(&self) -> BTreeSet<Addr> {
+        let me = self.follow.env.addr;
+        Roll::of(&self.follow.items).seats().map(|s| s.addr).filter(|a| *a != me).collect()
     }
 
     /// Only keys that both combs are named for count between the two, and only
     /// grants that are no longer in the making.
     fn shared(&self, now: Mono, other: Addr) -> impl Iterator<Item = (&String, &Grant)> {
-        let all = self.others();
+        let roll = Roll::of(&self.follow.items);
         let me = self.follow.env.addr;
         let settled = move |g: &Grant| g.whole.is_some() || now - g.at > Span::secs(8);
         self.ledger.keys.iter().filter(move |(_, g)| settled(g)).filter(move |(k, _)| {
-            let named = name_combs(k, &all);
-            named.contains(&me) && named.contains(&other)
+            let named = roll.named(k);
+            named.iter().any(|n| n.contains(&me)) && named.iter().any(|n| n.contains(&other))
         })
     }
 
@@ -48,8 +44,7 @@
             return;
         }
         self.mended = now;
-        let others: Vec<Addr> = self.others().into_iter().map(|c| c.1).collect();
-        for a in others.into_iter().filter(|a| *a != self.follow.env.addr) {
+        for a in self.others() {
             out.push(Out::Send(a, Msg::Digests(self.digests(now, a))));
         }
     }
--- a/crates/gate/src/jobs.rs
+++ b/crates/gate/src/jobs.rs
@@ -1,7 +1,7 @@
 //! Requests in hand, from the first look to the last word.
 use crate::gate::Gate;
 use brood::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use wax::{Addr, Birth, Mono, Span, Token};
 
@@ -25,6 +25,27 @@
     Out(Round, Mono),
 }
 
+/// A key claimed for one round.
+#[derive(Clone, Debug)]
+pub(crate) struct Claim {
+    pub round: RoundId,
+    pub key: String,
+    pub print: u64,
+    /// The key's combs, for each set of the roll as it was when it was claimed.
+    pub named: Vec<Vec<Addr>>,
+}
+
+impl Claim {
+    pub fn combs(&self) -> BTreeSet<Addr> {
+        self.named.iter().flatten().copied().collect()
+    }
+    /// Two of three granted it, in every set.
+    pub fn won(&self, votes: &BTreeMap<Addr, Claimed>) -> bool {
+        let yes = |a: &&Addr| votes.get(a) == Some(&Claimed::Granted);
+        !self.named.is_empty() && self.named.iter().all(|n| n.iter().filter(yes).count() >= 2)
+    }
+}
+
 #[derive(Debug)]
 pub(crate) struct Job {
     pub req: Req,
@@ -45,8 +66,8 @@
     pub spoiled: bool,
     /// The object's comb was asked.
     pub stocked: bool,
-    /// Keyed only: the round under which combs granted, and which combs.
-    pub claim: Option<(RoundId, String, u64, Vec<Addr>)>,
+    /// Keyed only: what was claimed of which combs.
+    pub claim: Option<Claim>,
     /// Keyed only. Invariant: nothing leaves after this, however long we froze.
     pub must_leave: Mono,
 }
--- a/crates/gate/src/keyed.rs
+++ b/crates/gate/src/keyed.rs
@@ -28,11 +28,11 @@
         let print = wax::hash(&(&j.req.method, &j.req.path, &*j.req.body));
         let n = self.number();
         let round = RoundId { node: self.follow.env.id, birth: self.follow.env.birth, n };
-        let combs = name_combs(&key, &self.table.combs);
-        for a in &combs {
-            out.push(Out::Send(*a, Msg::Claim { key: key.clone(), print, round }));
-        }
-        j.claim = Some((round, key, print, combs));
+        let named = self.table.roll.named(&key);
+        let c = Claim { round, key, print, named };
+        let ask = |a| Out::Send(a, Msg::Claim { key: c.key.clone(), print, round });
+        out.extend(c.combs().into_iter().map(ask));
+        j.claim = Some(c);
         j.must_leave = now + LEAVE;
         j.stage = Stage::Claim(BTreeMap::new());
         j.staged = now;
@@ -61,22 +61,21 @@
 
     pub(crate) fn count_votes(&mut self, now: Mono, id: u64, late: bool, out: &mut Vec<Out>) {
         let Some(j) = self.jobs.get(&id) else { return };
-        let (Stage::Claim(votes), Some((.., combs))) = (&j.stage, &j.claim) else { return };
-        let granted = votes.values().filter(|v| **v == Claimed::Granted).count();
+        let (Stage::Claim(votes), Some(claim)) = (&j.stage, &j.claim) else { return };
         let known = votes.values().find_map(|v| match v {
             Claimed::Held(Some(w)) => Some(w.clone()),
             _ => None,
         });
         let reused = votes.values().any(|v| *v == Claimed::OtherBody);
         let held = votes.values().any(|v| matches!(v, Claimed::Held(None)));
-        let all = votes.len() >= combs.len();
+        let all = votes.len() >= claim.combs().len();
         if reused {
             self.deny(now, id, Denied::KeyReused, out);
         } else if let Some(w) = known {
             self.release_job(id, out);
             let s = self.record(&std::sync::Arc::new(w), Shared::Record, Mono(u64::MAX));
             self.finish(now, id, s, out);
-        } else if granted >= 2 {
+        } else if claim.won(votes) {
             self.line_up(now, id, out);
         } else if held && (all || late) {
             // Another round has the key and its outcome is not known (yet).
@@ -96,17 +95,18 @@
 
     /// The round will never be sent: its key is free again.
     pub(crate) fn release(&mut self, j: &Job, out: &mut Vec<Out>) {
-        if let Some((round, key, _, combs)) = j.claim.as_ref().filter(|_| j.tries == 0) {
-            let free = |a: &Addr| Out::Send(*a, Msg::Release { key: key.clone(), round: *round });
-            out.extend(combs.iter().map(free));
+        if let Some(c) = j.claim.as_ref().filter(|_| j.tries == 0) {
+            let free = |a| Out::Send(a, Msg::Release { key: c.key.clone(), round: c.round });
+            out.extend(c.combs().into_iter().map(free));
         }
     }
 
     /// It ran: the outcome goes to the key's combs and to the caller.
     pub(crate) fn ran(&mut self, now: Mono, id: u64, w: Whole, s: Step, out: &mut Vec<Out>) {
         let claim = self.jobs.get(&id).and_then(|j| j.claim.clone());
-        if let Some((round, key, print, combs)) = claim {
-            let to = combs.into_iter().collect();
+        if let Some(c) = claim {
+            let to = c.combs();
+            let Claim { round, key, print, .. } = c;
             self.outgoing.push(Outgoing { key, print, round, whole: w, to, began: now, sent: Mono(0) });
             self.push_outcomes(now, out);
         }
--- a/crates/gate/src/table.rs
+++ b/crates/gate/src/table.rs
@@ -11,12 +11,13 @@
     pub origins: BTreeMap<Svc, Vec<(Addr, Origin)>>,
     pub gates: Vec<(NodeId, Addr)>,
     pub combs: Vec<(NodeId, Addr, Zone)>,
+    pub roll: Roll,
     pub shares: BTreeMap<Svc, Share>,
 }
 
 impl Table {
     pub fn build(items: &BTreeMap<Key, Item>) -> Table {
-        let mut t = Table::default();
+        let mut t = Table { roll: Roll::of(items), ..Table::default() };
         for (k, it) in items {
             match (k, &it.body) {
                 (Key::Row(l, s), Some(Body::Row(r))) => {
--- a/crates/hive/src/desk.rs
+++ b/crates/hive/src/desk.rs
@@ -54,7 +54,8 @@
         ],
         _ => {
             let nodes = show_items(&p, false, |k| matches!(k, Key::Node(_)));
-            vec![("keepers", show_members(&p)), ("nodes", nodes), era]
+            let ledger = show_items(&p, false, |k| matches!(k, Key::Roll));
+            vec![("keepers", show_members(&p)), ("nodes", nodes), ("ledger", ledger), era]
         }
     };
     Reply::json(200, obj(v))
--- a/crates/hive/src/roles.rs
+++ b/crates/hive/src/roles.rs
@@ -139,6 +139,7 @@
         found: true,
         lease: l.lease,
         cut_at: l.cut_at,
+        window: l.window,
         vanish: l.vanish,
         base_after: l.ring_mb << 18,
         pace: waggle::Pace::default(),
--- a/crates/keeper/src/apply.rs
+++ b/crates/keeper/src/apply.rs
@@ -78,7 +78,7 @@
                 self.hide(now, cid, &news, out);
                 self.owe(now, cid);
                 self.pending.entry(cid).and_modify(|p| p.verdicts = Some(verdicts));
-                self.conclude(cid, out);
+                self.conclude(now, cid, out);
                 self.send_line(now, out);
             }
         }
--- a/crates/keeper/src/duty.rs
+++ b/crates/keeper/src/duty.rs
@@ -95,6 +95,9 @@
         {
             self.sweep(now, out);
         }
+        if self.duty.held(now) && self.due("roll", Span::ms(300), now) {
+            self.mind_roll(now, out);
+        }
     }
 
     pub(crate) fn on_duty_ask(
--- a/crates/keeper/src/force.rs
+++ b/crates/keeper/src/force.rs
@@ -132,27 +132,30 @@
         }
     }
 
-    pub(crate) fn on_in_force(&mut self, era: Era, cid: Cid, kid: Kid, out: &mut Vec<Out>) {
+    pub(crate) fn on_in_force(&mut self, now: Mono, era: Era, cid: Cid, kid: Kid, out: &mut Vec<Out>) {
         if era == self.base.era {
             self.pending.entry(cid).and_modify(|p| {
                 p.yes.insert(kid);
             });
-            self.conclude(cid, out);
+            self.conclude(now, cid, out);
         }
     }
 
     /// Answers the operator when there is nothing left to wait for.
-    pub(crate) fn conclude(&mut self, cid: Cid, out: &mut Vec<Out>) {
+    pub(crate) fn conclude(&mut self, now: Mono, cid: Cid, out: &mut Vec<Out>) {
         let need = classic(self.base.members.len());
         let Some(p) = self.pending.get(&cid) else { return };
         let Some(vs) = &p.verdicts else { return };
-        let waits =
-            |((t, _), v): (&(Option<Token>, Change), &Verdict)| t.is_some() && matches!(v, Verdict::Done(_));
+        let asked = |t: &Option<Token>, c: &Change| t.is_some() || matches!(c.op, Op::Seats { .. });
+        let waits = |((t, c), v): (&(Option<Token>, Change), &Verdict)| {
+            asked(t, c) && matches!(v, Verdict::Done(_))
+        };
         let open = p.asked.iter().zip(vs).any(waits);
         if !open || p.yes.len() >= need {
             let p = self.pending.remove(&cid).expect("found above");
-            let each = p.asked.into_iter().zip(p.verdicts.unwrap_or_default());
-            out.extend(each.filter_map(|((t, _), v)| t.map(|t| Out::Tell(t, Receipt::Change(v)))));
+            let each: Vec<_> = p.asked.into_iter().zip(p.verdicts.unwrap_or_default()).collect();
+            each.iter().for_each(|((_, c), v)| self.roll.forced(now, c, v));
+            out.extend(each.into_iter().filter_map(|((t, _), v)| t.map(|t| Out::Tell(t, Receipt::Change(v)))));
         }
     }
 }
--- a/crates/keeper/src/keeper.rs
+++ b/crates/keeper/src/keeper.rs
@@ -2,6 +2,7 @@
 use crate::feeds::Feed;
 use crate::force::Pending;
 use crate::recs::Kept;
+use crate::roll::RollWatch;
 use crate::show::Hidden;
 use brood::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -21,6 +22,8 @@
     pub lease: Span,
     /// An era is cut once it holds this many commands.
     pub cut_at: usize,
+    /// How long a key stays with its round.
+    pub window: Span,
     /// An origin silent for this long is removed.
     pub vanish: Span,
     /// Bytes of records after which all is written anew in short.
@@ -55,6 +58,7 @@
     pub(crate) heard: BTreeSet<Kid>,
     pub(crate) looks: BTreeMap<Cid, Token>,
     pub(crate) duty: Duty,
+    pub(crate) roll: RollWatch,
     pub(crate) said: BTreeMap<Addr, Mono>,
     /// Heard enough of the others when last looked at.
     near: bool,
@@ -85,6 +89,7 @@
             heard: BTreeSet::new(),
             looks: BTreeMap::new(),
             duty: Duty::new(now),
+            roll: RollWatch::default(),
             said: BTreeMap::new(),
             near: false,
             cutting: None,
@@ -222,7 +227,7 @@
                 Msg::WantPicture(era, birth) => self.on_want(from, era, birth, out),
                 Msg::Beats(bs) => bs.into_iter().for_each(|(b, age)| self.on_beat(now, b, age, out)),
                 Msg::AskForce(era, cid) => self.on_ask_force(from, era, cid, out),
-                Msg::InForce(era, cid, kid) => self.on_in_force(era, cid, kid, out),
+                Msg::InForce(era, cid, kid) => self.on_in_force(now, era, cid, kid, out),
                 Msg::Applied(era, cid, kid) => self.on_applied(now, era, cid, kid, out),
                 Msg::AskApplied(era, cid) => self.on_ask_applied(from, era, cid, out),
                 Msg::DutyAsk(kid, e, t) => self.on_duty_ask(now, from, kid, e, t, out),
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -8,6 +8,7 @@
 mod found;
 mod keeper;
 mod recs;
+mod roll;
 mod show;
 
 pub use keeper::{Keeper, KeeperEnv};
--- a/crates/swarm/src/stage.rs
+++ b/crates/swarm/src/stage.rs
@@ -47,6 +47,7 @@
             found,
             lease: self.plan.lease,
             cut_at: self.plan.cut_at,
+            window: self.plan.window,
             vanish: Span::secs(3),
             base_after: 20_000,
             pace: waggle::Pace { first_rtt: Span::ms(60), ..waggle::Pace::default() },
--- /dev/null
+++ b/crates/swarm/tests/combs.rs
@@ -0,0 +1,134 @@
+//! Stories of a changing set of combs: no key is ever freed by it.
+mod common;
+use brood::*;
+use common::*;
+use swarm::*;
+use wax::{Addr, NodeId, Span};
+
+/// The same keys again and again through any gate, while half the answers are lost.
+fn keyed_load(w: &mut World, f: &Fleet, secs: u64) {
+    f.desks.iter().for_each(|a| w.blooms.get_mut(a).unwrap().lose = 0.5);
+    for i in 0..secs * 40 {
+        let g = f.gates[w.rng.usize(0..f.gates.len())];
+        let k = format!("k{}-{}", i / 800, w.rng.u64(0..60));
+        w.later(Span::ms(i * 25), move |w| {
+            w.post(g, "pay", "sum", Some(&k));
+        });
+    }
+}
+
+fn remove(w: &mut World, f: &Fleet, id: u16) {
+    let op = Op::RemoveNode(NodeId(id));
+    let c = Change { id: Some(format!("rm{id}-{}", w.now.0).as_str().into()), op };
+    w.ask(f.keepers[1], Want::Change(c));
+}
+
+fn newcomer(w: &mut World, f: &Fleet, id: u16, machine: u8, zone: usize) -> Addr {
+    let zone = w.plan.zones[zone];
+    let a = addr(machine, 3);
+    w.add_comb(id, a, zone, &f.keepers[1..]);
+    w.start(a);
+    a
+}
+
+fn served_keyed(w: &World) -> usize {
+    let keyed = |s: &Seen| matches!(&s.want, Want::Request(q) if q.key.is_some());
+    w.steps().filter(|(s, x)| keyed(s) && matches!(x, Step::Serve(..))).count()
+}
+
+#[test]
+fn given_combs_that_join_under_keyed_load_then_no_key_runs_twice() {
+    for seed in 300..304 {
+        let (mut w, f) = World::standing(Plan::trinacria(), seed);
+        keyed_load(&mut w, &f, 20);
+        for i in 0..3u16 {
+            w.run(Span::secs(3));
+            newcomer(&mut w, &f, 210 + i, 20 + i as u8, [0, 1, 3][i as usize]);
+        }
+        w.run(Span::secs(20));
+        assert!(served_keyed(&w) > 100);
+        clean(&mut w);
+    }
+}
+
+#[test]
+fn given_combs_that_are_removed_under_keyed_load_then_no_key_runs_twice() {
+    for seed in 310..314 {
+        let (mut w, f) = World::standing(Plan::bersatu(), seed);
+        keyed_load(&mut w, &f, 20);
+        for i in 0..2u16 {
+            w.run(Span::secs(4));
+            w.kill(f.combs[i as usize]);
+            remove(&mut w, &f, 200 + i);
+        }
+        w.run(Span::secs(20));
+        assert!(served_keyed(&w) > 100);
+        clean(&mut w);
+    }
+}
+
+#[test]
+fn given_a_comb_replaced_by_another_under_keyed_load_then_no_key_runs_twice() {
+    for seed in 320..324 {
+        let (mut w, f) = World::standing(Plan::trinacria(), seed);
+        keyed_load(&mut w, &f, 20);
+        w.run(Span::secs(4));
+        w.kill(f.combs[2]);
+        remove(&mut w, &f, 202);
+        newcomer(&mut w, &f, 220, 22, 2);
+        w.run(Span::secs(20));
+        assert!(served_keyed(&w) > 100);
+        clean(&mut w);
+    }
+}
+
+/// It ran alone for longer than the window before the keepers ever heard of it.
+#[test]
+fn given_combs_whose_joining_is_delayed_past_the_window_then_no_key_runs_twice() {
+    for seed in 330..333 {
+        let (mut w, f) = World::standing(Plan::bersatu(), seed);
+        let late: Vec<Addr> = (0..3u16)
+            .map(|i| newcomer(&mut w, &f, 230 + i, 30 + i as u8, i as usize))
+            .collect();
+        w.isolate(&late);
+        w.run(Span::secs(110));
+        keyed_load(&mut w, &f, 20);
+        w.run(Span::secs(5));
+        w.heal();
+        w.run(Span::secs(20));
+        assert!(served_keyed(&w) > 100);
+        clean(&mut w);
+    }
+}
+
+/// Each change is over before the next one, and in the end all that joined grant.
+#[test]
+fn given_changes_in_a_row_then_each_waits_for_the_last_and_in_the_end_the_newcomers_grant_alone() {
+    let plan = Plan { window: Span::secs(75), ..Plan::trinacria() };
+    let (mut w, f) = World::standing(plan, 340);
+    keyed_load(&mut w, &f, 300);
+    let new: Vec<Addr> = (0..3u16)
+        .map(|i| newcomer(&mut w, &f, 240 + i, 40 + i as u8, i as usize))
+        .collect();
+    w.run(Span::secs(5));
+    for (i, c) in f.combs.iter().enumerate() {
+        w.kill(*c);
+        if i > 2 {
+            w.start(*c);
+        }
+    }
+    (0..3).for_each(|i| remove(&mut w, &f, 200 + i));
+    w.run(Span::secs(200));
+    (3..6).for_each(|i| w.kill(f.combs[i]));
+    (3..6).for_each(|i| remove(&mut w, &f, 200 + i as u16));
+    w.run(Span::secs(130));
+    let since = w.now;
+    f.desks.iter().for_each(|a| w.blooms.get_mut(a).unwrap().lose = 0.0);
+    (0..50).for_each(|i| {
+        w.post(f.gates[i % 5], "pay", "sum", Some(&format!("last{i}")));
+    });
+    w.run(Span::secs(3));
+    let (ok, n) = lately(&w, since);
+    assert_eq!((ok, n), (50, 50), "keys are not granted by {} newcomers", new.len());
+    clean(&mut w);
+}
