--- a/crates/brood/src/lib.rs
+++ b/crates/brood/src/lib.rs
@@ -2,6 +2,7 @@
 //! between lanewing's processes.
 mod cmd;
 mod follow;
+mod heads;
 mod items;
 mod msg;
 mod pair;
@@ -12,9 +13,11 @@
 mod shelf;
 mod show;
 mod state;
+mod whole;
 
 pub use cmd::*;
 pub use follow::*;
+pub use heads::*;
 pub use items::*;
 pub use msg::*;
 pub use pair::*;
@@ -25,3 +28,4 @@
 pub use shelf::*;
 pub use show::*;
 pub use state::*;
+pub use whole::*;
--- a/crates/brood/src/msg.rs
+++ b/crates/brood/src/msg.rs
@@ -1,7 +1,9 @@
 //! Every message between lanewing's own processes.
 use crate::cmd::Cmd;
+use crate::heads::{Heads, Print};
 use crate::items::*;
 use crate::state::{Era, Picture};
+use crate::whole::Whole;
 use serde::{Deserialize, Serialize};
 use waggle::{Cid, Kid, Wag};
 use wax::{Birth, Epoch, Mono, NodeId, Span};
@@ -14,14 +16,6 @@
     pub n: u64,
 }
 
-/// A whole answer as it came from an origin.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Whole {
-    pub status: u16,
-    pub mime: String,
-    pub body: Vec<u8>,
-}
-
 /// What a comb says to a claim.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Claimed {
@@ -109,12 +103,14 @@
         svc: Svc,
         lane: Lane,
         path: String,
+        /// As the first caller sent them, less what is its own.
+        heads: Heads,
     },
     /// The home gate is at it.
     CopyWait(u64),
     CopyGot {
         ask: u64,
-        copy: Option<(Whole, Span)>,
+        said: CopySaid,
     },
     // gates and combs
     StockOffer(u64),
@@ -125,7 +121,7 @@
     StockPut(Mono, Box<StockPut>),
     Claim {
         key: String,
-        print: u64,
+        print: Print,
         round: RoundId,
     },
     Claimed {
@@ -140,7 +136,7 @@
     },
     Outcome {
         key: String,
-        print: u64,
+        print: Print,
         round: RoundId,
         whole: Whole,
     },
@@ -153,13 +149,32 @@
     Ranges(Vec<(u16, Vec<Held>)>),
 }
 
+/// A copy as one process hands it to another: its rest of life and its age.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Shown {
+    pub whole: Whole,
+    pub left: Span,
+    pub aged: Span,
+    /// The origin said that it is for everybody, credentials or not.
+    pub public: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum CopySaid {
+    Got(Box<Shown>),
+    /// There is none to be had here.
+    None,
+    /// lanewing's own last word on it.
+    Own(Box<Whole>),
+    /// The answer is not to be shared: each caller must be answered by the origin.
+    Personal,
+}
+
 /// A copy on its way to a comb.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StockPut {
     pub object: (Svc, Lane, String),
-    pub whole: Whole,
-    /// What was left of its life when it was sent.
-    pub left: Span,
+    pub shown: Shown,
     pub mark: u64,
 }
 
@@ -167,7 +182,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Held {
     pub key: String,
-    pub print: u64,
+    pub print: Print,
     pub round: RoundId,
     pub whole: Option<Whole>,
     pub age: Span,
--- a/crates/brood/src/part.rs
+++ b/crates/brood/src/part.rs
@@ -1,9 +1,11 @@
 //! What a role is to its shell: a pure part that is stepped and answers with
 //! outputs. Simulator and stakker run the same parts.
 use crate::cmd::Change;
+use crate::heads::Heads;
 use crate::items::*;
 use crate::msg::*;
 use crate::state::{Picture, Verdict};
+use crate::whole::Whole;
 use std::sync::Arc;
 use wax::{Addr, Birth, Mono, Span, Token};
 
@@ -14,7 +16,8 @@
     pub lane: Lane,
     pub path: String,
     pub key: Option<String>,
-    pub mime: String,
+    /// End-to-end fields, with those that forwarding adds.
+    pub heads: Heads,
     pub body: Arc<Vec<u8>>,
 }
 
@@ -42,6 +45,8 @@
     NotSent,
     /// Bytes left and no whole answer came back.
     Lost,
+    /// The answer is longer than any that is served here.
+    TooLarge,
 }
 
 /// Why a request is denied; nothing of it ever went out.
@@ -74,9 +79,12 @@
 #[derive(Copy, Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Shared {
     Origin,
-    Copy,
+    /// A shared copy, and its age.
+    Copy(Span),
     /// The recorded outcome of an earlier round.
     Record,
+    /// lanewing's own last word, where the origin's cannot be passed on.
+    Own,
 }
 
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/comb/src/comb.rs
+++ b/crates/comb/src/comb.rs
@@ -111,7 +111,7 @@
         now: Mono,
         from: Addr,
         key: String,
-        print: u64,
+        print: Print,
         round: RoundId,
         out: &mut Vec<Out>,
     ) {
@@ -135,7 +135,7 @@
             self.save(now, grant, out);
         }
         // Too large to keep: later tries are in doubt, as if the answer were lost.
-        let small = whole.body.len() <= self.env.most / 16;
+        let small = whole.size() <= self.env.most / 16;
         if small && held.is_none_or(|(same, known)| same && !known) {
             self.count("outcomes");
             self.save(now, Kept::Outcome { key: key.clone(), round, whole }, out);
@@ -211,7 +211,7 @@
                 }
                 Msg::StockOffer(ask) => self.on_stock_offer(now, from, ask, out),
                 Msg::StockPut(at, p) => self.on_stock_put(now, at, *p, out),
-                Msg::CopyAsk { ask, svc, lane, path } => {
+                Msg::CopyAsk { ask, svc, lane, path, .. } => {
                     self.on_copy_ask(now, from, ask, (svc, lane, path), out)
                 }
                 Msg::Digests(d) => self.on_digests(now, from, d, out),
--- a/crates/comb/src/ledger.rs
+++ b/crates/comb/src/ledger.rs
@@ -1,6 +1,6 @@
 //! The ledger of keys and what of it reaches the disk.
 use crate::stock::Stocked;
-use brood::{Claimed, RoundId, Whole};
+use brood::{Claimed, Print, RoundId, Whole};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use wax::{Birth, Mono, Span};
@@ -13,7 +13,7 @@
     Open,
     Grant {
         key: String,
-        print: u64,
+        print: Print,
         round: RoundId,
     },
     Outcome {
@@ -26,7 +26,7 @@
         round: RoundId,
     },
     /// All there is, in place of all records before.
-    Base(Birth, bool, Vec<(String, u64, RoundId, Option<Whole>)>, Vec<Stocked>),
+    Base(Birth, bool, Vec<(String, Print, RoundId, Option<Whole>)>, Vec<Stocked>),
     Copy(Stocked),
 }
 
@@ -41,7 +41,7 @@
 
 #[derive(Clone, Debug)]
 pub(crate) struct Grant {
-    pub print: u64,
+    pub print: Print,
     pub round: RoundId,
     pub whole: Option<Whole>,
     /// Invariant: at or after the true time of the grant; after a restart, the
@@ -60,7 +60,7 @@
 
 impl Ledger {
     /// What to say to a claim; `Granted` to a new round must be saved first.
-    pub fn look(&self, key: &str, print: u64, round: RoundId) -> Claimed {
+    pub fn look(&self, key: &str, print: Print, round: RoundId) -> Claimed {
         let held = self.keys.get(key);
         held.map_or(Claimed::Granted, |g| match (g.round == round, g.print == print) {
             (true, _) => Claimed::Granted,
@@ -94,11 +94,11 @@
 
     pub fn drop_old(&mut self, now: Mono, window: Span) {
         self.keys.retain(|_, g| now - g.at < window);
-        let size = |(k, g): (&String, &Grant)| 96 + k.len() + g.whole.as_ref().map_or(0, |w| w.body.len());
+        let size = |(k, g): (&String, &Grant)| 128 + k.len() + g.whole.as_ref().map_or(0, |w| w.size());
         self.bytes = self.keys.iter().map(size).sum();
     }
 
-    pub fn dump(&self) -> Vec<(String, u64, RoundId, Option<Whole>)> {
+    pub fn dump(&self) -> Vec<(String, Print, RoundId, Option<Whole>)> {
         self.keys.iter().map(|(k, g)| (k.clone(), g.print, g.round, g.whole.clone())).collect()
     }
 }
--- a/crates/comb/src/stock.rs
+++ b/crates/comb/src/stock.rs
@@ -12,7 +12,10 @@
 pub struct Stocked {
     pub object: Object,
     pub whole: Whole,
-    /// Invariant: not given out after this; counted from this comb's own asking.
+    pub public: bool,
+    /// Its age counts from here, and
+    pub since: Mono,
+    /// invariant: it is not given out after this; counted from this comb's own asking.
     pub until: Mono,
     /// Which boot `until` belongs to: the clock means nothing in another one.
     pub boot: u64,
@@ -25,7 +28,7 @@
         self.until
     }
     fn size(&self) -> usize {
-        self.whole.body.len()
+        self.whole.size()
     }
 }
 
@@ -41,11 +44,13 @@
     }
 
     pub(crate) fn on_stock_put(&mut self, now: Mono, at: Mono, p: StockPut, out: &mut Vec<Out>) {
-        let until = at + p.left;
-        let fits = p.whole.body.len() <= self.env.room / 4;
+        let (until, since) = (at + p.shown.left, at - p.shown.aged);
+        let fits = p.shown.whole.size() <= self.env.room / 4;
         if until > now && fits && at <= now {
             self.count("stocked");
-            let s = Stocked { object: p.object, whole: p.whole, until, boot: self.env.boot, mark: p.mark };
+            let Shown { whole, public, .. } = p.shown;
+            let boot = self.env.boot;
+            let s = Stocked { object: p.object, whole, public, since, until, boot, mark: p.mark };
             self.save(now, Kept::Copy(s), out);
         }
     }
@@ -62,9 +67,15 @@
     ) {
         let held = self.stock.get(now, &object).filter(|s| s.boot == self.env.boot);
         let held = held.filter(|s| self.follow.leased(now) && s.mark == mark(&self.follow.items, &object));
-        let copy = held.map(|s| (s.whole.clone(), s.until - now));
-        self.count(if copy.is_some() { "copies given" } else { "copies lacking" });
-        out.push(Out::Send(from, Msg::CopyGot { ask, copy }));
+        let shown = held.map(|s| Shown {
+            whole: s.whole.clone(),
+            left: s.until - now,
+            aged: now - s.since,
+            public: s.public,
+        });
+        let said = shown.map_or(CopySaid::None, |s| CopySaid::Got(Box::new(s)));
+        self.count(if said != CopySaid::None { "copies given" } else { "copies lacking" });
+        out.push(Out::Send(from, Msg::CopyGot { ask, said }));
     }
 
     pub(crate) fn mind_stock(&mut self, now: Mono) {
--- a/crates/gate/src/copies.rs
+++ b/crates/gate/src/copies.rs
@@ -1,11 +1,15 @@
 //! Shared copies of readable content, in memory.
-use brood::{Lane, Shelf, Shelved, Svc, Whole};
+use brood::{Lane, Shelf, Shelved, Shown, Svc, Whole};
 use std::sync::Arc;
 use wax::Mono;
 
 #[derive(Clone, Debug)]
 pub(crate) struct Copy {
     pub whole: Arc<Whole>,
+    /// For everybody, whatever credentials they send.
+    pub public: bool,
+    /// Its age counts from here.
+    pub since: Mono,
     /// Invariant: not served after this; set when the fill began.
     pub until: Mono,
 }
@@ -15,7 +19,14 @@
         self.until
     }
     fn size(&self) -> usize {
-        self.whole.body.len()
+        self.whole.size()
+    }
+}
+
+impl Copy {
+    pub fn show(&self, now: Mono, until: Mono) -> Shown {
+        let (whole, aged) = ((*self.whole).clone(), now - self.since);
+        Shown { whole, left: until - now, aged, public: self.public }
     }
 }
 
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -19,6 +19,8 @@
     pub patience: Span,
     /// Bytes of copies kept.
     pub copies: usize,
+    /// Requests held at a time, of one service and in all.
+    pub hands: (usize, usize),
 }
 
 pub struct Gate {
@@ -38,6 +40,9 @@
     /// Copies offered to combs, by the job that filled them.
     pub(crate) offers: BTreeMap<u64, (Svc, Lane, String)>,
     pub(crate) outgoing: Vec<Outgoing>,
+    /// Objects whose answers lately were not to be shared, and until when each
+    /// caller is answered by the origin.
+    pub(crate) solo: BTreeMap<(Svc, Lane, String), Mono>,
     /// Gates that lately did not answer.
     pub(crate) mute: BTreeMap<Addr, Mono>,
     pub(crate) next: u64,
@@ -59,6 +64,7 @@
             rounds: BTreeMap::new(),
             offers: BTreeMap::new(),
             outgoing: vec![],
+            solo: BTreeMap::new(),
             mute: BTreeMap::new(),
             // Numbers of an earlier life must mean nothing in this one: answers to
             // its askings may still be on their way.
@@ -114,6 +120,7 @@
         self.expire_jobs(now, out);
         self.push_outcomes(now, out);
         self.copies.drop_old(now);
+        self.solo.retain(|_, t| *t > now);
         while self.offers.len() > 1000 {
             self.offers.pop_first();
         }
@@ -155,11 +162,11 @@
             },
             In::Msg(from, m) => match m {
                 Msg::News(n) => self.on_news(now, from, *n, out),
-                Msg::CopyAsk { ask, svc, lane, path } => {
-                    self.on_copy_ask(now, from, ask, svc, lane, path, out)
+                Msg::CopyAsk { ask, svc, lane, path, heads } => {
+                    self.on_copy_ask(now, (from, ask), (svc, lane, path), heads, out)
                 }
                 Msg::CopyWait(ask) => self.on_copy_wait(ask),
-                Msg::CopyGot { ask, copy } => self.on_copy_got(now, from, ask, copy, out),
+                Msg::CopyGot { ask, said } => self.on_copy_got(now, from, ask, said, out),
                 Msg::StockWant { ask, at } => self.on_stock_want(now, from, ask, at, out),
                 Msg::Claimed { round, said, .. } => self.on_claimed(now, from, round, said, out),
                 Msg::Kept { round, .. } => self.on_kept(from, round),
--- a/crates/gate/src/jobs.rs
+++ b/crates/gate/src/jobs.rs
@@ -1,14 +1,15 @@
 //! Requests in hand, from the first look to the last word.
 use crate::gate::Gate;
+use crate::keyed::Claim;
 use brood::*;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use wax::{Addr, Birth, Mono, Span, Token};
 
 /// Who waits for a job's end.
 #[derive(Clone, Debug)]
 pub(crate) enum Caller {
-    Local(Token),
+    Local(Token, Arc<Req>),
     /// Another gate, and its number for the asking.
     Gate(Addr, u64),
 }
@@ -25,27 +26,6 @@
     Out(Round, Mono),
 }
 
-/// A key claimed for one round.
-#[derive(Clone, Debug)]
-pub(crate) struct Claim {
-    pub round: RoundId,
-    pub key: String,
-    pub print: u64,
-    /// The key's combs, for each set of the roll as it was when it was claimed.
-    pub named: Vec<Vec<Addr>>,
-}
-
-impl Claim {
-    pub fn combs(&self) -> BTreeSet<Addr> {
-        self.named.iter().flatten().copied().collect()
-    }
-    /// Two of three granted it, in every set.
-    pub fn won(&self, votes: &BTreeMap<Addr, Claimed>) -> bool {
-        let yes = |a: &&Addr| votes.get(a) == Some(&Claimed::Granted);
-        !self.named.is_empty() && self.named.iter().all(|n| n.iter().filter(yes).count() >= 2)
-    }
-}
-
 #[derive(Debug)]
 pub(crate) struct Job {
     pub req: Req,
@@ -64,6 +44,8 @@
     pub tried: Vec<(Addr, Birth)>,
     /// A purge (or a lapse) came in between: what was fetched before is not used.
     pub spoiled: bool,
+    /// Readable, but for its one caller alone: no copy is used or joined.
+    pub solo: bool,
     /// The object's comb was asked.
     pub stocked: bool,
     /// Keyed only: what was claimed of which combs.
@@ -81,23 +63,31 @@
     }
     /// Whether running it twice does no harm.
     pub fn safe(&self) -> bool {
-        self.kind != Kind::Keyed && self.req.method == "GET"
+        self.kind != Kind::Keyed && harmless(&self.req.method)
     }
 }
 
-/// Requests one gate holds at a time.
-const MOST: usize = 512;
+fn harmless(method: &str) -> bool {
+    method == "GET" || method == "HEAD"
+}
+
+/// Methods that act, so that running once matters.
+const KEYED: [&str; 4] = ["POST", "PUT", "PATCH", "DELETE"];
 const LINE: Span = Span::ms(700);
 pub(crate) const HOME: Span = Span::ms(400);
 
 impl Gate {
     pub(crate) fn begin(&mut self, now: Mono, t: Token, req: Req, out: &mut Vec<Out>) {
         self.count("requests");
-        let job = self.admit(now, req);
-        match job {
-            Err(d) => self.tell(now, &Caller::Local(t), Step::Deny(d, come_back(d)), out),
+        self.enter(now, t, Arc::new(req), out);
+    }
+
+    pub(crate) fn enter(&mut self, now: Mono, t: Token, req: Arc<Req>, out: &mut Vec<Out>) {
+        let caller = Caller::Local(t, req.clone());
+        match self.admit(now, (*req).clone()) {
+            Err(d) => self.tell(now, &caller, Step::Deny(d, come_back(d)), out),
             Ok(mut j) => {
-                j.callers.push(Caller::Local(t));
+                j.callers.push(caller);
                 match j.kind {
                     Kind::Read => self.read(now, j, out),
                     Kind::Plain => {
@@ -114,10 +104,10 @@
         let yes = |ok: bool, d: Denied| ok.then_some(()).ok_or(d);
         yes(!self.draining, Denied::Leaving)?;
         yes(self.leased(now), Denied::NoLease)?;
-        yes(self.jobs.len() < MOST, Denied::TooMany)?;
+        yes(self.jobs.len() < self.env.hands.1, Denied::TooMany)?;
         let kind = self.table.kind(&req.lane).ok_or(Denied::NoLane)?;
-        yes(kind != Kind::Read || req.method == "GET", Denied::BadMethod)?;
-        yes(kind != Kind::Keyed || req.method != "GET", Denied::BadMethod)?;
+        yes(kind != Kind::Read || harmless(&req.method), Denied::BadMethod)?;
+        yes(kind != Kind::Keyed || KEYED.contains(&req.method.as_str()), Denied::BadMethod)?;
         yes(kind != Kind::Keyed || req.key.is_some(), Denied::NoKey)?;
         // One object, and one key, always meets the same service.
         let spin = match kind {
@@ -126,6 +116,9 @@
             Kind::Plain => self.number().wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 16,
         };
         let (svc, row) = self.table.pick(&req.lane, spin).ok_or(Denied::NoOrigin)?;
+        // One service that hangs leaves room for the others.
+        let held = self.jobs.values().filter(|j| j.svc == svc).count();
+        yes(held < self.env.hands.0, Denied::TooMany)?;
         Ok(Job {
             req,
             svc,
@@ -139,6 +132,7 @@
             unsent: 0,
             tried: vec![],
             spoiled: false,
+            solo: false,
             stocked: false,
             claim: None,
             must_leave: Mono(u64::MAX),
@@ -147,9 +141,10 @@
 
     pub(crate) fn tell(&mut self, now: Mono, c: &Caller, s: Step, out: &mut Vec<Out>) {
         match (c, s) {
-            (Caller::Local(t), s) => {
+            (Caller::Local(t, _), s) => {
                 let name = match &s {
-                    Step::Serve(_, Shared::Copy, _) => "served from copies",
+                    Step::Serve(_, Shared::Copy(_), _) => "served from copies",
+                    Step::Serve(_, Shared::Own, _) => "not to be passed on",
                     Step::Serve(_, Shared::Record, _) => "served from records",
                     Step::Serve(..) => "served from origins",
                     Step::Deny(..) => "denied",
@@ -158,11 +153,19 @@
                 self.count(name);
                 out.push(Out::Tell(*t, Receipt::Step(s)));
             }
-            (Caller::Gate(a, ask), Step::Serve(w, _, until)) => {
-                let copy = Some(((*w).clone(), until - now));
-                out.push(Out::Send(*a, Msg::CopyGot { ask: *ask, copy }));
+            (Caller::Gate(a, ask), s) => {
+                let shown = |w: &Arc<Whole>, until, aged| {
+                    let whole = w.kept();
+                    CopySaid::Got(Box::new(Shown { whole, left: until - now, aged, public: false }))
+                };
+                let said = match s {
+                    Step::Serve(w, Shared::Own, _) => CopySaid::Own(Box::new(w.kept())),
+                    Step::Serve(w, Shared::Copy(aged), until) => shown(&w, until, aged),
+                    Step::Serve(w, _, until) => shown(&w, until, Span(0)),
+                    _ => CopySaid::None,
+                };
+                out.push(Out::Send(*a, Msg::CopyGot { ask: *ask, said }));
             }
-            (Caller::Gate(a, ask), _) => out.push(Out::Send(*a, Msg::CopyGot { ask: *ask, copy: None })),
         }
     }
 
@@ -210,10 +213,6 @@
             }
         }
     }
-
-    pub(crate) fn record(&self, whole: &Arc<Whole>, from: Shared, until: Mono) -> Step {
-        Step::Serve(whole.clone(), from, until)
-    }
 }
 
 /// When a denied client should ask again.
--- a/crates/gate/src/keyed.rs
+++ b/crates/gate/src/keyed.rs
@@ -6,11 +6,32 @@
 use std::collections::{BTreeMap, BTreeSet};
 use wax::{Addr, Mono, Span};
 
+/// A key claimed for one round.
+#[derive(Clone, Debug)]
+pub(crate) struct Claim {
+    pub round: RoundId,
+    pub key: String,
+    pub print: Print,
+    /// The key's combs, for each set of the roll as it was when it was claimed.
+    pub named: Vec<Vec<Addr>>,
+}
+
+impl Claim {
+    pub fn combs(&self) -> BTreeSet<Addr> {
+        self.named.iter().flatten().copied().collect()
+    }
+    /// Two of three granted it, in every set.
+    pub fn won(&self, votes: &BTreeMap<Addr, Claimed>) -> bool {
+        let yes = |a: &&Addr| votes.get(a) == Some(&Claimed::Granted);
+        !self.named.is_empty() && self.named.iter().all(|n| n.iter().filter(yes).count() >= 2)
+    }
+}
+
 /// An outcome on its way to the key's combs.
 #[derive(Debug)]
 pub(crate) struct Outgoing {
     key: String,
-    print: u64,
+    print: Print,
     round: RoundId,
     whole: Whole,
     to: BTreeSet<Addr>,
@@ -25,7 +46,7 @@
 impl Gate {
     pub(crate) fn claim(&mut self, now: Mono, mut j: Job, out: &mut Vec<Out>) {
         let key = format!("{}/{}", j.req.lane, j.req.key.as_deref().unwrap_or(""));
-        let print = wax::hash(&(&j.req.method, &j.req.path, &*j.req.body));
+        let print = Print::of(&j.req.method, &j.req.path, &j.req.heads, &j.req.body);
         let n = self.number();
         let round = RoundId { node: self.follow.env.id, birth: self.follow.env.birth, n };
         let named = self.table.roll.named(&key);
@@ -73,7 +94,7 @@
             self.deny(now, id, Denied::KeyReused, out);
         } else if let Some(w) = known {
             self.release_job(id, out);
-            let s = self.record(&std::sync::Arc::new(w), Shared::Record, Mono(u64::MAX));
+            let s = Step::Serve(std::sync::Arc::new(w), Shared::Record, Mono(u64::MAX));
             self.finish(now, id, s, out);
         } else if claim.won(votes) {
             self.line_up(now, id, out);
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -8,6 +8,7 @@
 mod press;
 mod read;
 mod rounds;
+mod sharing;
 mod table;
 
 pub use gate::{Gate, GateEnv};
--- a/crates/gate/src/read.rs
+++ b/crates/gate/src/read.rs
@@ -2,6 +2,7 @@
 use crate::copies::Copy;
 use crate::gate::Gate;
 use crate::jobs::*;
+use crate::sharing::sharing;
 use brood::*;
 use std::sync::Arc;
 use wax::{Addr, Mono, Span};
@@ -9,14 +10,28 @@
 /// Copies that live shorter are not worth a comb's disk.
 const WORTH: Span = Span::secs(1);
 
+fn copy_ask(to: Addr, ask: u64, obj: &(Svc, Lane, String), heads: Heads) -> Out {
+    let (svc, lane, path) = obj.clone();
+    Out::Send(to, Msg::CopyAsk { ask, svc, lane, path, heads })
+}
+
 impl Gate {
-    pub(crate) fn read(&mut self, now: Mono, j: Job, out: &mut Vec<Out>) {
+    pub(crate) fn read(&mut self, now: Mono, mut j: Job, out: &mut Vec<Out>) {
         let obj = j.object();
-        if let Some(c) = self.copies.get(now, &obj).cloned() {
+        let own = j.req.heads.personal();
+        if let Some(c) = self.copies.get(now, &obj).filter(|c| c.public || !own).cloned() {
             let until = c.until.min(self.leased_until());
-            let s = self.record(&c.whole, Shared::Copy, until);
+            let s = Step::Serve(c.whole.clone(), Shared::Copy(now - c.since), until);
             return j.callers.iter().for_each(|c| self.tell(now, c, s.clone(), out));
         }
+        // What is this caller's own is asked of the origin, for this caller alone.
+        let asks = ["if-match", "if-unmodified-since"].iter().any(|n| j.req.heads.has(n));
+        if own || asks || self.solo.get(&obj).is_some_and(|t| *t > now) {
+            j.solo = true;
+            self.launch(now, j, out);
+            return;
+        }
+        j.req = Req { method: "GET".into(), heads: j.req.heads.for_all(), ..j.req };
         if self.join_fill(&obj, &j.callers) {
             return;
         }
@@ -25,8 +40,8 @@
         self.jobs.insert(id, j);
         match home.filter(|a| *a != self.follow.env.addr) {
             Some(a) => {
-                let (svc, lane, path) = obj.clone();
-                out.push(Out::Send(a, Msg::CopyAsk { ask: id, svc, lane, path }));
+                let heads = self.jobs[&id].req.heads.clone();
+                out.push(copy_ask(a, id, &obj, heads));
                 self.stage(now, id, Stage::Home(a, now, false));
                 self.fills.insert(obj, id);
             }
@@ -57,8 +72,7 @@
             self.fills.insert(obj.clone(), id);
             match self.stock_of(now, &obj).filter(|_| first) {
                 Some(a) => {
-                    let (svc, lane, path) = obj;
-                    out.push(Out::Send(a, Msg::CopyAsk { ask: id, svc, lane, path }));
+                    out.push(copy_ask(a, id, &obj, Heads::default()));
                     self.stage(now, id, Stage::Home(a, now, false));
                 }
                 None => self.line_up(now, id, out),
@@ -81,36 +95,36 @@
         let copy = self.copies.get(now, &object).filter(|_| self.leased(now));
         if let Some(c) = copy {
             let mark = mark(&self.follow.items, &object);
-            let (whole, left) = ((*c.whole).clone(), c.until - now);
-            out.push(Out::Send(from, Msg::StockPut(at, Box::new(StockPut { object, whole, left, mark }))));
+            let shown = c.show(now, c.until);
+            out.push(Out::Send(from, Msg::StockPut(at, Box::new(StockPut { object, shown, mark }))));
         }
     }
 
-    #[allow(clippy::too_many_arguments)]
     pub(crate) fn on_copy_ask(
         &mut self,
         now: Mono,
-        from: Addr,
-        ask: u64,
-        svc: Svc,
-        lane: Lane,
-        path: String,
+        (from, ask): (Addr, u64),
+        obj: (Svc, Lane, String),
+        heads: Heads,
         out: &mut Vec<Out>,
     ) {
         let caller = Caller::Gate(from, ask);
-        let obj = (svc.clone(), lane.clone(), path.clone());
         let held = self.copies.get(now, &obj).filter(|_| self.leased(now)).cloned();
         if let Some(c) = held {
             let until = c.until.min(self.leased_until());
-            let s = self.record(&c.whole, Shared::Copy, until);
-            return self.tell(now, &caller, s, out);
+            let said = CopySaid::Got(Box::new(c.show(now, until)));
+            return out.push(Out::Send(from, Msg::CopyGot { ask, said }));
+        }
+        if self.solo.get(&obj).is_some_and(|t| *t > now) {
+            return out.push(Out::Send(from, Msg::CopyGot { ask, said: CopySaid::Personal }));
         }
         out.push(Out::Send(from, Msg::CopyWait(ask)));
         if self.leased(now) && self.join_fill(&obj, std::slice::from_ref(&caller)) {
             return;
         }
-        let req =
-            Req { method: "GET".into(), lane, path, key: None, mime: String::new(), body: Arc::new(vec![]) };
+        let (svc, lane, path) = obj;
+        let (method, body) = ("GET".into(), Arc::new(vec![]));
+        let req = Req { method, lane, path, key: None, heads: heads.for_all(), body };
         match self.admit(now, req).ok().filter(|j| j.svc == svc && j.kind == Kind::Read) {
             Some(mut j) => {
                 j.callers.push(caller);
@@ -133,7 +147,7 @@
         now: Mono,
         from: Addr,
         ask: u64,
-        copy: Option<(Whole, Span)>,
+        said: CopySaid,
         out: &mut Vec<Out>,
     ) {
         let Some(j) = self.jobs.get(&ask) else { return };
@@ -145,21 +159,27 @@
         }
         let good = !j.spoiled && self.leased(now);
         // The copy's rest of life counts from when it was asked for.
-        let life = copy.filter(|_| good).map(|(w, left)| (w, (asked + left).min(self.leased_until())));
-        match life.filter(|(_, until)| *until > now) {
-            Some((w, until)) => {
-                let (obj, whole, stocked) = (j.object(), Arc::new(w), j.stocked);
+        match said {
+            CopySaid::Got(c) if good && asked + c.left > now => {
+                let (obj, stocked, since) = (j.object(), j.stocked, asked - c.aged);
+                let until = (asked + c.left).min(self.leased_until());
                 self.count(if stocked { "filled from combs" } else { "filled from homes" });
-                self.keep(now, obj, Copy { whole: whole.clone(), until });
-                let s = self.record(&whole, Shared::Copy, until);
+                let whole = Arc::new(c.whole);
+                self.keep(now, obj, Copy { whole: whole.clone(), public: c.public, since, until });
+                let s = Step::Serve(whole, Shared::Copy(now - since), until);
                 self.finish(now, ask, s, out);
             }
-            None => self.fill_here(now, ask, out),
+            CopySaid::Personal => self.part_ways(now, ask, None, out),
+            CopySaid::Own(w) => {
+                let s = Step::Serve(Arc::new(*w), Shared::Own, Mono(u64::MAX));
+                self.finish(now, ask, s, out);
+            }
+            _ => self.fill_here(now, ask, out),
         }
     }
 
     fn keep(&mut self, now: Mono, obj: (Svc, Lane, String), c: Copy) {
-        if c.until > now && c.whole.body.len() <= self.env.copies {
+        if c.until > now && c.whole.size() <= self.env.copies {
             self.copies.put(obj, c);
         }
     }
@@ -167,11 +187,13 @@
     /// A whole answer for a fill: kept if it may be, then served.
     pub(crate) fn filled(&mut self, now: Mono, id: u64, sent: Mono, w: Whole, out: &mut Vec<Out>) {
         let Some(j) = self.jobs.get(&id) else { return };
-        let (obj, until) = (j.object(), sent + j.row.ttl);
-        let whole = Arc::new(w);
-        let fine = whole.status == 200 && self.leased(now);
-        if fine {
-            self.keep(now, obj.clone(), Copy { whole: whole.clone(), until });
+        let says = sharing(&j.req, &w, j.row.ttl);
+        let (obj, until, alone) = (j.object(), sent + says.life, j.solo);
+        let common = !says.personal && (w.status != 200 || says.life > Span(0));
+        if says.life > Span(0) && self.leased(now) {
+            let since = sent - says.aged;
+            let whole = Arc::new(w.kept());
+            self.keep(now, obj.clone(), Copy { whole, public: says.public, since, until });
             if until - now >= WORTH {
                 let to = self.stock_of(now, &obj);
                 out.extend(to.map(|a| Out::Send(a, Msg::StockOffer(id))));
@@ -180,8 +202,12 @@
         }
         // An answer just fetched may be served even if it may not be kept.
         let until = until.max(now + Span::ms(1500)).min(self.leased_until());
-        let s = self.record(&whole, Shared::Origin, until);
-        self.finish(now, id, s, out);
+        let s = Step::Serve(Arc::new(w), Shared::Origin, until);
+        if alone || common {
+            self.finish(now, id, s, out);
+        } else {
+            self.part_ways(now, id, Some(s), out);
+        }
     }
 
     /// A purge takes the copies, and spoils what is being fetched.
--- a/crates/gate/src/rounds.rs
+++ b/crates/gate/src/rounds.rs
@@ -2,8 +2,16 @@
 use crate::gate::Gate;
 use crate::jobs::*;
 use brood::*;
+use std::sync::Arc;
 use wax::{Mono, Span};
 
+/// The last word on an answer that is larger than this deployment serves.
+fn too_large() -> Whole {
+    let v =
+        obj(vec![("problem", text("too large")), ("reason", text("the origin's answer is over the limit"))]);
+    Whole::new(502, "application/json", v.stringify().unwrap_or_default().into_bytes())
+}
+
 impl Gate {
     pub(crate) fn stage(&mut self, now: Mono, id: u64, s: Stage) {
         self.jobs.entry(id).and_modify(|j| {
@@ -105,12 +113,23 @@
                 self.note_bad(now, r.addr, r.birth);
                 self.retry_or(now, id, safe, Step::Doubt(Span::secs(2)), out);
             }
+            Fetched::TooLarge => {
+                // Asking again would only bring it once more.
+                j.tries += 1;
+                let (keyed, w) = (j.kind == Kind::Keyed, too_large());
+                let s = Step::Serve(Arc::new(w.clone()), Shared::Own, Mono(u64::MAX));
+                if keyed {
+                    self.ran(now, id, w, s, out);
+                } else {
+                    self.finish(now, id, s, out);
+                }
+            }
             Fetched::Whole(w) => {
                 j.tries += 1;
                 let (kind, safe, spoiled) = (j.kind, j.safe(), j.spoiled);
                 self.note_pace(r.addr, r.birth, now - sent);
                 let failed = w.status >= 500;
-                let s = self.record(&std::sync::Arc::new(w.clone()), Shared::Origin, Mono(u64::MAX));
+                let s = Step::Serve(Arc::new(w.clone()), Shared::Origin, Mono(u64::MAX));
                 match kind {
                     Kind::Read if spoiled => {
                         self.retry_or(now, id, true, Step::Doubt(Span::secs(1)), out);
--- a/crates/hive/src/desk.rs
+++ b/crates/hive/src/desk.rs
@@ -1,6 +1,8 @@
 //! What each role answers over HTTP.
 use brood::*;
-use skep::front::{common, Call, Reply};
+use skep::cond::fit;
+use skep::front::{common, Reply};
+use skep::intake::Call;
 use skep::net::Counts;
 use skep::shell::Handle;
 use std::sync::atomic::AtomicUsize;
@@ -136,11 +138,13 @@
         lane: Lane(lane.to_string()),
         path: path.to_string(),
         key: c.key.clone(),
-        mime: c.mime.clone(),
+        heads: forwarded(&c),
         body: Arc::new(c.body),
     };
+    // The body's room is given back once the request is over.
+    let _hold = c.hold;
     match h.ask(Ask::Begin(req), REQUEST) {
-        Some(Receipt::Step(Step::Serve(w, from, until))) => served(&w, from, until),
+        Some(Receipt::Step(Step::Serve(w, from, until))) => fit(&c.method, &c.heads, served(&w, from, until)),
         Some(Receipt::Step(Step::Deny(d, wait))) => {
             let (status, why) = denied(d);
             let r = Reply::problem(status, "denied", why);
@@ -159,12 +163,30 @@
     }
 }
 
+/// What the origin gets of the fields: end to end, and who forwarded what for whom.
+fn forwarded(c: &Call) -> Heads {
+    let was = |n: &str| c.heads.get(n).map(|v| format!("{v}, ")).unwrap_or_default();
+    let peer = c.peer.map(|p| p.ip().to_string()).unwrap_or_else(|| "unknown".into());
+    let chain = format!("{}{peer}", was("x-forwarded-for"));
+    let via = format!("{}1.1 lanewing", was("via"));
+    let host = c.heads.get("x-forwarded-host").or(c.heads.get("host")).unwrap_or_default().to_string();
+    let ours = ["x-forwarded-for", "x-forwarded-host", "via"];
+    let kept = c.heads.end_to_end().without(|n| ours.contains(&n));
+    kept.with("x-forwarded-for", chain).with("x-forwarded-host", host).with("via", via)
+}
+
 fn served(w: &Whole, from: Shared, until: Mono) -> Reply {
+    let mut heads = w.heads.without(|n| n == "lanewing-length");
     let name = match from {
         Shared::Origin => "origin",
-        Shared::Copy => "copy",
+        Shared::Copy(aged) => {
+            heads = heads.without(|n| n == "age").with("age", (aged.0 / 1_000_000).to_string());
+            "copy"
+        }
         Shared::Record => "record",
+        Shared::Own => "lanewing",
     };
-    let heads = vec![("Lanewing-From", name.to_string())];
-    Reply { status: w.status, mime: w.mime.clone(), body: w.body.clone(), heads, until }
+    let length = w.heads.get("lanewing-length").and_then(|n| n.parse().ok());
+    let r = Reply::new(w.status, heads.with("lanewing-from", name), w.body.clone());
+    Reply { length, until, hold: w.hold.clone(), ..r }
 }
--- a/crates/hive/src/roles.rs
+++ b/crates/hive/src/roles.rs
@@ -2,16 +2,17 @@
 use crate::desk;
 use brood::*;
 use skep::env::{Env, EnvProblem, Place};
-use skep::front::{self, Open};
+use skep::exec::ExecEnv;
+use skep::front::{self, FrontEnv, Open};
 use skep::logs::{on_panic, LogRing};
 use skep::net::{Counts, Net};
 use skep::ring::{Ring, RingProblem};
+use skep::room::Room;
 use skep::shell::{self, Frame, Handle};
 use slog::info;
 use snafu::{ResultExt, Snafu};
 use std::net::TcpListener;
 use std::path::PathBuf;
-use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -73,7 +74,7 @@
         shell::unpack(recs).map(|e| (ring, e)).ok_or(StartProblem::Undecodable)
     }
 
-    fn run(self, part: Box<dyn Part>, first: Vec<Out>, ring: Option<Ring>, threads: usize) -> Result<()> {
+    fn run(self, part: Box<dyn Part>, first: Vec<Out>, ring: Option<Ring>) -> Result<()> {
         let logs = LogRing::default();
         on_panic(logs.clone());
         let role = skep::env::role_name(self.place.role);
@@ -83,14 +84,18 @@
         let cohort = bind(self.place.cohort)?;
         let http = bind(self.place.http)?;
         let gate = self.place.role == Role::Gate;
-        let (tx, start) = skep::exec::rounds();
+        let l = self.env.limits.clone();
+        let room = Room::new(l.memory_mb << 20);
+        let (tx, start) = skep::exec::rounds(ExecEnv { answer: l.answer_kb << 10, room: room.clone() });
+        let front =
+            FrontEnv { callers: l.callers, body: l.body_kb << 10, room, patience: Default::default() };
         let frame = Frame { part, first, ring, net, rounds: Some(tx), log: log.clone() };
         let mut signals = signal_hook::iterator::Signals::new([15, 2]).context(SignalsSnafu)?;
-        let patience = self.env.limits.patience;
+        let patience = l.patience;
         let c = counts.clone();
         shell::run(frame, cohort, counts, move |h| {
             let hh = h.clone();
-            let open = front::serve(http, threads, move |call| desk::answer(&hh, role, &c, call));
+            let open = front::serve(http, front, move |call| desk::answer(&hh, role, &c, call));
             if gate {
                 start(h.clone());
                 skep::exec::probe(h.clone());
@@ -118,7 +123,7 @@
             Some(Receipt::Health(x)) => x.in_hand > 0,
             _ => false,
         };
-        calm = if busy || open.load(Ordering::SeqCst) > 0 { 0 } else { calm + 1 };
+        calm = if busy || open.any() { 0 } else { calm + 1 };
         if calm > 3 {
             return;
         }
@@ -146,7 +151,7 @@
     };
     let mut out = vec![];
     let k = keeper::Keeper::start(env, kept, skep::life(), skep::now(), &mut out);
-    s.run(Box::new(k), out, Some(ring), 128)
+    s.run(Box::new(k), out, Some(ring))
 }
 
 pub fn gate(s: Start) -> Result<()> {
@@ -156,8 +161,10 @@
         fresh: l.fresh,
         patience: l.patience,
         copies: l.copies_mb << 20,
+        // A quarter for one service: two that hang leave half to the others.
+        hands: (l.callers / 4, l.callers),
     };
-    s.run(Box::new(gate::Gate::new(env)), vec![], None, 128)
+    s.run(Box::new(gate::Gate::new(env)), vec![], None)
 }
 
 pub fn comb(s: Start) -> Result<()> {
@@ -177,5 +184,5 @@
     };
     let mut out = vec![];
     let c = comb::Comb::start(env, kept, skep::life(), skep::now(), &mut out);
-    s.run(Box::new(c), out, Some(ring), 4)
+    s.run(Box::new(c), out, Some(ring))
 }
--- a/crates/keeper/src/force.rs
+++ b/crates/keeper/src/force.rs
@@ -147,15 +147,16 @@
         let Some(p) = self.pending.get(&cid) else { return };
         let Some(vs) = &p.verdicts else { return };
         let asked = |t: &Option<Token>, c: &Change| t.is_some() || matches!(c.op, Op::Seats { .. });
-        let waits = |((t, c), v): (&(Option<Token>, Change), &Verdict)| {
-            asked(t, c) && matches!(v, Verdict::Done(_))
-        };
+        let waits =
+            |((t, c), v): (&(Option<Token>, Change), &Verdict)| asked(t, c) && matches!(v, Verdict::Done(_));
         let open = p.asked.iter().zip(vs).any(waits);
         if !open || p.yes.len() >= need {
             let p = self.pending.remove(&cid).expect("found above");
             let each: Vec<_> = p.asked.into_iter().zip(p.verdicts.unwrap_or_default()).collect();
             each.iter().for_each(|((_, c), v)| self.roll.forced(now, c, v));
-            out.extend(each.into_iter().filter_map(|((t, _), v)| t.map(|t| Out::Tell(t, Receipt::Change(v)))));
+            out.extend(
+                each.into_iter().filter_map(|((t, _), v)| t.map(|t| Out::Tell(t, Receipt::Change(v)))),
+            );
         }
     }
 }
--- a/crates/skep/src/env.rs
+++ b/crates/skep/src/env.rs
@@ -46,6 +46,15 @@
     pub copies_mb: usize,
     pub ring_mb: usize,
     pub cut_at: usize,
+    /// Largest body of a request, and largest answer that is served.
+    pub body_kb: usize,
+    pub answer_kb: usize,
+    /// For all bodies and answers in hand, in one process.
+    pub memory_mb: usize,
+    /// Requests in hand, in one process.
+    pub callers: usize,
+    /// How long a gate told to leave goes on serving, for callers to notice.
+    pub grace: Span,
 }
 
 #[derive(Clone, Debug)]
@@ -71,10 +80,19 @@
 fn limits(l: &Look) -> Result<Limits> {
     let names =
         ["lease_ms", "fresh_ms", "vanish_ms", "patience_ms", "window_ms", "copies_mb", "ring_mb", "cut_at"];
-    l.only(&names)?;
+    let hands = ["body_kb", "answer_kb", "memory_mb", "callers", "grace_ms"];
+    l.only(&[&names[..], &hands[..]].concat())?;
     let num = |n: &str, low, high, or: u64| l.opt(n)?.map(|f| f.num(low, high)).unwrap_or(Ok(or));
     let ms = |n: &str, low, high, or| num(n, low, high, or).map(Span::ms);
+    let (body_kb, answer_kb) = (num("body_kb", 1, 65_536, 1024)?, num("answer_kb", 1, 262_144, 8192)?);
+    // At least two of the largest must fit, or one caller could hold up all.
+    let least = (2 * body_kb.max(answer_kb)).div_ceil(1024).max(1);
     Ok(Limits {
+        body_kb: body_kb as usize,
+        answer_kb: answer_kb as usize,
+        memory_mb: num("memory_mb", least, 65_536, 256.max(least))? as usize,
+        callers: num("callers", 16, 16_384, 1024)? as usize,
+        grace: ms("grace_ms", 0, 60_000, 2000)?,
         lease: ms("lease_ms", 1000, 60_000, 10_000)?,
         fresh: ms("fresh_ms", 500, 1500, 1000)?,
         vanish: ms("vanish_ms", 1500, 60_000, 3000)?,
--- a/crates/skep/src/front.rs
+++ b/crates/skep/src/front.rs
@@ -1,33 +1,41 @@
 //! HTTP towards callers, origins, operators and the platform.
+use crate::intake::{head, take, Amiss, Call, Head};
+use crate::room::Room;
 use crate::shell::Handle;
+use crate::usher::{Doing, Patience, Usher};
 use brood::*;
-use std::net::TcpListener;
-use std::sync::atomic::{AtomicU64, Ordering};
+use nix::sys::socket::{setsockopt, sockopt::SendTimeout};
+use nix::sys::time::{TimeVal, TimeValLike};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
-use tiny_http::{Header, Request, Response, Server};
+use tiny_http::{Header, Request, Response, Server, StatusCode};
 use tinyjson::JsonValue;
-use wax::{parse, Look, LookProblem, Mono};
-
-/// Bodies larger than this are denied.
-const LARGEST: usize = 1 << 20;
+use wax::Mono;
 
 /// What goes back over HTTP.
 #[derive(Debug)]
 pub struct Reply {
     pub status: u16,
-    pub mime: String,
-    pub body: Vec<u8>,
-    pub heads: Vec<(&'static str, String)>,
+    pub heads: Heads,
+    pub body: Arc<Vec<u8>>,
+    /// What the length field says where no body goes out.
+    pub length: Option<usize>,
     /// Not a byte leaves after this.
     pub until: Mono,
+    pub hold: Hold,
 }
 
 impl Reply {
+    pub fn new(status: u16, heads: Heads, body: Arc<Vec<u8>>) -> Reply {
+        Reply { status, heads, body, length: None, until: Mono(u64::MAX), hold: Hold::default() }
+    }
+
     pub fn json(status: u16, v: JsonValue) -> Reply {
         let body = v.stringify().unwrap_or_default().into_bytes();
-        Reply { status, mime: "application/json".into(), body, heads: vec![], until: Mono(u64::MAX) }
+        Reply::new(status, Heads::default().with("content-type", "application/json"), Arc::new(body))
     }
 
     /// A denial or failure, by name, with its reason.
@@ -36,50 +44,65 @@
     }
 
     pub fn after(mut self, secs: u64) -> Reply {
-        self.heads.push(("Retry-After", secs.max(1).to_string()));
+        self.heads.push("retry-after", secs.max(1).to_string());
         self
     }
 }
 
-/// A request taken apart.
-pub struct Call {
-    pub method: String,
-    pub path: String,
-    pub key: Option<String>,
-    pub mime: String,
-    pub body: Vec<u8>,
+#[derive(Clone)]
+pub struct FrontEnv {
+    /// Requests in hand at a time.
+    pub callers: usize,
+    /// Bytes of a request's body.
+    pub body: usize,
+    pub room: Arc<Room>,
+    pub patience: Patience,
 }
 
-impl Call {
-    pub fn json<T>(&self, read: impl FnOnce(&Look) -> Result<T, LookProblem>) -> Result<T, Reply> {
-        let s = String::from_utf8_lossy(&self.body);
-        let bad = |p: LookProblem| Reply::problem(400, "invalid", p);
-        parse(&s).and_then(|v| read(&Look::at(&v, ""))).map_err(bad)
+/// Requests in hand, for a drain to wait on. Invariant: health has its own
+/// count, so that callers never keep it waiting.
+#[derive(Debug, Default)]
+pub struct Open {
+    callers: AtomicUsize,
+    health: AtomicUsize,
+}
+
+impl Open {
+    pub fn any(&self) -> bool {
+        self.callers.load(SeqCst) > 0
     }
 }
 
-fn take(req: &mut Request) -> Result<Call, Reply> {
-    let head = |n: &'static str| {
-        let h = req.headers().iter().find(|h| h.field.equiv(n));
-        h.map(|h| h.value.as_str().to_string())
-    };
-    let (key, mime) = (head("Idempotency-Key"), head("Content-Type").unwrap_or_default());
-    let path = req.url().trim_start_matches('/').to_string();
-    let method = req.method().as_str().to_string();
-    if path.len() > 4000 || key.as_ref().is_some_and(|k| k.is_empty() || k.len() > 200) {
-        return Err(Reply::problem(400, "invalid", "path of over 4000 bytes, or key not of 1 to 200"));
+const HEALTH: usize = 32;
+
+fn health_path(req: &Request) -> bool {
+    ["/lanewing/live", "/lanewing/ready"].contains(&req.url())
+}
+
+/// Values that the library cannot carry stay behind, and are named.
+fn headers(heads: &Heads) -> Vec<Header> {
+    let mut left: Vec<&str> = vec![];
+    let mut all: Vec<Header> = vec![];
+    for (n, v) in heads.iter() {
+        let plain = v.iter().all(|b| *b == b'\t' || (b' '..=b'~').contains(b));
+        match Header::from_bytes(n.as_bytes(), v).ok().filter(|_| plain) {
+            Some(h) => all.push(h),
+            None => left.push(n),
+        }
     }
-    if req.body_length().is_some_and(|n| n > LARGEST) {
-        return Err(Reply::problem(413, "too large", "bodies may have 1 MiB"));
+    if !heads.has("server") {
+        all.extend(Header::from_bytes("Server", "lanewing"));
     }
-    let mut body = vec![];
-    let r =
-        std::io::Read::read_to_end(&mut std::io::Read::take(req.as_reader(), LARGEST as u64 + 1), &mut body);
-    match r {
-        Err(_) => Err(Reply::problem(400, "invalid", "the body broke off")),
-        Ok(n) if n > LARGEST => Err(Reply::problem(413, "too large", "bodies may have 1 MiB")),
-        Ok(_) => Ok(Call { method, path, key, mime, body }),
+    if !left.is_empty() {
+        all.extend(Header::from_bytes("Lanewing-Left-Out", left.join(", ")));
     }
+    all
+}
+
+fn response(r: &Reply) -> Response<&[u8]> {
+    let length = r.length.unwrap_or(r.body.len());
+    let resp = Response::new(StatusCode(r.status), headers(&r.heads), &r.body[..], Some(length), None);
+    resp.with_chunked_threshold(usize::MAX)
 }
 
 fn answer(req: Request, r: Reply) {
@@ -89,35 +112,90 @@
     } else {
         Reply::problem(503, "stale", "the decision is too old to be served").after(1)
     };
-    let mut resp = Response::from_data(r.body).with_status_code(r.status);
-    let heads = r.heads.into_iter().chain([("Content-Type", r.mime)]);
-    for (n, v) in heads.filter(|(_, v)| !v.is_empty()) {
-        if let Ok(h) = Header::from_bytes(n.as_bytes(), v.as_bytes()) {
-            resp.add_header(h);
+    let _ = req.respond(response(&r));
+}
+
+/// The last word on this connection, which waits for nothing its caller may still
+/// have to send.
+fn cut_off(req: Request, r: Reply, usher: &Usher) {
+    let peer = req.remote_addr().copied();
+    peer.into_iter().for_each(|p| usher.deafen(p));
+    answer(req, r);
+    peer.into_iter().for_each(|p| usher.hush(p));
+}
+
+type Serve = dyn Fn(Call) -> Reply + Send + Sync;
+
+/// One request, on a thread of its own: a slow caller holds up nobody else.
+fn one(mut req: Request, h: Result<Head, Amiss>, env: &FrontEnv, usher: &Usher, f: &Serve) {
+    let peer = req.remote_addr().copied();
+    let mark = |d: Doing| peer.into_iter().for_each(|p| usher.set(p, d));
+    mark(Doing::Sending);
+    match h.and_then(|h| take(&mut req, h, env.body, &env.room)) {
+        Ok(call) => {
+            mark(Doing::Waiting);
+            let r = f(call);
+            mark(Doing::Taking);
+            answer(req, r);
+            mark(Doing::Asking);
+        }
+        Err(a) => {
+            mark(if a.cut { Doing::Outcast } else { Doing::Taking });
+            if a.cut {
+                return cut_off(req, a.reply, usher);
+            }
+            answer(req, a.reply);
+            mark(Doing::Asking);
         }
     }
-    let _ = req.respond(resp);
 }
 
-/// Requests being answered, for a drain to wait on.
-pub type Open = Arc<AtomicU64>;
-
-/// Serves HTTP on so many threads by what `f` says.
-pub fn serve(l: TcpListener, threads: usize, f: impl Fn(Call) -> Reply + Send + Sync + 'static) -> Open {
-    let open: Open = Arc::default();
+/// Serves HTTP by what `f` says.
+pub fn serve(l: TcpListener, env: FrontEnv, f: impl Fn(Call) -> Reply + Send + Sync + 'static) -> Arc<Open> {
+    let open: Arc<Open> = Arc::default();
+    // Accepted connections inherit it: who does not read is given up.
+    let _ = setsockopt(&l, SendTimeout, &TimeVal::milliseconds(env.patience.take.as_ms() as i64));
+    let none = SocketAddr::from(([0, 0, 0, 0], 0));
+    let usher = Usher::start(l.local_addr().unwrap_or(none), env.patience);
     let Ok(server) = Server::from_listener(l, None) else { return open };
-    let (server, f) = (Arc::new(server), Arc::new(f));
-    for _ in 0..threads {
-        let (server, f, open) = (server.clone(), f.clone(), open.clone());
-        thread::spawn(move || {
-            while let Ok(mut req) = server.recv() {
-                open.fetch_add(1, Ordering::SeqCst);
-                let r = take(&mut req).map(|c| f(c)).unwrap_or_else(|r| r);
-                answer(req, r);
-                open.fetch_sub(1, Ordering::SeqCst);
+    let (f, count): (Arc<Serve>, _) = (Arc::new(f), open.clone());
+    thread::spawn(move || {
+        while let Ok(req) = server.recv() {
+            let peer = req.remote_addr().copied();
+            if peer.is_some_and(|p| usher.outcast(p)) {
+                // It was told already; what follows is no request of anybody's.
+                drop(req.into_writer());
+                continue;
             }
-        });
-    }
+            // Looked at in their order, so that what follows a head that broke the
+            // framing is known for what it is.
+            let h = head(&req, env.body);
+            let cut = h.as_ref().is_err_and(|a| a.cut);
+            peer.filter(|_| cut).into_iter().for_each(|p| usher.set(p, Doing::Outcast));
+            let health = health_path(&req);
+            let (open, most) = (count.clone(), if health { HEALTH } else { env.callers });
+            let n = move |o: &Open, by: isize| {
+                let c = if health { &o.health } else { &o.callers };
+                c.fetch_add(by as usize, SeqCst)
+            };
+            if n(&open, 1) >= most {
+                n(&open, -1);
+                let r = Reply::problem(503, "denied", "this node holds too many requests").after(2);
+                cut_off(req, r, &usher);
+                continue;
+            }
+            let (f, env, usher) = (f.clone(), env.clone(), usher.clone());
+            let went = open.clone();
+            let job = move || {
+                one(req, h, &env, &usher, &*f);
+                n(&open, -1);
+            };
+            // No thread to be had: the request falls away with a 500, unsent.
+            if thread::Builder::new().spawn(job).is_err() {
+                n(&went, -1);
+            }
+        }
+    });
     open
 }
 
@@ -125,8 +203,10 @@
 pub fn common(h: &Handle, c: &Call) -> Option<Reply> {
     let (path, wait) = (c.path.as_str(), Duration::from_secs(1));
     match (c.method.as_str(), path) {
-        ("GET", "lanewing/live") => Some(Reply::json(200, obj(vec![("live", JsonValue::from(true))]))),
-        ("GET", "lanewing/ready") => Some(match h.ask(Ask::Ready, wait) {
+        ("GET" | "HEAD", "lanewing/live") => {
+            Some(Reply::json(200, obj(vec![("live", JsonValue::from(true))])))
+        }
+        ("GET" | "HEAD", "lanewing/ready") => Some(match h.ask(Ask::Ready, wait) {
             Some(Receipt::Health(x)) => health(x),
             _ => Reply::problem(503, "stuck", "the process does not answer itself"),
         }),
--- a/crates/skep/src/lib.rs
+++ b/crates/skep/src/lib.rs
@@ -1,12 +1,18 @@
 //! The basket round a part: it gives it a clock, links, a disk, HTTP and logs.
+pub mod cond;
 pub mod env;
 pub mod exec;
 pub mod front;
+pub mod intake;
 pub mod logs;
 pub mod net;
 pub mod ring;
+pub mod room;
 mod scan;
 pub mod shell;
+pub mod usher;
+mod whole;
+mod wire;
 
 use wax::Mono;
 
--- a/crates/swarm/src/field.rs
+++ b/crates/swarm/src/field.rs
@@ -1,4 +1,5 @@
 //! Stand-in origins, and the rounds that reach them.
+use crate::people::who;
 use crate::world::{Ev, World};
 use brood::*;
 use std::collections::BTreeMap;
@@ -22,6 +23,9 @@
     pub edition: u64,
     pub keeper: usize,
     pub hits: BTreeMap<String, u64>,
+    /// What its answers say besides. An answer that is not public is made for its
+    /// caller, and says for whom.
+    pub heads: Heads,
 }
 
 impl World {
@@ -41,6 +45,7 @@
             edition: 1,
             keeper,
             hits: BTreeMap::new(),
+            heads: Heads::default(),
         };
         self.blooms.insert(a, b);
         self.at(Span::ms(1), Ev::Beat(a, birth.0));
@@ -123,8 +128,10 @@
         let Some(b) = b else { return self.report(g, life, r.n, Fetched::Lost) };
         b.in_hand = b.in_hand.saturating_sub(1);
         // Whose answer, to what, of which edition, made when.
-        let body = format!("{}|{}|{}|{}", b.svc, r.req.path, b.edition, self.now.0).into_bytes();
-        let w = Whole { status: 200, mime: "text/plain".into(), body };
+        let open = b.heads.get("cache-control").is_some_and(|c| c.contains("public"));
+        let who = if open { String::new() } else { who(&r.req) };
+        let body = format!("{}|{}|{}|{}|{who}", b.svc, r.req.path, b.edition, self.now.0).into_bytes();
+        let w = Whole { heads: b.heads.clone(), ..Whole::new(200, "text/plain", body) };
         let f = if whole { Fetched::Whole(w) } else { Fetched::Lost };
         self.report(g, life, r.n, f);
     }
--- a/crates/swarm/src/lib.rs
+++ b/crates/swarm/src/lib.rs
@@ -10,7 +10,7 @@
 mod world;
 
 pub use field::Bloom;
-pub use people::{Seen, Want};
+pub use people::{req, Seen, Want};
 pub use procs::{Proc, Role3};
 pub use rules::Rules;
 pub use stage::*;
--- a/crates/swarm/src/people.rs
+++ b/crates/swarm/src/people.rs
@@ -95,13 +95,18 @@
     }
 }
 
+/// Whose request it is.
+pub fn who(r: &Req) -> String {
+    ["authorization", "cookie"].iter().filter_map(|n| r.heads.get(n)).collect::<Vec<_>>().concat()
+}
+
 pub fn req(method: &str, lane: &str, path: &str, key: Option<&str>) -> Req {
     Req {
         method: method.into(),
         lane: lane.into(),
         path: path.into(),
         key: key.map(str::to_string),
-        mime: String::new(),
+        heads: Heads::default(),
         body: Arc::new(path.as_bytes().to_vec()),
     }
 }
--- a/crates/swarm/src/rules.rs
+++ b/crates/swarm/src/rules.rs
@@ -1,6 +1,6 @@
 //! The brief's must-never list, checked from outside at every step.
 use crate::field::Bloom;
-use crate::people::{Seen, Want};
+use crate::people::{who, Seen, Want};
 use brood::*;
 use std::collections::{BTreeMap, BTreeSet};
 use wax::{Addr, Mono, Span, Version};
@@ -106,9 +106,14 @@
     }
 
     fn served(&mut self, now: Mono, q: &Req, w: &Whole, from: Shared) {
+        if from == Shared::Own {
+            return;
+        }
         let s = String::from_utf8_lossy(&w.body).to_string();
         let parts: Vec<&str> = s.split('|').collect();
-        let right = parts.len() == 4
+        let mine = parts.get(4).is_none_or(|w| w.is_empty() || *w == who(q));
+        let right = (4..=5).contains(&parts.len())
+            && mine
             && parts[1] == q.path
             && self.allowed.contains(&(q.lane.clone(), Svc(parts[0].to_string())));
         if !right {
@@ -116,7 +121,7 @@
         }
         let (edition, made): (u64, u64) = (parts[2].parse().unwrap_or(0), parts[3].parse().unwrap_or(0));
         let ttl = self.ttl.get(&q.lane).copied().unwrap_or_default();
-        if from == Shared::Copy && now - Mono(made) > ttl + Span::secs(2) {
+        if matches!(from, Shared::Copy(_)) && now - Mono(made) > ttl + Span::secs(2) {
             self.broke(
                 "copy outlived its lifetime",
                 format!("{} by {} ms", q.path, (now - Mono(made)).as_ms()),
--- a/crates/swarm/src/world.rs
+++ b/crates/swarm/src/world.rs
@@ -23,6 +23,8 @@
     pub window: Span,
     /// How far monotonic clocks run apart, in parts of a thousand.
     pub drift: u64,
+    /// Requests a gate holds, of one service and in all.
+    pub hands: (usize, usize),
 }
 
 impl Plan {
@@ -38,6 +40,7 @@
             cut_at: 256,
             window: Span::secs(90),
             drift: 5,
+            hands: (256, 1024),
         }
     }
     pub fn bersatu() -> Plan {
