--- a/crates/brood/src/cmd.rs
+++ b/crates/brood/src/cmd.rs
@@ -1,6 +1,7 @@
 //! What keepers agree on, and which of it clashes.
 use crate::items::*;
 use crate::roll::Seat;
+use crate::state::Era;
 use serde::{Deserialize, Serialize};
 use waggle::Command;
 use wax::{Addr, Birth, NodeId, Version};
@@ -49,8 +50,9 @@
     /// Reads: clashes with every change, so that its place among them is known.
     Look,
     /// Ends the era: the next one starts from the state at this point, among
-    /// these members. Clashes with everything but the noop.
-    Cut(Vec<Member>),
+    /// these members. Clashes with everything but the noop. Rosters that ended up
+    /// to the era named are known to be in nobody's use.
+    Cut(Vec<Member>, Era),
 }
 
 impl Op {
@@ -89,7 +91,7 @@
     fn clashes(&self, other: &Cmd) -> bool {
         match (self, other) {
             (Cmd::Noop, _) | (_, Cmd::Noop) => false,
-            (Cmd::Cut(_), _) | (_, Cmd::Cut(_)) => true,
+            (Cmd::Cut(..), _) | (_, Cmd::Cut(..)) => true,
             (Cmd::Look, Cmd::Look) => false,
             (Cmd::Look, _) | (_, Cmd::Look) => true,
             (Cmd::Changes(a), Cmd::Changes(b)) => a.iter().any(|a| b.iter().any(|b| a.clashes(b))),
--- a/crates/brood/src/follow.rs
+++ b/crates/brood/src/follow.rs
@@ -57,9 +57,10 @@
         now - self.asked >= EVERY
     }
 
-    /// Until when the lease holds: a classic quorum of keepers carries it.
+    /// Until when the lease holds: so many keepers carry it that they meet every
+    /// classic quorum.
     pub fn leased_until(&self) -> Mono {
-        let need = waggle::classic(self.members.len());
+        let need = waggle::meets_all(self.members.len());
         let mut v: Vec<Mono> = self.members.iter().filter_map(|m| self.leases.get(&m.kid)).copied().collect();
         v.sort_by(|a, b| b.cmp(a));
         v.get(need - 1).copied().unwrap_or_default()
@@ -99,7 +100,9 @@
             birth: e.birth,
             standing: Standing::Serving,
         };
-        let sub = Sub { id: e.id, node, feed, got, ask: now, life: e.life, wants: wants.to_vec(), epoch };
+        let era = self.era;
+        let sub =
+            Sub { id: e.id, node, era, feed, got, ask: now, life: e.life, wants: wants.to_vec(), epoch };
         Out::Send(to, Msg::Sub(Box::new(sub)))
     }
 
--- a/crates/brood/src/msg.rs
+++ b/crates/brood/src/msg.rs
@@ -33,6 +33,8 @@
 pub struct Sub {
     pub id: NodeId,
     pub node: Node,
+    /// The era whose roster it goes by.
+    pub era: Era,
     /// The feed it follows and the last number it holds of it.
     pub feed: u64,
     pub got: u64,
@@ -80,12 +82,16 @@
     Blank(Member),
     Picture(Box<Picture>),
     WantPicture(Era, Birth),
-    Beats(Vec<(Beat, Span)>),
+    /// Beats and their ages, as of a moment after the receiver's own one given last:
+    /// the sender's clock now, and the receiver's as it was last heard.
+    Beats(Vec<(Beat, Span)>, Mono, Option<Mono>),
     AskForce(Era, Cid),
     InForce(Era, Cid, Kid),
     /// The sender has applied it from a synced decision.
     Applied(Era, Cid, Kid),
     AskApplied(Era, Cid),
+    /// By the era that followed a roster: members of it that are past it, see `keeper`.
+    Landed(Vec<(Era, Kid)>),
     DutyAsk(Kid, Epoch, Mono),
     DutySaid(Kid, Epoch, Option<Mono>),
     // subscribers and keepers
--- a/crates/brood/src/part.rs
+++ b/crates/brood/src/part.rs
@@ -91,7 +91,9 @@
 pub enum Ask {
     // at keepers
     Change(Change),
-    Beat(Beat),
+    /// A beat, and if its origin gives it back, the keeper's clock as of the last
+    /// reply it had: the beat is no older.
+    Beat(Beat, Option<Mono>),
     /// Swap a lost keeper for the one now at an address.
     Replace {
         old: Addr,
--- a/crates/brood/src/read.rs
+++ b/crates/brood/src/read.rs
@@ -1,7 +1,7 @@
 //! Reading operators' changes and origins' beats.
 use crate::cmd::*;
 use crate::items::*;
-use wax::{Birth, Look, LookProblem, NodeId, Reason, Span, Version};
+use wax::{Birth, Look, LookProblem, Mono, NodeId, Reason, Span, Version};
 
 type Result<T> = std::result::Result<T, LookProblem>;
 
@@ -98,9 +98,10 @@
     all.iter().map(one).collect()
 }
 
-pub fn read_beat(l: &Look) -> Result<Beat> {
-    l.only(&["service", "address", "birth", "zone", "cap", "occupancy", "mood"])?;
-    Ok(Beat {
+pub fn read_beat(l: &Look) -> Result<(Beat, Option<Mono>)> {
+    l.only(&["service", "address", "birth", "zone", "cap", "occupancy", "mood", "mark"])?;
+    let mark = l.opt("mark")?.map(|m| m.num(1, 1 << 53)).transpose()?.map(Mono);
+    let beat = Beat {
         svc: svc(l)?,
         addr: l.field("address")?.parsed("an address such as 10.0.0.1:80")?,
         birth: Birth(l.field("birth")?.num(1, 1 << 53)?),
@@ -108,5 +109,6 @@
         cap: l.field("cap")?.num(1, 1_000_000)? as u32,
         occupancy: l.field("occupancy")?.num(0, 1_000_000)? as u32,
         mood: l.field("mood")?.one_of(&MOODS)?,
-    })
+    };
+    Ok((beat, mark))
 }
--- a/crates/brood/src/state.rs
+++ b/crates/brood/src/state.rs
@@ -38,6 +38,8 @@
 pub struct Picture {
     pub era: Era,
     pub members: Vec<Member>,
+    /// Earlier rosters that some gate may still go by, with the era that followed.
+    pub past: Vec<(Era, Vec<Member>)>,
     /// Invariant: above every keeper id ever given out.
     pub next_kid: u16,
     /// Stamps of the era are above this.
@@ -218,9 +220,14 @@
 
     /// Ends the era. Pure, and the same on every keeper: the cut clashes with
     /// all, so the state at it is the same everywhere.
-    pub fn cut(&self, members: &[Member], clock: u64) -> Picture {
+    pub fn cut(&self, members: &[Member], landed: Era, clock: u64) -> Picture {
         let mut p = self.clone();
         p.era = Era(self.era.0 + 1);
+        p.past.retain(|(e, _)| *e > landed);
+        let kids = |ms: &[Member]| ms.iter().map(|m| m.kid).collect::<Vec<_>>();
+        if !self.members.is_empty() && kids(members) != kids(&self.members) {
+            p.past.push((p.era, self.members.clone()));
+        }
         p.members = members.to_vec();
         p.clock = clock;
         p.next_kid = members.iter().map(|m| m.kid.0 + 1).max().unwrap_or(0).max(self.next_kid);
--- a/crates/hive/src/desk.rs
+++ b/crates/hive/src/desk.rs
@@ -94,8 +94,10 @@
 }
 
 fn beat(h: &Handle, c: &Call) -> Reply {
-    match c.json(read_beat).map(|b| h.ask(Ask::Beat(b), SHORT)) {
-        Ok(Some(Receipt::Took)) => Reply::json(200, obj(vec![("heard", JsonValue::from(true))])),
+    match c.json(read_beat).map(|(b, mark)| h.ask(Ask::Beat(b, mark), SHORT)) {
+        Ok(Some(Receipt::Took)) => {
+            Reply::json(200, obj(vec![("heard", JsonValue::from(true)), ("mark", num(skep::now().0))]))
+        }
         Ok(_) => Reply::problem(503, "not now", "this keeper reaches too few others").after(1),
         Err(r) => r,
     }
--- a/crates/keeper/src/apply.rs
+++ b/crates/keeper/src/apply.rs
@@ -58,9 +58,9 @@
                 let p = self.pending.remove(&cid);
                 p.into_iter().for_each(|p| self.again(now, p, out));
             }
-            Cmd::Cut(members) => {
+            Cmd::Cut(members, landed) => {
                 let clock = self.mach.as_ref().map_or(0, |m| m.clock());
-                let next = self.pic.cut(&members, clock);
+                let next = self.pic.cut(&members, landed, clock);
                 let news = self.differs(&next);
                 self.enter(now, next, out);
                 self.number(&news, None);
--- a/crates/keeper/src/beats.rs
+++ b/crates/keeper/src/beats.rs
@@ -2,21 +2,58 @@
 //! commands.
 use crate::keeper::Keeper;
 use brood::*;
-use wax::{Mono, Span};
+use std::collections::BTreeMap;
+use wax::{Addr, Mono, Span};
 
 /// Beats older than this are forgotten.
 const OLD: Span = Span::secs(10);
 
-impl Keeper {
-    /// A beat as it is now, heard `age` ago by some keeper.
-    pub(crate) fn on_beat(&mut self, now: Mono, b: Beat, age: Span, out: &mut Vec<Out>) {
-        let heard = now - age;
-        let newer = self.beats.get(&b.addr).is_none_or(|(_, t)| heard > *t);
-        if !newer || self.mach.is_none() {
-            return;
+/// What this keeper knows of pauses, its own and the links'.
+#[derive(Debug)]
+pub(crate) struct Pulse {
+    last: Mono,
+    /// The last long pause: from when to when.
+    pause: (Mono, Mono),
+    /// The clocks of other keepers, as last heard.
+    clocks: BTreeMap<Addr, Mono>,
+}
+
+/// Ticks come every hundredth of a second; without a step for so long it was frozen.
+const PAUSE: Span = Span::ms(250);
+/// What waited out a pause is taken in within this after it.
+const BACKLOG: Span = Span::ms(500);
+
+impl Pulse {
+    pub(crate) fn new(now: Mono) -> Pulse {
+        Pulse { last: now, pause: (Mono(0), Mono(0)), clocks: BTreeMap::new() }
+    }
+    pub(crate) fn step(&mut self, now: Mono) {
+        if now - self.last > PAUSE {
+            self.pause = (self.last, now);
+        }
+        self.last = now;
+    }
+    /// When what arrives now may have been said, at the earliest.
+    fn since(&self, now: Mono) -> Mono {
+        let (from, to) = self.pause;
+        if to != Mono(0) && now - to < BACKLOG {
+            from
+        } else {
+            now
         }
-        self.beats.insert(b.addr, (b.clone(), heard));
-        if age > Span(0) {
+    }
+}
+
+impl Keeper {
+    /// A beat from its origin. It counts from the moment before which it cannot have
+    /// been said: one that waited is as old as its wait.
+    pub(crate) fn first_hand(&mut self, now: Mono, b: Beat, mark: Option<Mono>, out: &mut Vec<Out>) {
+        let known = mark.filter(|m| *m <= now).unwrap_or(now);
+        let heard = known.min(self.pulse.since(now));
+        self.hear(b.clone(), heard);
+        // Of two lives at an address the later heard is the one there now.
+        let there = self.beats.get(&b.addr).is_some_and(|(w, _)| w.birth == b.birth);
+        if self.mach.is_none() || !there || now - heard > PAUSE.times(4) {
             return;
         }
         let known = self.pic.origin(&b.addr).cloned();
@@ -33,6 +70,31 @@
         op.into_iter().for_each(|op| self.derive(now, op, out));
     }
 
+    /// Beats passed on by another keeper, no older than `echo`, this one's own clock.
+    pub(crate) fn on_relay(
+        &mut self,
+        now: Mono,
+        from: Addr,
+        bs: Vec<(Beat, Span)>,
+        at: Mono,
+        echo: Option<Mono>,
+    ) {
+        self.pulse.clocks.insert(from, at);
+        if let Some(then) = echo.filter(|e| *e <= now) {
+            bs.into_iter().for_each(|(b, age)| self.hear(b, then - age));
+        }
+    }
+
+    /// The later word counts; but a life that said it leaves never serves again.
+    fn hear(&mut self, b: Beat, heard: Mono) {
+        let ends = |m: Mood| matches!(m, Mood::Leaving | Mood::Gone);
+        let was = self.beats.get(&b.addr);
+        let over = was.is_some_and(|(w, _)| w.birth == b.birth && ends(w.mood) && !ends(b.mood));
+        if !over && was.is_none_or(|(_, t)| heard > *t) {
+            self.beats.insert(b.addr, (b, heard));
+        }
+    }
+
     pub(crate) fn beats_now(&self, now: Mono) -> Vec<(Beat, Span)> {
         let fresh = self.beats.values().filter(|(_, t)| now - *t < OLD);
         fresh.map(|(b, t)| (b.clone(), now - *t)).collect()
@@ -40,18 +102,18 @@
 
     pub(crate) fn relay_beats(&mut self, now: Mono, out: &mut Vec<Out>) {
         self.beats.retain(|_, (_, t)| now - *t < OLD);
-        // The age sent is never nought: that would look like a beat at first hand.
-        let bs: Vec<_> = self.beats_now(now).into_iter().map(|(b, age)| (b, Span(age.0.max(1)))).collect();
-        if !bs.is_empty() && self.mach.is_some() {
+        let bs = self.beats_now(now);
+        if self.mach.is_some() {
             let me = self.env.addr;
-            let others = self.base.members.iter().filter(|m| m.addr != me);
-            out.extend(others.map(|m| Out::Send(m.addr, Msg::Beats(bs.clone()))));
+            let others = self.base.members.iter().map(|m| m.addr).filter(|a| *a != me);
+            let echo = |a: &Addr| self.pulse.clocks.get(a).copied();
+            out.extend(others.map(|a| Out::Send(a, Msg::Beats(bs.clone(), now, echo(&a)))));
         }
     }
 
     /// Origins that have been silent too long are removed; the duty holder's work.
     pub(crate) fn sweep(&mut self, now: Mono, out: &mut Vec<Out>) {
-        let silent = |k: &wax::Addr, o: &Origin| {
+        let silent = |k: &Addr, o: &Origin| {
             let t = self.beats.get(k).filter(|(b, _)| b.birth == o.birth).map(|(_, t)| *t);
             t.is_none_or(|t| now - t >= self.env.vanish)
         };
--- a/crates/keeper/src/duty.rs
+++ b/crates/keeper/src/duty.rs
@@ -1,8 +1,8 @@
 //! The single duty: the first live keeper in the agreed order lends slices of
 //! the ceilings, removes vanished origins and cuts eras.
-use crate::keeper::{order, Keeper};
+use crate::keeper::Keeper;
 use brood::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use waggle::{classic, Kid};
 use wax::{Addr, Epoch, Mono, Span};
 
@@ -159,3 +159,8 @@
         got
     }
 }
+
+/// The roster's kids, in the order in which duties fall to them.
+fn order(pic: &Picture) -> BTreeSet<Kid> {
+    pic.members.iter().map(|m| m.kid).collect()
+}
--- a/crates/keeper/src/era.rs
+++ b/crates/keeper/src/era.rs
@@ -40,8 +40,10 @@
     /// Takes the seat that the roster of the picture gives this disk, if any.
     fn seat(&mut self, now: Mono) {
         let mine = self.pic.members.iter().find(|m| m.addr == self.env.addr && m.birth == self.birth);
+        let had = self.mach.is_some();
         self.mach = mine.map(|m| m.kid).map(|kid| {
             self.kid = kid;
+            self.seated = if had { self.seated } else { now };
             Machine::new(kid, self.pic.members.iter().map(|m| m.kid).collect(), self.env.pace, now)
         });
     }
@@ -152,9 +154,9 @@
         let lately = self.cutting.is_some_and(|t| now - t < Span::secs(2));
         if due && !lately {
             self.cutting = Some(now);
-            let members = self.pic.members.clone();
+            let (members, landed) = (self.pic.members.clone(), self.landed_to());
             self.with_machine(now, out, |m, o| {
-                m.propose(now, Cmd::Cut(members), o);
+                m.propose(now, Cmd::Cut(members, landed), o);
             });
         }
     }
--- a/crates/keeper/src/feeds.rs
+++ b/crates/keeper/src/feeds.rs
@@ -23,6 +23,8 @@
     /// Which life of the subscriber it is for: what an earlier one acknowledged,
     /// this one may not hold.
     pub life: u64,
+    /// The era whose roster the subscriber goes by, as last heard.
+    pub era: Era,
     /// When the feed was started anew.
     pub begun: Mono,
 }
@@ -40,6 +42,7 @@
             pushed: Mono(0),
             begun: Mono(0),
             life: 0,
+            era: Era(0),
         }
     }
     /// The subscriber acknowledged this number.
@@ -82,7 +85,7 @@
             self.derive(now, Op::Join(s.id, s.node.clone()), out);
         }
         // A full picture would show what is not yet to be seen.
-        let shown = self.all_shown();
+        let (shown, company) = (self.all_shown(), self.in_company(now));
         let f = self.feeds.entry(s.id).or_insert_with(|| Feed::unsure(Mono(0)));
         f.addr = Some(from);
         // Askings that crossed a new feed's first news must not start it once more:
@@ -98,15 +101,18 @@
             f.out = 1;
             f.got = 0;
             f.line.clear();
+            f.era = s.era;
         } else if !other {
+            f.era = s.era;
             f.hold(s.got);
         }
         let again = f.got < f.out && !other && now - f.pushed >= Span::ms(100);
         if anew || again {
             f.pushed = now;
         }
-        // A lease goes only to a subscriber that holds all this keeper applied.
-        let lent = seated && !other && !f.behind();
+        // A lease goes only to a subscriber that holds all this keeper applied, and
+        // goes by no earlier roster; see `landing`.
+        let lent = seated && !other && !f.behind() && s.era >= self.base.era && company;
         if lent {
             f.lent = f.lent.max(now + self.env.lease.padded());
         }
--- a/crates/keeper/src/force.rs
+++ b/crates/keeper/src/force.rs
@@ -96,7 +96,8 @@
     }
 
     fn settled(&self, cid: Cid) -> bool {
-        self.mach.as_ref().is_some_and(|m| m.delivered(cid)) && !self.owed.contains_key(&cid)
+        let here = self.mach.as_ref().is_some_and(|m| m.delivered(cid));
+        here && !self.owed.contains_key(&cid) && self.all_landed()
     }
 
     /// Clears what was paid, tells the leaders, asks for what is missing.
@@ -105,7 +106,7 @@
         let open = std::mem::take(&mut self.owed);
         for (cid, lacks) in open {
             let still: Vec<_> = lacks.into_iter().filter(|(id, no)| !self.paid(now, *id, *no)).collect();
-            if still.is_empty() {
+            if still.is_empty() && self.all_landed() {
                 let at = self.base.member(cid.kid).map(|m| m.addr);
                 out.extend(at.map(|a| Out::Send(a, Msg::InForce(era, cid, self.kid))));
             } else {
--- a/crates/keeper/src/found.rs
+++ b/crates/keeper/src/found.rs
@@ -40,7 +40,7 @@
         ms.sort_by_key(|m| m.addr);
         ms.dedup_by_key(|m| m.addr);
         ms.iter_mut().enumerate().for_each(|(i, m)| m.kid = Kid(i as u16));
-        let p = Picture::default().cut(&ms, 0);
+        let p = Picture::default().cut(&ms, Era(0), 0);
         self.enter(now, p, out);
         self.show_founded(out);
     }
@@ -75,8 +75,9 @@
         let kid = Kid(self.pic.next_kid);
         let swap = |m: &Member| if m.addr == old { Member { kid, ..new.clone() } } else { m.clone() };
         let members: Vec<Member> = self.pic.members.iter().map(swap).collect();
+        let landed = self.landed_to();
         self.with_machine(now, out, |m, o| {
-            m.propose(now, Cmd::Cut(members), o);
+            m.propose(now, Cmd::Cut(members, landed), o);
         });
     }
 }
--- a/crates/keeper/src/keeper.rs
+++ b/crates/keeper/src/keeper.rs
@@ -1,6 +1,8 @@
+use crate::beats::Pulse;
 use crate::duty::Duty;
 use crate::feeds::Feed;
 use crate::force::Pending;
+use crate::landing::Landed;
 use crate::recs::Kept;
 use crate::roll::RollWatch;
 use crate::show::Hidden;
@@ -45,6 +47,7 @@
     pub(crate) feeds: BTreeMap<NodeId, Feed>,
     pub(crate) feed_no: u64,
     pub(crate) beats: BTreeMap<Addr, (Beat, Mono)>,
+    pub(crate) pulse: Pulse,
     /// What was lately proposed without an operator, so as not to repeat it.
     pub(crate) derived: BTreeMap<u64, Mono>,
     pub(crate) pending: BTreeMap<Cid, Pending>,
@@ -54,6 +57,10 @@
     pub(crate) owed: BTreeMap<Cid, Vec<(NodeId, u64)>>,
     /// Applied here, but not yet known to be applied by a classic quorum.
     pub(crate) hidden: BTreeMap<Cid, Hidden>,
+    /// Who of earlier rosters is past them.
+    pub(crate) landed: Landed,
+    /// Since when, in this process, it has had a seat.
+    pub(crate) seated: Mono,
     /// Who was heard in this era.
     pub(crate) heard: BTreeSet<Kid>,
     pub(crate) looks: BTreeMap<Cid, Token>,
@@ -81,11 +88,14 @@
             feeds: BTreeMap::new(),
             feed_no: life << 16,
             beats: BTreeMap::new(),
+            pulse: Pulse::new(now),
             derived: BTreeMap::new(),
             pending: BTreeMap::new(),
             line: vec![],
             owed: BTreeMap::new(),
             hidden: BTreeMap::new(),
+            landed: Landed::new(),
+            seated: now,
             heard: BTreeSet::new(),
             looks: BTreeMap::new(),
             duty: Duty::new(now),
@@ -158,11 +168,11 @@
         let r = match ask {
             Ask::Change(c) if ready => return self.submit(now, Some(t), c, out),
             Ask::Change(_) => Receipt::NotNow("no quorum of keepers in reach"),
-            Ask::Beat(b) if ready => {
-                self.on_beat(now, b, Span(0), out);
+            Ask::Beat(b, mark) if ready => {
+                self.first_hand(now, b, mark, out);
                 Receipt::Took
             }
-            Ask::Beat(_) => Receipt::NotNow("no quorum of keepers in reach"),
+            Ask::Beat(..) => Receipt::NotNow("no quorum of keepers in reach"),
             Ask::Replace { old, new } => self.replace(now, old, new, out),
             Ask::Table if ready => return self.look(now, t, out),
             Ask::Table => Receipt::NotNow("no quorum of keepers in reach"),
@@ -172,27 +182,6 @@
         out.push(Out::Tell(t, r));
     }
 
-    fn health(&self, now: Mono) -> Health {
-        let t = self.tally();
-        let why = match (&self.mach, self.connected(now)) {
-            (None, _) => "not a member yet",
-            (_, false) => "no quorum of keepers in reach",
-            _ => "",
-        };
-        let mut counts: Vec<_> = self.counts.iter().map(|(k, v)| (*k, *v)).collect();
-        counts.extend([
-            ("era", self.pic.era.0),
-            ("proposed", t.proposed),
-            ("fast", t.fast),
-            ("slow", t.slow),
-            ("retried", t.retried),
-            ("recovered", t.recovered),
-            ("messages", t.sent),
-            ("tuples", self.mach.as_ref().map_or(0, |m| m.size()) as u64),
-        ]);
-        Health { ready: why.is_empty(), why, in_hand: self.pending.len() as u64, counts }
-    }
-
     fn tick(&mut self, now: Mono, out: &mut Vec<Out>) {
         if self.due("blank", Span::ms(200), now) {
             self.show_blank(out);
@@ -204,10 +193,11 @@
         }
         self.near = near;
         self.send_line(now, out);
+        self.land(now, out);
         self.force(now, out);
         self.ask_applied(now, out);
         self.do_duty(now, out);
-        if self.due("beats", Span::ms(200), now) {
+        if self.due("beats", Span::ms(100), now) {
             self.relay_beats(now, out);
         }
         self.maybe_cut(now, out);
@@ -217,6 +207,7 @@
 
 impl Part for Keeper {
     fn step(&mut self, now: Mono, inp: In, out: &mut Vec<Out>) {
+        self.pulse.step(now);
         match inp {
             In::Tick => self.tick(now, out),
             In::Ask(t, a) => self.ask(now, t, a, out),
@@ -225,10 +216,11 @@
                 Msg::Blank(m) => self.on_blank(now, m, out),
                 Msg::Picture(p) => self.adopt(now, *p, out),
                 Msg::WantPicture(era, birth) => self.on_want(from, era, birth, out),
-                Msg::Beats(bs) => bs.into_iter().for_each(|(b, age)| self.on_beat(now, b, age, out)),
+                Msg::Beats(bs, at, echo) => self.on_relay(now, from, bs, at, echo),
                 Msg::AskForce(era, cid) => self.on_ask_force(from, era, cid, out),
                 Msg::InForce(era, cid, kid) => self.on_in_force(now, era, cid, kid, out),
                 Msg::Applied(era, cid, kid) => self.on_applied(now, era, cid, kid, out),
+                Msg::Landed(said) => self.on_landed(now, said, out),
                 Msg::AskApplied(era, cid) => self.on_ask_applied(from, era, cid, out),
                 Msg::DutyAsk(kid, e, t) => self.on_duty_ask(now, from, kid, e, t, out),
                 Msg::DutySaid(kid, e, t) => self.on_duty_said(now, kid, e, t),
@@ -239,8 +231,3 @@
         }
     }
 }
-
-/// The roster's kids, in the order in which duties fall to them.
-pub(crate) fn order(pic: &Picture) -> BTreeSet<Kid> {
-    pic.members.iter().map(|m| m.kid).collect()
-}
--- /dev/null
+++ b/crates/keeper/src/landing.rs
@@ -0,0 +1,79 @@
+//! Rosters that some gate may still go by.
+//!
+//! Invariant: nothing of an era is in force, nor shown, before every earlier roster
+//! has *landed*: a classic quorum of its members is past it and has no live lease out
+//! to a gate that does not know the newer one. A gate that goes by the old roster
+//! needs a renewal from each of its classic quorums, so there is then none that serves.
+use crate::keeper::Keeper;
+use brood::*;
+use std::collections::{BTreeMap, BTreeSet};
+use waggle::{classic, Kid, Machine};
+use wax::{Mono, Span};
+
+/// By the era that a roster was followed by: which of its members are past it.
+pub(crate) type Landed = BTreeMap<Era, BTreeSet<Kid>>;
+
+impl Keeper {
+    fn down(&self, at: Era, roster: &[Member]) -> bool {
+        let by = self.landed.get(&at);
+        let past = |m: &&Member| by.is_some_and(|b| b.contains(&m.kid));
+        roster.iter().filter(past).count() >= classic(roster.len())
+    }
+
+    pub(crate) fn all_landed(&self) -> bool {
+        self.base.past.iter().all(|(e, r)| self.down(*e, r))
+    }
+
+    /// Up to which era nobody goes by an earlier roster any more.
+    pub(crate) fn landed_to(&self) -> Era {
+        let open = self.base.past.iter().find(|(e, r)| !self.down(*e, r));
+        open.map_or(self.base.era, |(e, _)| Era(e.0 - 1))
+    }
+
+    /// For whom of a roster this keeper can speak: for itself; and for whoever had its
+    /// seat before, once every lease that one gave has run out. For that one's disk was
+    /// lost, or an operator's word is that it is gone; and a keeper that hears nobody
+    /// of its era renews nothing.
+    fn speaks_for(&self, now: Mono, seat: usize, m: &Member) -> bool {
+        let mine = |m: &Member| m.addr == self.env.addr && m.birth == self.birth;
+        let outlived = now - self.seated > self.env.lease.padded() + self.env.pace.suspect;
+        mine(m) || (outlived && self.base.members.get(seat).is_some_and(mine))
+    }
+
+    /// Another member was lately heard in this era: without, this keeper may have been
+    /// replaced and not know it.
+    pub(crate) fn in_company(&self, now: Mono) -> bool {
+        let near = |m: &Machine<Cmd>, k: &Kid| {
+            *k != self.kid && m.heard_of(*k).is_some_and(|t| now - t < self.env.pace.suspect)
+        };
+        self.mach.as_ref().is_some_and(|m| m.roster().len() == 1 || m.roster().iter().any(|k| near(m, k)))
+    }
+
+    /// Says what it knows at first hand, as long as there is any roster left.
+    pub(crate) fn land(&mut self, now: Mono, out: &mut Vec<Out>) {
+        let every = if self.all_landed() { Span::secs(1) } else { Span::ms(100) };
+        if self.base.past.is_empty() || !self.due("land", every, now) {
+            return;
+        }
+        let knows = |e: Era| self.feeds.values().all(|f| f.lent <= now || f.era >= e);
+        let mine = |(e, r): &(Era, Vec<Member>)| {
+            let all = r.iter().enumerate().filter(|(i, m)| knows(*e) && self.speaks_for(now, *i, m));
+            all.map(|(_, m)| (*e, m.kid)).collect::<Vec<_>>()
+        };
+        let said: Vec<(Era, Kid)> = self.base.past.iter().flat_map(mine).collect();
+        if !said.is_empty() {
+            let all = self.base.members.iter();
+            out.extend(all.map(|m| Out::Send(m.addr, Msg::Landed(said.clone()))));
+        }
+    }
+
+    pub(crate) fn on_landed(&mut self, now: Mono, said: Vec<(Era, Kid)>, out: &mut Vec<Out>) {
+        let before = self.all_landed();
+        for (e, k) in said {
+            self.landed.entry(e).or_default().insert(k);
+        }
+        if !before && self.all_landed() {
+            self.push(now, out);
+        }
+    }
+}
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -7,6 +7,7 @@
 mod force;
 mod found;
 mod keeper;
+mod landing;
 mod recs;
 mod roll;
 mod show;
--- a/crates/keeper/src/show.rs
+++ b/crates/keeper/src/show.rs
@@ -23,7 +23,7 @@
     }
 
     pub(crate) fn all_shown(&self) -> bool {
-        self.hidden.is_empty() && self.heard.len() >= self.quorum()
+        self.hidden.is_empty() && self.heard.len() >= self.quorum() && self.all_landed()
     }
 
     /// Numbers the news for every feed, so that no lease is renewed without it.
@@ -88,7 +88,7 @@
     /// Sends every feed what it may see and was not sent, in the order of its
     /// numbers.
     pub(crate) fn push(&mut self, now: Mono, out: &mut Vec<Out>) {
-        if self.heard.len() < self.quorum() {
+        if self.heard.len() < self.quorum() || !self.all_landed() {
             return;
         }
         let veiled: BTreeSet<&Key> = self.hidden.values().flat_map(|h| &h.keys).collect();
@@ -134,4 +134,25 @@
         let t = self.looks.remove(&cid);
         out.extend(t.map(|t| Out::Tell(t, Receipt::NotNow("the reading was overtaken; ask again"))));
     }
+
+    pub(crate) fn health(&self, now: Mono) -> Health {
+        let t = self.tally();
+        let why = match (&self.mach, self.connected(now)) {
+            (None, _) => "not a member yet",
+            (_, false) => "no quorum of keepers in reach",
+            _ => "",
+        };
+        let mut counts: Vec<_> = self.counts.iter().map(|(k, v)| (*k, *v)).collect();
+        counts.extend([
+            ("era", self.pic.era.0),
+            ("proposed", t.proposed),
+            ("fast", t.fast),
+            ("slow", t.slow),
+            ("retried", t.retried),
+            ("recovered", t.recovered),
+            ("messages", t.sent),
+            ("tuples", self.mach.as_ref().map_or(0, |m| m.size()) as u64),
+        ]);
+        Health { ready: why.is_empty(), why, in_hand: self.pending.len() as u64, counts }
+    }
 }
--- a/crates/meadow/src/flower.rs
+++ b/crates/meadow/src/flower.rs
@@ -3,7 +3,7 @@
 use crate::content::{digest, page};
 use crate::web;
 use brood::{list, num, obj, text};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::io::Write;
 use std::net::TcpListener;
 use std::sync::{Arc, Mutex};
@@ -75,12 +75,13 @@
 fn beat(env: &FlowerEnv, seen: &Shared, birth: u64) {
     let agent = web::agent(Duration::from_millis(400));
     let mut k = birth as usize % env.keepers.len().max(1);
+    let mut mark: Option<JsonValue> = None;
     loop {
         let (mood, hand) = {
             let s = seen.lock().expect("no thread panics with it");
             (s.fault.mood.clone().unwrap_or("serving".into()), s.in_hand)
         };
-        let b = obj(vec![
+        let mut b = vec![
             ("service", text(&env.svc)),
             ("address", text(env.at)),
             ("birth", num(birth)),
@@ -88,10 +89,15 @@
             ("cap", num(env.cap as u64)),
             ("occupancy", num(hand as u64)),
             ("mood", text(&mood)),
-        ]);
-        let heard = env.keepers.get(k).and_then(|a| web::post(&agent, *a, "lanewing/beats", &b));
-        if heard.is_none_or(|(s, _)| s != 200) {
-            k = (k + 1) % env.keepers.len().max(1);
+        ];
+        b.extend(mark.take().map(|m| ("mark", m)));
+        let heard = env.keepers.get(k).and_then(|a| web::post(&agent, *a, "lanewing/beats", &obj(b)));
+        match heard {
+            // Of this keeper's clock, so given back to no other.
+            Some((200, v)) => {
+                mark = v.get().and_then(|m: &HashMap<String, JsonValue>| m.get("mark").cloned())
+            }
+            _ => k = (k + 1) % env.keepers.len().max(1),
         }
         thread::sleep(Duration::from_millis(200));
     }
--- a/crates/swarm/src/field.rs
+++ b/crates/swarm/src/field.rs
@@ -71,31 +71,37 @@
 
     pub(crate) fn beat(&mut self, a: Addr, life: u64) {
         let keepers = self.of(Role::Keeper);
-        let Some(b) = self.blooms.get(&a).filter(|b| b.up && b.birth.0 == life).cloned() else { return };
-        let beat = Beat {
-            svc: b.svc,
-            addr: a,
-            birth: b.birth,
-            zone: b.zone,
-            cap: 64,
-            occupancy: b.in_hand,
-            mood: b.mood,
-        };
+        let Some(b) = self.blooms.get_mut(&a).filter(|b| b.up && b.birth.0 == life) else { return };
         let to = keepers[b.keeper % keepers.len()];
         // A keeper that does not take the beat is left for the next one.
         let deaf = self.procs[&to].frozen || self.procs[&to].part.is_none();
         if deaf {
-            self.blooms.get_mut(&a).into_iter().for_each(|b| b.keeper += 1);
+            b.keeper += 1;
         } else {
-            self.next_token += 1;
-            let t = Token(self.next_token);
-            self.wants.insert(t, (to, crate::people::Want::Beat(a), self.now));
-            let d = self.distance(a, to);
-            self.at(d, Ev::Ask(to, t, Ask::Beat(beat)));
+            self.say_beat(a, to);
         }
         self.at(Span::ms(200), Ev::Beat(a, life));
     }
 
+    /// One beat as things are now, on its way to a keeper.
+    pub fn say_beat(&mut self, a: Addr, to: Addr) {
+        let Some(b) = self.blooms.get(&a) else { return };
+        let beat = Beat {
+            svc: b.svc.clone(),
+            addr: a,
+            birth: b.birth,
+            zone: b.zone.clone(),
+            cap: 64,
+            occupancy: b.in_hand,
+            mood: b.mood,
+        };
+        self.next_token += 1;
+        let t = Token(self.next_token);
+        self.wants.insert(t, (to, crate::people::Want::Beat(a), self.now));
+        let d = self.distance(a, to);
+        self.at(d, Ev::Ask(to, t, Ask::Beat(beat, None)));
+    }
+
     /// The executor's last look at the clock, then the bytes leave.
     pub(crate) fn leave(&mut self, g: Addr, life: u64, r: Round) {
         let live = self.procs.get(&g).filter(|p| p.life == life && p.part.is_some());
--- a/crates/swarm/tests/origins.rs
+++ b/crates/swarm/tests/origins.rs
@@ -26,6 +26,26 @@
     }
 }
 
+/// Beats wait at frozen keepers; after the thaw they look as if just said.
+#[test]
+fn given_beats_that_waited_at_frozen_keepers_then_they_are_as_old_as_the_freeze() {
+    for seed in 640..650 {
+        let (mut w, f) = World::standing(Plan::trinacria(), seed);
+        traffic(&mut w, &f, 8, 200);
+        w.run(Span::secs(2));
+        // Just before it says that it leaves, a last beat is on its way.
+        let at = f.desks[1];
+        f.keepers.iter().for_each(|k| w.freeze(*k));
+        f.keepers.iter().for_each(|k| w.say_beat(at, *k));
+        w.run(Span::ms(5));
+        w.take_leave(at, Mood::Leaving);
+        w.run(Span::ms(2300));
+        f.keepers.iter().for_each(|k| w.thaw(*k));
+        w.run(Span::secs(5));
+        clean(&mut w);
+    }
+}
+
 #[test]
 fn given_an_address_that_passes_to_another_service_then_nothing_meant_for_the_old_one_reaches_it() {
     for seed in 63..67 {
--- a/crates/waggle/src/lib.rs
+++ b/crates/waggle/src/lib.rs
@@ -17,6 +17,11 @@
     n / 2 + 1
 }
 
+/// `N - CQ + 1`: so many that every classic quorum has one of them.
+pub fn meets_all(n: usize) -> usize {
+    n - classic(n) + 1
+}
+
 /// `ceil(3N/4)`.
 pub fn fast(n: usize) -> usize {
     (3 * n).div_ceil(4)
