--- a/crates/apiary/src/fleet.rs
+++ b/crates/apiary/src/fleet.rs
@@ -189,6 +189,11 @@
         Ok(())
     }
 
+    /// Waits for the end of one that was killed.
+    pub fn reaped(&mut self, name: &str) -> Result<()> {
+        self.reap(name, 5)
+    }
+
     /// Asks it to leave and waits until it did.
     pub fn stop(&mut self, name: &str) -> Result<()> {
         self.signal(name, Signal::SIGTERM)?;
--- a/crates/apiary/src/main.rs
+++ b/crates/apiary/src/main.rs
@@ -2,6 +2,7 @@
 mod fleet;
 mod plays;
 mod rehearse;
+mod turns;
 mod watch;
 
 use clap::{value_parser, Arg, Command};
--- a/crates/apiary/src/rehearse.rs
+++ b/crates/apiary/src/rehearse.rs
@@ -58,6 +58,7 @@
         span: Duration::from_secs(play.secs),
         seed: 1,
         pushy: play.pushy,
+        follow: play.lossless,
     };
     let callers = thread::spawn(move || forager::run(env));
     let mut s = Scene { ledger: Ledger::default(), notes: vec![], began: Instant::now() };
@@ -71,6 +72,7 @@
     println!("whole answers by second: {}", seconds(&harvest));
     let mut all = audit::violations(&f.mix, &counts, &harvest);
     all.extend(too_little(&harvest, play.secs, rate, play.least));
+    all.extend(play.lossless.then(|| lost(&harvest)).flatten());
     all.iter().for_each(|v| println!("VIOLATION {v}"));
     f.stop_all()?;
     ensure!(all.is_empty(), ViolationsSnafu { all });
@@ -78,6 +80,16 @@
     Ok::<(), FleetProblem>(())
 }
 
+/// Callers who follow readiness lose nothing to what we do ourselves.
+fn lost(h: &Harvest) -> Option<String> {
+    let odd: Vec<String> =
+        h.by.iter()
+            .filter(|((_, w), _)| !w.starts_with("200 from"))
+            .map(|((l, w), n)| format!("{n} {l}: {w}"))
+            .collect();
+    (!odd.is_empty()).then(|| format!("lost to our own restarts: {}", odd.join(", ")))
+}
+
 fn seconds(h: &Harvest) -> String {
     let last = h.good.keys().max().copied().unwrap_or(0);
     (0..=last).map(|s| h.good.get(&s).copied().unwrap_or(0).to_string()).collect::<Vec<_>>().join(" ")
--- a/crates/brood/src/follow.rs
+++ b/crates/brood/src/follow.rs
@@ -3,7 +3,8 @@
 use crate::items::*;
 use crate::msg::*;
 use crate::part::Out;
-use crate::state::{merge, old_purge, Era};
+use crate::purged::old_purge;
+use crate::state::Era;
 use std::collections::{BTreeMap, BTreeSet};
 use waggle::Kid;
 use wax::{Addr, Birth, Epoch, Mono, NodeId, Span};
@@ -28,6 +29,9 @@
 pub struct Follow {
     pub env: FollowEnv,
     pub era: Era,
+    /// Invariant: all that was decided before this era is held: a keeper in it renewed
+    /// the lease, which it does only for one who holds all that it applied.
+    pub sure: Era,
     pub members: Vec<Member>,
     /// Invariant: each item's version only grows.
     pub items: BTreeMap<Key, Item>,
@@ -45,6 +49,7 @@
         Follow {
             env,
             era: Era(0),
+            sure: Era(0),
             members: vec![],
             items: BTreeMap::new(),
             leases: BTreeMap::new(),
@@ -128,9 +133,20 @@
             }
         }
         if let Some(r) = n.reply.as_ref().filter(|r| r.lent && r.life == self.env.life) {
+            self.sure = self.sure.max(n.era);
             let l = self.leases.entry(r.kid).or_default();
             *l = (*l).max(r.ask + self.env.lease);
         }
         new
     }
 }
+
+/// Takes the newer of two versions of an item; true if `new` was newer.
+/// Invariant: the only way a gate's table changes, hence it never goes back.
+pub fn merge(items: &mut BTreeMap<Key, Item>, k: &Key, new: &Item) -> bool {
+    let newer = items.get(k).is_none_or(|was| was.ver < new.ver);
+    if newer {
+        items.insert(k.clone(), new.clone());
+    }
+    newer
+}
--- a/crates/brood/src/msg.rs
+++ b/crates/brood/src/msg.rs
@@ -182,6 +182,8 @@
     pub object: (Svc, Lane, String),
     pub shown: Shown,
     pub mark: u64,
+    /// See `mark_holds`.
+    pub sure: Era,
 }
 
 /// A comb's record of one key, as shown to another comb.
--- a/crates/brood/src/part.rs
+++ b/crates/brood/src/part.rs
@@ -118,6 +118,8 @@
     pub ready: bool,
     pub why: &'static str,
     pub in_hand: u64,
+    /// Not ready, but still taking requests: it has begun to leave.
+    pub taking: bool,
     pub counts: Vec<(&'static str, u64)>,
 }
 
--- /dev/null
+++ b/crates/brood/src/purged.rs
@@ -0,0 +1,29 @@
+//! What purges say of copies, and when they may be forgotten.
+use crate::items::*;
+use crate::state::Era;
+use std::collections::BTreeMap;
+
+/// Eras for which a purge is remembered.
+const KEPT: u64 = 8;
+
+/// Whether a copy's mark can still be compared. `sure` is an era whose purges before
+/// it were all known when the mark was made; none that came after is forgotten yet.
+pub fn mark_holds(sure: Era, now: Era) -> bool {
+    now.0 <= sure.0 + KEPT
+}
+
+/// Whether this is a purge that nobody needs any more.
+pub fn old_purge(era: Era, k: &Key, it: &Item) -> bool {
+    matches!(k, Key::Purge(..)) && (it.ver.0 >> 32) + KEPT < era.0
+}
+
+/// What purges say of an object: grows with each that covers it, so a copy under
+/// another mark than now may be older than a purge.
+pub fn mark(items: &BTreeMap<Key, Item>, o: &(Svc, Lane, String)) -> u64 {
+    let first = Key::Purge(o.0.clone(), String::new());
+    let all = items.range(first..).map_while(|(k, it)| match k {
+        Key::Purge(s, p) if *s == o.0 => Some((p, it.ver.0)),
+        _ => None,
+    });
+    all.filter(|(p, _)| o.2.starts_with(p.as_str())).fold(0, |m, (p, v)| m ^ wax::hash(&(p, v)))
+}
--- a/crates/brood/src/state.rs
+++ b/crates/brood/src/state.rs
@@ -1,6 +1,7 @@
 //! Applying decided commands.
 use crate::cmd::*;
 use crate::items::*;
+use crate::purged::old_purge;
 use crate::roll::{Roll, Seat};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -240,29 +241,3 @@
         p
     }
 }
-
-/// Whether this is a purge that nobody needs any more.
-pub fn old_purge(era: Era, k: &Key, it: &Item) -> bool {
-    matches!(k, Key::Purge(..)) && (it.ver.0 >> 32) + 8 < era.0
-}
-
-/// What purges say of an object: grows with each that covers it, so a copy under
-/// another mark than now may be older than a purge.
-pub fn mark(items: &BTreeMap<Key, Item>, o: &(Svc, Lane, String)) -> u64 {
-    let first = Key::Purge(o.0.clone(), String::new());
-    let all = items.range(first..).map_while(|(k, it)| match k {
-        Key::Purge(s, p) if *s == o.0 => Some((p, it.ver.0)),
-        _ => None,
-    });
-    all.filter(|(p, _)| o.2.starts_with(p.as_str())).fold(0, |m, (p, v)| m ^ wax::hash(&(p, v)))
-}
-
-/// Takes the newer of two versions of an item; true if `new` was newer.
-/// Invariant: the only way a gate's table changes, hence it never goes back.
-pub fn merge(items: &mut BTreeMap<Key, Item>, k: &Key, new: &Item) -> bool {
-    let newer = items.get(k).is_none_or(|was| was.ver < new.ver);
-    if newer {
-        items.insert(k.clone(), new.clone());
-    }
-    newer
-}
--- a/crates/comb/src/comb.rs
+++ b/crates/comb/src/comb.rs
@@ -153,7 +153,7 @@
         counts.push(("keys", self.ledger.keys.len() as u64));
         counts.push(("key bytes", self.ledger.bytes as u64));
         counts.push(("copies", self.stock.len() as u64));
-        Health { ready: why.is_empty(), why, in_hand: 0, counts }
+        Health { ready: why.is_empty(), why, counts, ..Health::default() }
     }
 
     fn tick(&mut self, now: Mono, out: &mut Vec<Out>) {
--- a/crates/comb/src/stock.rs
+++ b/crates/comb/src/stock.rs
@@ -21,6 +21,7 @@
     pub boot: u64,
     /// The purges that the copy is known to be younger than, see `brood::mark`.
     pub mark: u64,
+    pub sure: Era,
 }
 
 impl Shelved for Stocked {
@@ -50,7 +51,8 @@
             self.count("stocked");
             let Shown { whole, public, .. } = p.shown;
             let boot = self.env.boot;
-            let s = Stocked { object: p.object, whole, public, since, until, boot, mark: p.mark };
+            let s =
+                Stocked { object: p.object, whole, public, since, until, boot, mark: p.mark, sure: p.sure };
             self.save(now, Kept::Copy(s), out);
         }
     }
@@ -66,7 +68,9 @@
         out: &mut Vec<Out>,
     ) {
         let held = self.stock.get(now, &object).filter(|s| s.boot == self.env.boot);
-        let held = held.filter(|s| self.follow.leased(now) && s.mark == mark(&self.follow.items, &object));
+        let same =
+            |s: &&Stocked| mark_holds(s.sure, self.follow.era) && s.mark == mark(&self.follow.items, &object);
+        let held = held.filter(|s| self.follow.leased(now) && same(s));
         let shown = held.map(|s| Shown {
             whole: s.whole.clone(),
             left: s.until - now,
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -21,6 +21,8 @@
     pub copies: usize,
     /// Requests held at a time, of one service and in all.
     pub hands: (usize, usize),
+    /// How long requests are still taken once it leaves, for callers to notice.
+    pub grace: Span,
 }
 
 pub struct Gate {
@@ -46,7 +48,8 @@
     /// Gates that lately did not answer.
     pub(crate) mute: BTreeMap<Addr, Mono>,
     pub(crate) next: u64,
-    pub(crate) draining: bool,
+    /// Since when it leaves: not ready at once, but taking requests for the grace.
+    pub(crate) leaving: Option<Mono>,
     pub(crate) counts: BTreeMap<&'static str, u64>,
 }
 
@@ -69,7 +72,7 @@
             // Numbers of an earlier life must mean nothing in this one: answers to
             // its askings may still be on their way.
             next: env.follow.birth.0 << 20,
-            draining: false,
+            leaving: None,
             counts: BTreeMap::new(),
             env,
         }
@@ -97,16 +100,26 @@
         self.follow.leased(now)
     }
 
+    pub(crate) fn leave(&mut self, now: Mono) {
+        self.leaving = self.leaving.or(Some(now));
+    }
+
+    pub(crate) fn drained(&self, now: Mono) -> bool {
+        self.leaving.is_some_and(|t| now - t >= self.env.grace)
+    }
+
     fn health(&self, now: Mono) -> Health {
-        let why = match (self.draining, self.leased(now)) {
-            (true, _) => "draining",
-            (_, false) => "no setup lease",
+        let (leaving, drained) = (self.leaving.is_some(), self.drained(now));
+        let why = match (drained, leaving, self.leased(now)) {
+            (true, ..) => "draining",
+            (_, true, _) => "leaving: takes requests for a moment yet",
+            (.., false) => "no setup lease",
             _ => "",
         };
         let mut counts: Vec<_> = self.counts.iter().map(|(k, v)| (*k, *v)).collect();
         counts.extend([("copies", self.copies.len() as u64), ("items", self.follow.items.len() as u64)]);
         let in_hand = (self.jobs.len() + self.outgoing.len()) as u64;
-        Health { ready: why.is_empty(), why, in_hand, counts }
+        Health { ready: why.is_empty(), why, in_hand, taking: leaving && !drained, counts }
     }
 
     fn tick(&mut self, now: Mono, out: &mut Vec<Out>) {
@@ -144,7 +157,7 @@
                 }
                 Ask::Ready => out.push(Out::Tell(t, Receipt::Health(self.health(now)))),
                 Ask::Drain => {
-                    self.draining = true;
+                    self.leave(now);
                     out.push(Out::Note("draining"));
                     out.push(Out::Tell(t, Receipt::Health(self.health(now))));
                 }
--- a/crates/gate/src/jobs.rs
+++ b/crates/gate/src/jobs.rs
@@ -102,7 +102,7 @@
     /// A job for the request, or why it is denied.
     pub(crate) fn admit(&mut self, now: Mono, req: Req) -> Result<Job, Denied> {
         let yes = |ok: bool, d: Denied| ok.then_some(()).ok_or(d);
-        yes(!self.draining, Denied::Leaving)?;
+        yes(!self.drained(now), Denied::Leaving)?;
         yes(self.leased(now), Denied::NoLease)?;
         yes(self.jobs.len() < self.env.hands.1, Denied::TooMany)?;
         let kind = self.table.kind(&req.lane).ok_or(Denied::NoLane)?;
--- a/crates/gate/src/news.rs
+++ b/crates/gate/src/news.rs
@@ -31,7 +31,9 @@
             self.take_slices(now, from, r, out);
         }
         self.check_lapse(now);
-        self.draining |= self.follow.myself().is_some_and(|m| m.standing == Standing::Leaving);
+        if self.follow.myself().is_some_and(|m| m.standing == Standing::Leaving) {
+            self.leave(now);
+        }
     }
 
     /// Copies do not outlast a lapse: purges may have been missed.
--- a/crates/gate/src/read.rs
+++ b/crates/gate/src/read.rs
@@ -96,7 +96,10 @@
         if let Some(c) = copy {
             let mark = mark(&self.follow.items, &object);
             let shown = c.show(now, c.until);
-            out.push(Out::Send(from, Msg::StockPut(at, Box::new(StockPut { object, shown, mark }))));
+            out.push(Out::Send(
+                from,
+                Msg::StockPut(at, Box::new(StockPut { object, shown, mark, sure: self.follow.sure })),
+            ));
         }
     }
 
--- a/crates/hive/src/play.rs
+++ b/crates/hive/src/play.rs
@@ -60,6 +60,12 @@
         .arg(count("seconds", "10", "How long"))
         .arg(count("rate", "0", "Requests a second; 0 takes the settings' own"))
         .arg(count("seed", "1", "Seed of the mix"))
+        .arg(
+            Arg::new("follow")
+                .long("follow")
+                .action(clap::ArgAction::SetTrue)
+                .help("Ask only gates that say that they are ready"),
+        )
         .arg(count("pushy", "0", "How often a denied caller asks again at once"))
 }
 
@@ -90,6 +96,7 @@
         span: Duration::from_secs(n("seconds")),
         seed: n("seed"),
         pushy: n("pushy"),
+        follow: m.get_flag("follow"),
     });
     let counts = audit::collect(&mix);
     print!("{}", audit::report(&mix, &counts, &h, rate));
--- a/crates/hive/src/roles.rs
+++ b/crates/hive/src/roles.rs
@@ -91,7 +91,7 @@
             FrontEnv { callers: l.callers, body: l.body_kb << 10, room, patience: Default::default() };
         let frame = Frame { part, first, ring, net, rounds: Some(tx), log: log.clone() };
         let mut signals = signal_hook::iterator::Signals::new([15, 2]).context(SignalsSnafu)?;
-        let patience = l.patience;
+        let (patience, grace) = (l.patience, l.grace);
         let c = counts.clone();
         shell::run(frame, cohort, counts, move |h| {
             let hh = h.clone();
@@ -103,7 +103,8 @@
             thread::spawn(move || {
                 if let Some(s) = signals.forever().next() {
                     info!(log, "leaving"; "signal" => s);
-                    leave(&h, &open, patience);
+                    leave(&h, &open, patience, grace);
+                    open.shut_idle();
                     h.stop();
                 }
             });
@@ -112,15 +113,15 @@
     }
 }
 
-/// Takes nothing new and waits for what is in hand, so that no request that an
-/// origin still works on is cut off.
-fn leave(h: &Handle, open: &Open, patience: Span) {
+/// Is not ready any more, takes requests for the grace, then waits for what is in
+/// hand, so that no request that an origin still works on is cut off.
+fn leave(h: &Handle, open: &Open, patience: Span, grace: Span) {
     let tick = Duration::from_millis(50);
-    let most = Duration::from(patience.times(3)).as_millis() / tick.as_millis();
+    let most = Duration::from(patience.times(3) + grace).as_millis() / tick.as_millis();
     let mut calm = 0;
     for _ in 0..most {
         let busy = match h.ask(Ask::Drain, Duration::from_secs(1)) {
-            Some(Receipt::Health(x)) => x.in_hand > 0,
+            Some(Receipt::Health(x)) => x.in_hand > 0 || x.taking,
             _ => false,
         };
         calm = if busy || open.any() { 0 } else { calm + 1 };
@@ -163,6 +164,7 @@
         copies: l.copies_mb << 20,
         // A quarter for one service: two that hang leave half to the others.
         hands: (l.callers / 4, l.callers),
+        grace: l.grace,
     };
     s.run(Box::new(gate::Gate::new(env)), vec![], None)
 }
--- a/crates/keeper/src/show.rs
+++ b/crates/keeper/src/show.rs
@@ -153,6 +153,6 @@
             ("messages", t.sent),
             ("tuples", self.mach.as_ref().map_or(0, |m| m.size()) as u64),
         ]);
-        Health { ready: why.is_empty(), why, in_hand: self.pending.len() as u64, counts }
+        Health { ready: why.is_empty(), why, in_hand: self.pending.len() as u64, counts, ..Health::default() }
     }
 }
--- a/crates/meadow/src/forager.rs
+++ b/crates/meadow/src/forager.rs
@@ -6,7 +6,7 @@
 use fastrand::Rng;
 use std::collections::BTreeMap;
 use std::io::ErrorKind;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -22,6 +22,8 @@
     pub seed: u64,
     /// Denied callers ask again at once, this many times.
     pub pushy: u64,
+    /// Asks only gates that lately said that they are ready.
+    pub follow: bool,
 }
 
 /// What became of the requests, as their callers saw it.
@@ -50,9 +52,13 @@
     let next = Arc::new(AtomicU64::new(0));
     let start = Instant::now();
     let total = env.rate * env.span.as_secs();
+    let ready = Arc::new(Ready::new(&env));
+    if env.follow {
+        Ready::watch(&ready, &env, start);
+    }
     let hands: Vec<_> = (0..HANDS)
         .map(|w| {
-            let (all, next, env) = (all.clone(), next.clone(), env.clone());
+            let (all, next, env, ready) = (all.clone(), next.clone(), env.clone(), ready.clone());
             thread::spawn(move || {
                 let agent = web::agent(PATIENCE);
                 let mut rng = Rng::with_seed(env.seed ^ (w << 32));
@@ -65,7 +71,7 @@
                     let ahead = due.checked_sub(start.elapsed());
                     ahead.into_iter().for_each(thread::sleep);
                     let late = start.elapsed() > due + Duration::from_millis(250);
-                    one(&env, &agent, &mut rng, &all, i, late, start);
+                    one(&env, &ready, &agent, &mut rng, &all, i, late, start);
                 }
             })
         })
@@ -77,7 +83,17 @@
     h
 }
 
-fn one(env: &ForagerEnv, a: &Agent, rng: &mut Rng, all: &Mutex<Harvest>, i: u64, late: bool, start: Instant) {
+#[allow(clippy::too_many_arguments)]
+fn one(
+    env: &ForagerEnv,
+    ready: &Ready,
+    a: &Agent,
+    rng: &mut Rng,
+    all: &Mutex<Harvest>,
+    i: u64,
+    late: bool,
+    start: Instant,
+) {
     let sum: u64 = env.mix.shares.iter().map(|s| s.share).sum();
     let mut at = rng.u64(0..sum);
     let pick = env.mix.shares.iter().find(|s| {
@@ -92,7 +108,7 @@
     let key = (s.kind == Kind::Keyed).then(|| format!("k{}-{i}", env.seed));
     let tries = 1 + (key.is_some() && rng.u64(0..100) < env.mix.again) as u64;
     for t in 0..tries + env.pushy {
-        let gate = env.gates[rng.usize(0..env.gates.len())];
+        let gate = ready.pick(rng);
         let began = Instant::now();
         let (what, good, body) = call(a, gate, s, &path, key.as_deref());
         let mut h = all.lock().expect("sound");
@@ -117,6 +133,40 @@
     }
 }
 
+/// Which gates say that they are ready.
+struct Ready(Vec<(Addr, AtomicBool)>);
+
+impl Ready {
+    fn new(env: &ForagerEnv) -> Ready {
+        Ready(env.gates.iter().map(|g| (*g, AtomicBool::new(true))).collect())
+    }
+
+    fn watch(r: &Arc<Ready>, env: &ForagerEnv, start: Instant) {
+        for i in 0..r.0.len() {
+            let (r, span) = (r.clone(), env.span);
+            thread::spawn(move || {
+                let a = web::agent(Duration::from_millis(500));
+                while start.elapsed() < span + Duration::from_secs(5) {
+                    let (at, is) = &r.0[i];
+                    let ok = web::get(&a, *at, "lanewing/ready").is_some_and(|(s, _)| s == 200);
+                    is.store(ok, Ordering::Relaxed);
+                    thread::sleep(Duration::from_millis(150));
+                }
+            });
+        }
+    }
+
+    fn pick(&self, rng: &mut Rng) -> Addr {
+        let up: Vec<Addr> =
+            self.0.iter().filter(|(_, is)| is.load(Ordering::Relaxed)).map(|(a, _)| *a).collect();
+        if up.is_empty() {
+            self.0[rng.usize(0..self.0.len())].0
+        } else {
+            up[rng.usize(0..up.len())]
+        }
+    }
+}
+
 /// One request: what came back, whether it is a whole answer, and its bytes.
 fn call(a: &Agent, gate: Addr, s: &Share, path: &str, key: Option<&str>) -> (String, bool, Vec<u8>) {
     let uri = format!("http://{gate}/{}/{path}", s.lane);
--- a/crates/skep/src/front.rs
+++ b/crates/skep/src/front.rs
@@ -8,7 +8,7 @@
 use nix::sys::time::{TimeVal, TimeValLike};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::thread;
 use std::time::Duration;
 use tiny_http::{Header, Request, Response, Server, StatusCode};
@@ -61,8 +61,9 @@
 
 /// Requests in hand, for a drain to wait on. Invariant: health has its own
 /// count, so that callers never keep it waiting.
-#[derive(Debug, Default)]
+#[derive(Default)]
 pub struct Open {
+    usher: OnceLock<Arc<Usher>>,
     callers: AtomicUsize,
     health: AtomicUsize,
 }
@@ -71,6 +72,12 @@
     pub fn any(&self) -> bool {
         self.callers.load(SeqCst) > 0
     }
+
+    /// Closes connections that ask nothing, so that their callers see the end
+    /// before they send more.
+    pub fn shut_idle(&self) {
+        self.usher.get().into_iter().for_each(|u| u.shut_idle());
+    }
 }
 
 const HEALTH: usize = 32;
@@ -157,6 +164,7 @@
     let _ = setsockopt(&l, SendTimeout, &TimeVal::milliseconds(env.patience.take.as_ms() as i64));
     let none = SocketAddr::from(([0, 0, 0, 0], 0));
     let usher = Usher::start(l.local_addr().unwrap_or(none), env.patience);
+    let _ = open.usher.set(usher.clone());
     let Ok(server) = Server::from_listener(l, None) else { return open };
     let (f, count): (Arc<Serve>, _) = (Arc::new(f), open.clone());
     thread::spawn(move || {
--- a/crates/skep/src/usher.rs
+++ b/crates/skep/src/usher.rs
@@ -85,6 +85,15 @@
         });
     }
 
+    pub fn shut_idle(&self) {
+        self.find(|who, fd| {
+            let g = self.guests.lock().expect("no thread panics with it");
+            if g.get(&who).is_none_or(|(d, _)| *d == Doing::Asking) {
+                let _ = shutdown(fd, Shutdown::Both);
+            }
+        });
+    }
+
     /// No more is taken from it.
     pub fn deafen(&self, who: SocketAddr) {
         self.shut(who, Shutdown::Read);
--- a/crates/swarm/src/stage.rs
+++ b/crates/swarm/src/stage.rs
@@ -61,7 +61,7 @@
 
     pub fn add_gate(&mut self, id: u16, a: Addr, zone: &str, seeds: &[Addr]) {
         let f = follow(id, Role::Gate, a, zone, seeds, self.plan.lease);
-        let hands = self.plan.hands;
+        let (hands, grace) = (self.plan.hands, self.plan.grace);
         let boot = move |_: Vec<Vec<u8>>, life: u64, _: Mono, _: &mut Vec<Out>| {
             let env = gate::GateEnv {
                 follow: FollowEnv { birth: Birth(life), life, ..f.clone() },
@@ -69,6 +69,7 @@
                 patience: Span::secs(5),
                 copies: 1 << 20,
                 hands,
+                grace,
             };
             Role3::Gate(Box::new(gate::Gate::new(env)))
         };
--- a/crates/swarm/src/world.rs
+++ b/crates/swarm/src/world.rs
@@ -25,6 +25,8 @@
     pub drift: u64,
     /// Requests a gate holds, of one service and in all.
     pub hands: (usize, usize),
+    /// How long a leaving gate still takes requests.
+    pub grace: Span,
 }
 
 impl Plan {
@@ -41,6 +43,7 @@
             window: Span::secs(90),
             drift: 5,
             hands: (256, 1024),
+            grace: Span::secs(1),
         }
     }
     pub fn bersatu() -> Plan {
--- /dev/null
+++ b/crates/swarm/tests/purges.rs
@@ -0,0 +1,69 @@
+//! Stories of purges that were forgotten while somebody slept.
+mod common;
+use brood::*;
+use common::*;
+use swarm::*;
+use wax::Span;
+
+/// So many eras that every purge made before is forgotten.
+fn age(w: &mut World, f: &Fleet, eras: u64) {
+    let era = |w: &World| w.keeper(f.keepers[0]).unwrap().picture().era.0;
+    let (end, mut n) = (era(w) + eras, 0);
+    while era(w) < end {
+        n += 1;
+        let was = done(w);
+        w.purge(f.keepers[n % 4], &format!("age{}-{n}", w.now.0), "desk", &format!("{}", n % 5));
+        assert!(w.until(Span::secs(20), |w| done(w) > was), "a purge was not taken");
+    }
+}
+
+fn new_edition(w: &mut World, f: &Fleet) {
+    f.pages.iter().for_each(|p| w.blooms.get_mut(p).unwrap().edition += 1);
+    w.rules.editions.insert("pages".into(), (w.blooms[&f.pages[0]].edition, w.now));
+}
+
+#[test]
+fn given_combs_or_gates_that_slept_through_a_purge_and_its_forgetting_then_the_old_copy_is_not_served() {
+    for (seed, frozen, gathered) in [(700, false, false), (701, true, false), (702, true, true)] {
+        let (mut w, f) = World::standing(Plan { cut_at: 16, ..Plan::trinacria() }, seed);
+        w.allow("read", "pages", 200, Span::secs(3600));
+        w.set_row(f.keepers[0], "long", "read", "pages", 1, row(200, Kind::Read, Span::secs(3600)));
+        w.run(Span::secs(2));
+        let ask = |w: &mut World| {
+            (0..30u64).for_each(|o| {
+                w.get(f.gates[o as usize % 5], "read", &format!("page{o}"));
+            });
+            w.run(Span::secs(3));
+        };
+        ask(&mut w);
+        let asleep: Vec<_> = f.combs.iter().chain(&f.gates[..2]).copied().collect();
+        asleep.iter().for_each(|a| if frozen { w.freeze(*a) } else { w.kill(*a) });
+        new_edition(&mut w, &f);
+        if gathered {
+            for i in 0..25u64 {
+                let all = (0..100).map(|n| ("pages".into(), format!("page{}/{n}", i)));
+                let op = Op::Purge(all.chain([("pages".into(), "page".into())]).take(100).collect());
+                w.ask(f.keepers[0], Want::Change(Change { id: Some(format!("g{i}").as_str().into()), op }));
+            }
+        }
+        w.purge(f.keepers[1], "the-one", "pages", "page");
+        w.run(Span::secs(14));
+        age(&mut w, &f, 11);
+        let known = w
+            .keeper(f.keepers[0])
+            .unwrap()
+            .picture()
+            .items
+            .keys()
+            .any(|k| matches!(k, Key::Purge(s, p) if s.0 == "pages" && p == "page"));
+        assert!(!known, "the purge was not forgotten");
+        asleep.iter().for_each(|a| if frozen { w.thaw(*a) } else { w.start(*a) });
+        f.gates[2..].iter().for_each(|g| w.kill(*g));
+        f.gates[2..].iter().for_each(|g| w.start(*g));
+        w.run(Span::secs(3));
+        let was = served(&w);
+        ask(&mut w);
+        assert_eq!(served(&w) - was, 30);
+        clean(&mut w);
+    }
+}
