--- a/crates/waggle/src/accept.rs
+++ b/crates/waggle/src/accept.rs
@@ -42,7 +42,7 @@
         };
         let first = o.ballot.n == 0;
         let settled = |t: &Tuple<C>| match t.status {
-            Status::Accepted => first,
+            Status::Accepted => first || self.pace.to_the_letter,
             s => s == Status::Stable,
         };
         if self.pace.wait_rule && against().any(|(_, t)| !settled(t)) {
--- a/crates/waggle/src/machine.rs
+++ b/crates/waggle/src/machine.rs
@@ -16,6 +16,9 @@
     pub compare: Span,
     /// The wait rule; switched off only by the checker's own planted fault.
     pub wait_rule: bool,
+    /// Recovery as the paper has it to the letter; switched on only to show what it
+    /// leads to, see docs/paper.md.
+    pub to_the_letter: bool,
 }
 
 impl Default for Pace {
@@ -26,11 +29,13 @@
             patience: Span::ms(400),
             compare: Span::ms(200),
             wait_rule: true,
+            to_the_letter: false,
         }
     }
 }
 
 /// A leader's work on one command under one ballot.
+#[derive(Clone, Debug, Hash)]
 pub(crate) struct Lead<C> {
     pub offer: Offer<C>,
     pub step: Step,
@@ -42,19 +47,21 @@
     pub sent: Mono,
 }
 
-#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+#[derive(Copy, Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) enum Step {
     Prepare,
     Vote(Phase),
 }
 
 /// A proposal held back by the wait rule.
+#[derive(Clone, Debug, Hash)]
 pub(crate) struct Waiter<C> {
     pub from: Kid,
     pub phase: Phase,
     pub offer: Offer<C>,
 }
 
+#[derive(Clone)]
 pub struct Machine<C> {
     pub(crate) me: Kid,
     /// Invariant: fixed for the machine's life; another roster is another era.
@@ -112,6 +119,14 @@
         self.see(k, out);
     }
 
+    /// Equal for machines that have the same to say from now on, times apart.
+    pub fn print(&self) -> u64
+    where
+        C: std::hash::Hash,
+    {
+        wax::hash(&(self.clock, &self.h, &self.ballots, &self.waits, &self.leads, &self.done))
+    }
+
     pub fn clock(&self) -> u64 {
         self.clock
     }
--- a/crates/waggle/src/recover.rs
+++ b/crates/waggle/src/recover.rs
@@ -82,12 +82,13 @@
         // before it. See docs/paper.md.
         let pending: Vec<&Tuple<C>> = set.iter().filter(|t| t.status == Status::FastPending).collect();
         let need = overlap(self.n());
-        let maybe_fast = pending.len() >= need || pending.iter().any(|t| t.forced);
+        let refused = self.pace.to_the_letter && with(Status::Rejected).is_some();
+        let maybe_fast = !refused && (pending.len() >= need || pending.iter().any(|t| t.forced));
         if let Some(t) = with(Status::Stable) {
             self.stable(offer(t), out);
         } else if let Some(t) = with(Status::Accepted) {
             self.start(now, offer(t), Phase::Retry, false, out);
-        } else if let Some(t) = with(Status::SlowPending) {
+        } else if let Some(t) = with(Status::SlowPending).filter(|_| !refused) {
             self.start(now, offer(t), Phase::Slow, false, out);
         } else if let Some(t) = pending.first().filter(|_| maybe_fast || with(Status::Rejected).is_none()) {
             let mut o = offer(t);
--- a/crates/waggle/src/types.rs
+++ b/crates/waggle/src/types.rs
@@ -54,7 +54,7 @@
 }
 
 /// One entry of H: `<c, T, Pred, status, ballot, forced>`.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Hash, Serialize, Deserialize)]
 pub struct Tuple<C> {
     pub cmd: C,
     pub stamp: Stamp,
@@ -74,7 +74,7 @@
 }
 
 /// A command on offer under a ballot.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Hash, Serialize, Deserialize)]
 pub struct Offer<C> {
     pub cid: Cid,
     pub cmd: C,
@@ -84,7 +84,7 @@
 }
 
 /// The phase an acceptor replies to.
-#[derive(Copy, Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Copy, Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Phase {
     Fast,
     Slow,
@@ -92,7 +92,7 @@
 }
 
 /// An acceptor's reply; `ok` false is the paper's NACK.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Hash, Serialize, Deserialize)]
 pub struct Vote {
     pub cid: Cid,
     pub ballot: Ballot,
@@ -102,7 +102,7 @@
     pub pred: Preds,
 }
 
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Hash, Serialize, Deserialize)]
 pub enum Wag<C> {
     /// `Offer::pred` holds the whitelist when the flag says there is one.
     FastPropose(Offer<C>, bool),
