--- a/crates/gate/src/jobs.rs
+++ b/crates/gate/src/jobs.rs
@@ -80,7 +80,7 @@
 
 /// Methods that act, so that running once matters.
 const KEYED: [&str; 4] = ["POST", "PUT", "PATCH", "DELETE"];
-const LINE: Span = Span::ms(700);
+pub(crate) const LINE: Span = Span::ms(700);
 pub(crate) const HOME: Span = Span::ms(400);
 
 impl Gate {
--- a/crates/gate/src/rounds.rs
+++ b/crates/gate/src/rounds.rs
@@ -36,8 +36,12 @@
             self.first_try(now, &svc);
         }
         let ahead = |o: &Job| o.in_line() && o.svc == svc && o.row.rank <= rank;
-        let waits = self.jobs.iter().any(|(i, o)| *i != id && ahead(o));
-        if !waits {
+        let before = self.jobs.iter().filter(|(i, o)| **i != id && ahead(o)).count();
+        let most = self.table.shares.get(&svc).map_or(0.0, |s| s.ceiling * LINE.0 as f64 / 1e6);
+        if before as f64 > most {
+            // Not even the whole ceiling could serve it in time: it is told so now.
+            self.deny(now, id, Denied::Ceiling, out);
+        } else if before == 0 {
             self.start_round(now, id, out);
         }
     }
--- a/crates/swarm/src/carry.rs
+++ b/crates/swarm/src/carry.rs
@@ -12,9 +12,13 @@
         if let Some(part) = &mut p.part {
             part.part().step(clock, i, &mut out);
         }
+        let fresh = |o: &Out| {
+            matches!(o, Out::Tell(_, Receipt::Step(Step::Serve(_, Shared::Origin | Shared::Copy(_), _))))
+        };
+        let served = out.iter().any(fresh);
         p.line.extend(out);
         self.flush(a);
-        self.watch(a);
+        self.watch(a, served);
     }
 
     pub(crate) fn flush(&mut self, a: Addr) {
--- a/crates/swarm/src/stage.rs
+++ b/crates/swarm/src/stage.rs
@@ -145,12 +145,13 @@
     }
 
     /// After each step of a gate: what it would serve by.
-    pub(crate) fn watch(&mut self, a: Addr) {
+    pub(crate) fn watch(&mut self, a: Addr, served: bool) {
         let now = self.now;
         let Some(p) = self.procs.get(&a) else { return };
         let clock = p.clock(now);
         let Some(Role3::Gate(g)) = &p.part else { return };
-        if g.leased(clock) {
+        // Whether or not it ought to: what it serves by is what counts.
+        if g.leased(clock) || served {
             let items = g.items();
             let has = |k: &Key| items.get(k).map_or(wax::Version(0), |it| it.ver);
             self.rules.in_force(now, a, has);
--- /dev/null
+++ b/crates/swarm/tests/denials.rs
@@ -0,0 +1,107 @@
+//! Stories of requests that are given up: each is told at once, with when to come back.
+mod common;
+use brood::*;
+use common::*;
+use std::collections::BTreeMap;
+use swarm::*;
+use wax::{Addr, Span};
+
+/// By reason: how many, the longest wait in milliseconds, and when to come back.
+fn denied(w: &World, since: wax::Mono) -> BTreeMap<Denied, (usize, u64, Span)> {
+    let mut m = BTreeMap::new();
+    for (s, x) in w.steps().filter(|(s, _)| s.asked >= since) {
+        if let Step::Deny(d, back) = x {
+            let e: &mut (usize, u64, Span) = m.entry(*d).or_default();
+            *e = (e.0 + 1, e.1.max((s.told - s.asked).as_ms()), *back);
+        }
+    }
+    m
+}
+
+fn only(w: &World, since: wax::Mono, d: Denied, most_ms: u64, back: Span) {
+    let all = denied(w, since);
+    let (n, worst, said) =
+        all.get(&d).copied().unwrap_or_else(|| panic!("{d:?} did not come about: {all:?}"));
+    println!("{d:?}: {n}, the longest wait {worst} ms, come back in {} ms", said.as_ms());
+    assert!(worst <= most_ms, "{d:?} was held for {worst} ms");
+    assert_eq!(said, back, "{d:?}");
+}
+
+#[test]
+fn given_every_reason_to_deny_then_the_last_word_comes_at_once_and_says_when_to_come_back() {
+    let (mut w, f) = World::standing(Plan { hands: (20, 60), ..Plan::trinacria() }, 800);
+    let (g, t) = (f.gates[0], w.now);
+    w.get(g, "nowhere", "x");
+    w.post(g, "pay", "x", None);
+    w.post(g, "read", "x", None);
+    w.post(g, "pay", "x", Some("k"));
+    w.run(Span::secs(1));
+    w.post(f.gates[1], "pay", "other", Some("k"));
+    w.run(Span::secs(1));
+    for d in [Denied::NoLane, Denied::NoKey, Denied::BadMethod] {
+        only(&w, t, d, 1, Span::secs(1));
+    }
+    only(&w, t, Denied::KeyReused, 20, Span::secs(1));
+    // Its combs are gone: the claim is asked again for a while, then given up.
+    let t = w.now;
+    f.combs.iter().for_each(|c| w.kill(*c));
+    w.post(g, "pay", "sum", Some("k2"));
+    w.run(Span::secs(2));
+    only(&w, t, Denied::SplitVote, 420, Span::secs(1));
+    f.combs.iter().for_each(|c| w.start(*c));
+    // More at once than a service may hold here.
+    w.run(Span::secs(2));
+    let t = w.now;
+    f.desks.iter().for_each(|a| w.blooms.get_mut(a).unwrap().work = Span::secs(2));
+    (0..40).for_each(|i| {
+        w.get(g, "ask", &format!("many{i}"));
+    });
+    w.run(Span::secs(4));
+    only(&w, t, Denied::TooMany, 1, Span::secs(2));
+    // No origin of a service is left.
+    f.desks.iter().for_each(|a| w.wither(*a));
+    w.run(Span::secs(2));
+    let t = w.now;
+    w.get(g, "ask", "x");
+    w.run(Span::secs(1));
+    only(&w, t, Denied::NoOrigin, 1, Span::secs(1));
+    // A gate that leaves, and one that nobody renews.
+    let t = w.now;
+    w.ask(g, Want::Drain);
+    w.run(Span::ms(1100));
+    w.get(g, "read", "x");
+    w.run(Span::secs(1));
+    only(&w, t, Denied::Leaving, 1, Span::secs(3));
+    let lone: Addr = f.gates[1];
+    w.isolate(&[lone]);
+    w.run(Span::secs(12));
+    let t = w.now;
+    w.get(lone, "read", "x");
+    w.run(Span::secs(1));
+    only(&w, t, Denied::NoLease, 1, Span::secs(3));
+    clean(&mut w);
+}
+
+#[test]
+fn given_far_more_than_a_ceiling_then_who_cannot_be_served_in_time_is_told_at_once() {
+    let (mut w, f) = World::standing(Plan::trinacria(), 801);
+    w.allow("small", "desk", 20, Span(0));
+    w.set_row(f.keepers[0], "s", "small", "desk", 0, row(20, Kind::Plain, Span(0)));
+    w.run(Span::secs(1));
+    let t = w.now;
+    for i in 0..3000u64 {
+        let g = f.gates[i as usize % 5];
+        w.later(Span(i * 500), move |w| {
+            w.get(g, "small", &format!("{i}"));
+        });
+    }
+    w.run(Span::secs(4));
+    only(&w, t, Denied::Ceiling, 720, Span::secs(2));
+    let at_once = w
+        .steps()
+        .filter(|(s, x)| s.asked >= t && matches!(x, Step::Deny(..)) && s.told - s.asked < Span::ms(2))
+        .count();
+    println!("{at_once} of {} told at once", denied(&w, t)[&Denied::Ceiling].0);
+    assert!(at_once > 2500, "{at_once} told at once");
+    clean(&mut w);
+}
