--- a/crates/meadow/src/forager.rs
+++ b/crates/meadow/src/forager.rs
@@ -72,7 +72,8 @@
                 let mut rng = Rng::with_seed(env.seed ^ (w << 32));
                 loop {
                     let i = next.fetch_add(1, Ordering::Relaxed);
-                    if i >= total {
+                    // What is still undone long after its time is not asked any more.
+                    if i >= total || start.elapsed() > env.span + Duration::from_secs(10) {
                         return;
                     }
                     let due = Duration::from_micros(i * 1_000_000 / env.rate);
--- a/crates/swarm/tests/addresses.rs
+++ b/crates/swarm/tests/addresses.rs
@@ -64,3 +64,22 @@
         clean(&mut w);
     }
 }
+
+/// Nothing can be decided, so the old life stays in the table; only its birth tells.
+#[test]
+fn given_an_address_that_passes_on_while_nothing_can_be_decided_then_its_new_life_is_not_asked() {
+    let (mut w, f) = World::standing(Plan::trinacria(), 680);
+    traffic(&mut w, &f, 20, 300);
+    w.run(Span::secs(1));
+    f.keepers[2..].iter().for_each(|k| w.kill(*k));
+    w.run(Span::secs(2));
+    let at = f.desks[0];
+    w.wither(at);
+    w.run(Span::ms(1200));
+    w.bloom(at, "pages", "sicilia/a");
+    w.run(Span::secs(12));
+    let held = w.gate(f.gates[0]).unwrap().items()[&Key::Origin(at)].body.clone();
+    assert!(matches!(held, Some(Body::Origin(o)) if o.svc.0 == "desk"), "the table moved on");
+    assert_eq!(w.counts.get("meant for another life"), None);
+    clean(&mut w);
+}
