--- a/crates/keeper/src/beats.rs
+++ b/crates/keeper/src/beats.rs
@@ -78,7 +78,7 @@
         };
         let leaves = matches!(b.mood, Mood::Leaving | Mood::Gone);
         match op {
-            Some(op) if leaves => self.submit(now, Some(t), Change { id: None, op }, out),
+            Some(op) if leaves => self.farewell(now, t, op, out),
             op => {
                 op.into_iter().for_each(|op| self.derive(now, op, out));
                 heard(out);
--- a/crates/keeper/src/force.rs
+++ b/crates/keeper/src/force.rs
@@ -16,6 +16,8 @@
     pub asked: Vec<(Option<Token>, Change)>,
     /// In the order of `asked`, once delivered.
     pub verdicts: Option<Vec<Verdict>>,
+    /// Who asked for the same while it was under way; told as the first one is.
+    pub more: Vec<Token>,
     pub yes: BTreeSet<Kid>,
     pub began: Mono,
 }
@@ -37,6 +39,7 @@
 
     /// What did not come through in an era, or was overtaken, is proposed anew.
     pub(crate) fn again(&mut self, now: Mono, p: Pending, out: &mut Vec<Out>) {
+        out.extend(p.more.into_iter().map(|t| Out::Tell(t, Receipt::Took)));
         self.propose(now, p.asked, out);
     }
 
@@ -65,7 +68,10 @@
         let mut o = vec![];
         match self.mach.as_mut().map(|m| m.propose(now, cmd, &mut o)) {
             Some(c) => {
-                self.pending.insert(c, Pending { asked, verdicts: None, yes: BTreeSet::new(), began: now });
+                self.pending.insert(
+                    c,
+                    Pending { asked, verdicts: None, more: vec![], yes: BTreeSet::new(), began: now },
+                );
             }
             None => {
                 let no = |t| Out::Tell(t, Receipt::NotNow("not a member any more"));
@@ -75,14 +81,35 @@
         self.carry(now, o, out);
     }
 
-    /// Proposes what no operator sent, unless it was proposed a moment ago.
-    pub(crate) fn derive(&mut self, now: Mono, op: Op, out: &mut Vec<Out>) {
+    /// A word of leaving, which its origin repeats until it is answered: one command
+    /// of it is under way at a time, or those of a slow core would pile up.
+    pub(crate) fn farewell(&mut self, now: Mono, t: Token, op: Op, out: &mut Vec<Out>) {
+        let same = |p: &&mut Pending| p.asked.iter().any(|(_, c)| c.id.is_none() && c.op == op);
+        if let Some(p) = self.pending.values_mut().find(same) {
+            return p.more.push(t);
+        }
+        if self.newly(now, &op) {
+            self.submit(now, Some(t), Change { id: None, op }, out);
+        } else {
+            out.push(Out::Tell(t, Receipt::Took));
+        }
+    }
+
+    /// Whether the same was not proposed a moment ago.
+    fn newly(&mut self, now: Mono, op: &Op) -> bool {
         let print = wax::hash(&format!("{op:?}"));
         let lately = self.derived.get(&print).is_some_and(|t| now - *t < Span::ms(1500));
         if !lately {
             self.derived.retain(|_, t| now - *t < Span::secs(10));
             self.derived.insert(print, now);
             self.count("derived");
+        }
+        !lately
+    }
+
+    /// Proposes what no operator sent, unless it was proposed a moment ago.
+    pub(crate) fn derive(&mut self, now: Mono, op: Op, out: &mut Vec<Out>) {
+        if self.newly(now, &op) {
             self.submit(now, None, Change { id: None, op }, out);
         }
     }
@@ -155,6 +182,8 @@
             let p = self.pending.remove(&cid).expect("found above");
             let each: Vec<_> = p.asked.into_iter().zip(p.verdicts.unwrap_or_default()).collect();
             each.iter().for_each(|((_, c), v)| self.roll.forced(now, c, v));
+            let first = each.first().map_or(Receipt::Took, |(_, v)| Receipt::Change(v.clone()));
+            out.extend(p.more.into_iter().map(|t| Out::Tell(t, first.clone())));
             out.extend(
                 each.into_iter().filter_map(|((t, _), v)| t.map(|t| Out::Tell(t, Receipt::Change(v)))),
             );
--- a/crates/meadow/src/got.rs
+++ b/crates/meadow/src/got.rs
@@ -1,7 +1,9 @@
 //! One request of a forager, and what is odd about its answer.
 use crate::forager::ForagerEnv;
 use crate::mix::Share;
+use std::collections::HashMap;
 use std::io::ErrorKind;
+use tinyjson::JsonValue;
 use ureq::Agent;
 use wax::Addr;
 
@@ -27,6 +29,13 @@
 /// Two seconds, as the brief has it.
 const GRACE: u64 = 2000;
 
+/// Why it was denied, in the gate's own words.
+fn reason(body: &[u8]) -> String {
+    let v = std::str::from_utf8(body).ok().and_then(|s| s.parse::<JsonValue>().ok());
+    let m = v.and_then(|v| v.get::<HashMap<String, JsonValue>>().cloned()).unwrap_or_default();
+    m.get("reason").and_then(|r| r.get::<String>().cloned()).unwrap_or("come back later".into())
+}
+
 impl Got {
     /// What must not be: a copy past its life, content purged before, an answer made
     /// for somebody else.
@@ -73,7 +82,7 @@
     let Ok(body) = r.body_mut().read_to_vec() else { return none("cut off") };
     let what = match &from {
         Some(f) => format!("{status} from {f}"),
-        None if again => format!("{status} come back later"),
+        None if again => format!("{status} {}", reason(&body)),
         None => status.to_string(),
     };
     let svc = body.split(|b| *b == b'|').next().and_then(|b| String::from_utf8(b.to_vec()).ok());
