--- a/crates/brood/src/cmd.rs
+++ b/crates/brood/src/cmd.rs
@@ -72,6 +72,19 @@
         }
     }
 
+    /// Whether both touch one thing. Floods of purges are compared often, so those are
+    /// looked at as they stand.
+    fn meets(&self, b: &Op) -> bool {
+        match (self, b) {
+            (Op::Purge(x), Op::Purge(y)) => x.iter().any(|s| y.contains(s)),
+            (Op::Purge(_), _) | (_, Op::Purge(_)) => false,
+            _ => {
+                let ks = b.keys();
+                self.keys().iter().any(|k| ks.contains(k))
+            }
+        }
+    }
+
     /// Asks whether any row ever existed, so its place among all row changes matters.
     fn asks_rows(&self) -> bool {
         matches!(self, Op::Settle { early: true, .. })
@@ -85,10 +98,7 @@
     fn clashes(&self, b: &Change) -> bool {
         let same_id = self.id.is_some() && self.id == b.id;
         let asks = |x: &Op, y: &Op| x.asks_rows() && y.is_row();
-        same_id || asks(&self.op, &b.op) || asks(&b.op, &self.op) || {
-            let ks = b.op.keys();
-            self.op.keys().iter().any(|k| ks.contains(k))
-        }
+        same_id || asks(&self.op, &b.op) || asks(&b.op, &self.op) || self.op.meets(&b.op)
     }
 }
 
--- a/crates/swarm/src/field.rs
+++ b/crates/swarm/src/field.rs
@@ -140,17 +140,17 @@
             b.in_hand += 1;
             *b.hits.entry(path).or_default() += 1;
         });
-        self.at(b.work, Ev::Answer(g, life, r, b.birth.0, whole));
+        self.at(b.work, Ev::Answer(g, life, r, (b.birth.0, b.edition), whole));
     }
 
-    pub(crate) fn answer(&mut self, g: Addr, life: u64, r: Round, birth: u64, whole: bool) {
+    pub(crate) fn answer(&mut self, g: Addr, life: u64, r: Round, (birth, edition): (u64, u64), whole: bool) {
         let b = self.blooms.get_mut(&r.addr).filter(|b| b.up && b.birth.0 == birth);
         let Some(b) = b else { return self.report(g, life, r.n, Fetched::Lost) };
         b.in_hand = b.in_hand.saturating_sub(1);
         // Whose answer, to what, of which edition, made when.
         let open = b.heads.get("cache-control").is_some_and(|c| c.contains("public"));
         let who = if open { String::new() } else { who(&r.req) };
-        let body = format!("{}|{}|{}|{}|{who}", b.svc, r.req.path, b.edition, self.now.0).into_bytes();
+        let body = format!("{}|{}|{}|{}|{who}", b.svc, r.req.path, edition, self.now.0).into_bytes();
         let heads = b.heads.clone().with("content-digest", digest(&body));
         let (cut, wrong) = (b.cut, b.wrong);
         let mut sent = body.clone();
--- a/crates/swarm/tests/origins.rs
+++ b/crates/swarm/tests/origins.rs
@@ -212,3 +212,24 @@
     assert_eq!(served(&w), 90);
     clean(&mut w);
 }
+
+/// Between the decision and the first byte the machine stands still.
+#[test]
+fn given_a_gate_frozen_with_a_round_about_to_leave_when_it_thaws_then_not_a_byte_leaves() {
+    let (mut w, f) = World::standing(Plan::trinacria(), 79);
+    let (g, at) = (f.gates[0], f.desks.clone());
+    w.run(Span::ms(500));
+    (0..8).for_each(|i| {
+        w.get(g, "ask", &format!("x{i}"));
+    });
+    w.run(Span(220));
+    w.freeze(g);
+    at.iter().for_each(|a| w.take_leave(*a, Mood::Leaving));
+    w.run(Span::ms(2500));
+    let hits = |w: &World| at.iter().flat_map(|a| w.blooms[a].hits.values()).sum::<u64>();
+    let before = hits(&w);
+    w.thaw(g);
+    w.run(Span::secs(3));
+    assert_eq!(hits(&w) - before, 0, "rounds left long after they were decided");
+    clean(&mut w);
+}
--- a/crates/swarm/tests/purges.rs
+++ b/crates/swarm/tests/purges.rs
@@ -67,3 +67,22 @@
         clean(&mut w);
     }
 }
+
+#[test]
+fn given_a_fill_that_began_before_a_purge_when_it_comes_in_after_then_it_is_not_kept() {
+    let (mut w, f) = World::standing(Plan::bersatu(), 710);
+    f.pages.iter().for_each(|p| w.blooms.get_mut(p).unwrap().work = Span::ms(1500));
+    for o in 0..20u64 {
+        w.get(f.gates[o as usize % 5], "read", &format!("slow{o}"));
+    }
+    w.run(Span::ms(500));
+    new_edition(&mut w, &f);
+    w.purge(f.keepers[1], "meanwhile", "pages", "slow");
+    w.run(Span::ms(3500));
+    for o in 0..20u64 {
+        w.get(f.gates[(o as usize + 1) % 5], "read", &format!("slow{o}"));
+    }
+    w.run(Span::secs(4));
+    assert!(served(&w) >= 20);
+    clean(&mut w);
+}
