--- a/crates/swarm/tests/purges.rs
+++ b/crates/swarm/tests/purges.rs
@@ -38,6 +38,8 @@
         ask(&mut w);
         let asleep: Vec<_> = f.combs.iter().chain(&f.gates[..2]).copied().collect();
         asleep.iter().for_each(|a| if frozen { w.freeze(*a) } else { w.kill(*a) });
+        // What is sent to them meanwhile does not wait for them.
+        w.isolate(&asleep);
         new_edition(&mut w, &f);
         if gathered {
             for i in 0..25u64 {
@@ -58,6 +60,7 @@
             .any(|k| matches!(k, Key::Purge(s, p) if s.0 == "pages" && p == "page"));
         assert!(!known, "the purge was not forgotten");
         asleep.iter().for_each(|a| if frozen { w.thaw(*a) } else { w.start(*a) });
+        w.heal();
         f.gates[2..].iter().for_each(|g| w.kill(*g));
         f.gates[2..].iter().for_each(|g| w.start(*g));
         w.run(Span::secs(3));
