--- a/crates/comb/src/comb.rs
+++ b/crates/comb/src/comb.rs
@@ -120,6 +120,9 @@
             Claimed::Granted if !self.open || self.ledger.bytes > self.env.most => Claimed::Unable,
             s => s,
         };
+        if said == Claimed::Unable && self.open {
+            self.count("no room for keys");
+        }
         if said == Claimed::Granted && !self.ledger.keys.contains_key(&key) {
             self.count("granted");
             self.save(now, Kept::Grant { key: key.clone(), print, round }, out);
--- a/crates/skep/src/env.rs
+++ b/crates/skep/src/env.rs
@@ -100,7 +100,7 @@
         // A minute, five seconds to leave, the patience, and a margin.
         window: ms("window_ms", 75_000, 600_000, 90_000)?,
         copies_mb: num("copies_mb", 1, 65_536, 64)? as usize,
-        ring_mb: num("ring_mb", 4, 4096, 64)? as usize,
+        ring_mb: num("ring_mb", 4, 4096, 128)? as usize,
         cut_at: num("cut_at", 16, 4096, 256)? as usize,
     })
 }
--- a/crates/swarm/tests/denials.rs
+++ b/crates/swarm/tests/denials.rs
@@ -105,3 +105,20 @@
     assert!(at_once > 2500, "{at_once} told at once");
     clean(&mut w);
 }
+
+#[test]
+fn given_origins_that_lose_every_answer_then_extra_tries_keep_to_their_budget() {
+    let (mut w, f) = World::standing(Plan::trinacria(), 802);
+    f.desks.iter().for_each(|a| w.blooms.get_mut(a).unwrap().lose = 1.0);
+    for i in 0..1200u64 {
+        let g = f.gates[i as usize % 5];
+        w.later(Span::ms(i * 10), move |w| {
+            w.get(g, "ask", &format!("{i}"));
+        });
+    }
+    w.run(Span::secs(14));
+    let hits: u64 = f.desks.iter().flat_map(|d| w.blooms[d].hits.values()).sum();
+    println!("{hits} tries for 1200 requests of which no answer came back");
+    assert!((1200..=1330).contains(&hits), "{hits}");
+    clean(&mut w);
+}
