--- a/crates/gate/src/read.rs
+++ b/crates/gate/src/read.rs
@@ -7,6 +7,9 @@
 use std::sync::Arc;
 use wax::{Addr, Mono, Span};
 
+/// A copy good when it was decided on may still leave for so long, half of what a
+/// copy may outlive its life by.
+const WAY_OUT: Span = Span::secs(1);
 /// Copies that live shorter are not worth a comb's disk.
 const WORTH: Span = Span::secs(1);
 
@@ -20,7 +23,7 @@
         let obj = j.object();
         let own = j.req.heads.personal();
         if let Some(c) = self.copies.get(now, &obj).filter(|c| c.public || !own).cloned() {
-            let until = c.until.min(self.leased_until());
+            let until = (c.until + WAY_OUT).min(self.leased_until());
             let s = Step::Serve(c.whole.clone(), Shared::Copy(now - c.since), until);
             return j.callers.iter().for_each(|c| self.tell(now, c, s.clone(), out));
         }
@@ -169,7 +172,8 @@
                 self.count(if stocked { "filled from combs" } else { "filled from homes" });
                 let whole = Arc::new(c.whole);
                 self.keep(now, obj, Copy { whole: whole.clone(), public: c.public, since, until });
-                let s = Step::Serve(whole, Shared::Copy(now - since), until);
+                let out_by = (until + WAY_OUT).min(self.leased_until());
+                let s = Step::Serve(whole, Shared::Copy(now - since), out_by);
                 self.finish(now, ask, s, out);
             }
             CopySaid::Personal => self.part_ways(now, ask, None, out),
--- a/crates/swarm/tests/calm.rs
+++ b/crates/swarm/tests/calm.rs
@@ -34,6 +34,15 @@
             .filter(|(s, x)| s.asked >= since && !matches!(x, Step::Serve(..)))
             .map(|(s, x)| format!("{x:?} at {} ms", (s.asked - since).as_ms()))
             .collect();
+        // Nobody is left with a decision that ends while it is on its way out.
+        let brief = w
+            .steps()
+            .filter(|(s, x)| {
+                let clock = w.procs[&s.at].clock(s.told);
+                matches!(x, Step::Serve(_, _, until) if *until - clock < Span::ms(200))
+            })
+            .count();
+        assert_eq!(brief, 0, "so many answers were about to be too old");
         println!("{ok} of {n}; {odd:?}");
         assert_eq!(ok, n, "{odd:?}");
         clean(&mut w);
