--- a/crates/swarm/tests/lease.rs
+++ b/crates/swarm/tests/lease.rs
@@ -199,3 +199,24 @@
     assert!((18.0..30.0).contains(&rate), "{rate}");
     clean(&mut w);
 }
+
+/// The holder hears no other keeper, the gates hear it and its successor.
+#[test]
+fn given_a_duty_holder_cut_off_from_the_other_keepers_then_only_one_of_two_lends() {
+    let (mut w, f) = World::standing(Plan { gates: 13, ..Plan::trinacria() }, 541);
+    w.allow("small", "desk", 60, Span(0));
+    w.set_row(f.keepers[0], "s", "small", "desk", 0, row(60, Kind::Plain, Span(0)));
+    w.run(Span::secs(2));
+    for i in 0..3000u64 {
+        let g = f.gates[i as usize % 13];
+        w.later(Span::ms(i * 5), move |w| {
+            w.get(g, "small", &format!("{i}"));
+        });
+    }
+    w.run(Span::secs(2));
+    f.keepers[1..].iter().for_each(|k| w.cut(f.keepers[0], *k));
+    w.run(Span::secs(14));
+    println!("{} of 3000 served under a ceiling of 60 in 15 s", served(&w));
+    assert!(served(&w) > 500, "the successor does not lend");
+    clean(&mut w);
+}
