--- a/crates/swarm/tests/denials.rs
+++ b/crates/swarm/tests/denials.rs
@@ -38,6 +38,8 @@
     w.run(Span::secs(1));
     w.post(f.gates[1], "pay", "other", Some("k"));
     w.run(Span::secs(1));
+    let hits: u64 = f.desks.iter().flat_map(|p| w.blooms[p].hits.values()).sum();
+    assert_eq!(hits, 1, "what was denied went out");
     for d in [Denied::NoLane, Denied::NoKey, Denied::BadMethod] {
         only(&w, t, d, 1, Span::secs(1));
     }
