--- a/crates/brood/src/items.rs
+++ b/crates/brood/src/items.rs
@@ -2,7 +2,7 @@
 //! own version.
 use serde::{Deserialize, Serialize};
 use std::fmt;
-use wax::{Addr, Birth, NodeId, Span, Version};
+use wax::{Addr, Birth, Mono, NodeId, Span, Version};
 
 macro_rules! name {
     ($(#[$doc:meta])* $name:ident) => {
@@ -156,6 +156,22 @@
     pub mood: Mood,
 }
 
+impl Mood {
+    /// A last word or the one before: this life does not serve again.
+    pub fn ends(self) -> bool {
+        matches!(self, Mood::Leaving | Mood::Gone)
+    }
+}
+
+impl Beat {
+    /// Whether this one, heard then, takes the place of what was heard before at its
+    /// address: the later word counts, but a life that said it leaves never serves again.
+    pub fn replaces(&self, heard: Mono, was: Option<&(Beat, Mono)>) -> bool {
+        let over = |w: &Beat| w.birth == self.birth && w.mood.ends() && !self.mood.ends();
+        was.is_none_or(|(w, t)| heard > *t && !over(w))
+    }
+}
+
 /// A keeper as a member of the agreement.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Member {
--- a/crates/comb/src/comb.rs
+++ b/crates/comb/src/comb.rs
@@ -95,11 +95,14 @@
     /// May grant: at once on the disk that its seat in the roll was taken with, else
     /// only after every grant that an earlier disk made has lost its force.
     fn maybe_open(&mut self, now: Mono, out: &mut Vec<Out>) {
-        let (me, life) = (self.follow.env.clone(), self.follow.env.birth);
-        let clean =
-            Roll::of(&self.follow.items).seats().any(|s| (s.id, s.addr, s.birth) == (me.id, me.addr, life));
+        if self.open {
+            return;
+        }
+        let me = &self.follow.env;
+        let seat = |s: &Seat| (s.id, s.addr, s.birth) == (me.id, me.addr, me.birth);
+        let clean = Roll::of(&self.follow.items).seats().any(seat);
         let waited = self.follow.myself().is_some() && now - self.boot >= self.env.window.padded();
-        if !self.open && (clean || waited) {
+        if clean || waited {
             self.open = true;
             out.push(Out::Note("grants keys from now on"));
             self.save(now, Kept::Open, out);
--- a/crates/gate/src/origins.rs
+++ b/crates/gate/src/origins.rs
@@ -25,11 +25,7 @@
     pub(crate) fn take_beats(&mut self, r: &Reply) {
         for (b, age) in &r.beats {
             let heard = r.ask - *age;
-            let was = self.seen.beats.get(&b.addr);
-            // A life that said it leaves never serves again, whatever else is on its way.
-            let ends = |m: Mood| matches!(m, Mood::Leaving | Mood::Gone);
-            let over = was.is_some_and(|(w, _)| w.birth == b.birth && ends(w.mood) && !ends(b.mood));
-            if !over && was.is_none_or(|(_, t)| heard > *t) {
+            if b.replaces(heard, self.seen.beats.get(&b.addr)) {
                 self.seen.beats.insert(b.addr, (b.clone(), heard));
             }
         }
--- a/crates/gate/src/sharing.rs
+++ b/crates/gate/src/sharing.rs
@@ -5,7 +5,7 @@
 use brood::*;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response};
 use http_cache_semantics::{CacheOptions, CachePolicy};
-use std::time::{Duration, UNIX_EPOCH};
+use std::time::UNIX_EPOCH;
 use wax::{Mono, Span};
 
 /// What an origin's answer says of itself.
@@ -59,9 +59,8 @@
     let policy = CachePolicy::new_options(&q, &r, UNIX_EPOCH, options);
     let stated = says("max-age") || says("s-maxage") || heads.contains_key("expires");
     let dateless = !says("max-age") && !says("s-maxage") && !heads.contains_key("date");
-    let left = policy.time_to_live(UNIX_EPOCH + Duration::from_secs(0));
+    let left = policy.time_to_live(UNIX_EPOCH);
     let theirs = match (stated, dateless) {
-        (false, _) if says("no-cache") => Span(0),
         (false, _) => row,
         (_, true) => Span(0),
         _ => Span(left.as_micros().min(u64::MAX as u128) as u64),
--- a/crates/hive/src/desk.rs
+++ b/crates/hive/src/desk.rs
@@ -94,7 +94,7 @@
 }
 
 fn beat(h: &Handle, c: &Call) -> Reply {
-    let wait = |b: &Beat| if matches!(b.mood, Mood::Leaving | Mood::Gone) { CHANGE } else { SHORT };
+    let wait = |b: &Beat| if b.mood.ends() { CHANGE } else { SHORT };
     match c.json(read_beat).map(|(b, mark)| h.ask(Ask::Beat(b.clone(), mark), wait(&b))) {
         Ok(Some(r @ (Receipt::Took | Receipt::Change(_)))) => {
             // Said of a word of leaving: from now on no gate asks this origin.
--- a/crates/keeper/src/beats.rs
+++ b/crates/keeper/src/beats.rs
@@ -76,9 +76,8 @@
             (Mood::Gone, _) => Some(Op::SignOff(b.addr, b.birth)),
             _ => None,
         };
-        let leaves = matches!(b.mood, Mood::Leaving | Mood::Gone);
         match op {
-            Some(op) if leaves => self.farewell(now, t, op, out),
+            Some(op) if b.mood.ends() => self.farewell(now, t, op, out),
             op => {
                 op.into_iter().for_each(|op| self.derive(now, op, out));
                 heard(out);
@@ -101,12 +100,8 @@
         }
     }
 
-    /// The later word counts; but a life that said it leaves never serves again.
     fn hear(&mut self, b: Beat, heard: Mono) {
-        let ends = |m: Mood| matches!(m, Mood::Leaving | Mood::Gone);
-        let was = self.beats.get(&b.addr);
-        let over = was.is_some_and(|(w, _)| w.birth == b.birth && ends(w.mood) && !ends(b.mood));
-        if !over && was.is_none_or(|(_, t)| heard > *t) {
+        if b.replaces(heard, self.beats.get(&b.addr)) {
             self.beats.insert(b.addr, (b, heard));
         }
     }
