--- a/crates/gate/src/jobs.rs
+++ b/crates/gate/src/jobs.rs
@@ -55,13 +55,6 @@
 }
 
 impl Job {
-    /// A claim or its answer may be lost with a link; asking again changes nothing.
-    fn claim_again(&self, now: Mono, votes: &BTreeMap<Addr, Claimed>) -> Vec<Out> {
-        let due = (now - self.staged).as_ms() / 10 % 12 == 11;
-        let silent = |c: &Claim| c.combs().into_iter().filter(|a| !votes.contains_key(a)).collect::<Vec<_>>();
-        let c = self.claim.as_ref().filter(|_| due);
-        c.iter().flat_map(|c| silent(c).into_iter().map(|a| c.ask(a))).collect()
-    }
     pub fn in_line(&self) -> bool {
         matches!(self.stage, Stage::Line)
     }
@@ -210,7 +203,7 @@
                     self.fill_here(now, id, out);
                 }
                 Stage::Claim(_) if waited > HOME => self.count_votes(now, id, true, out),
-                Stage::Claim(votes) => out.extend(j.claim_again(now, votes)),
+                Stage::Claim(_) => self.claim_again(now, id, out),
                 Stage::Line if waited > LINE => self.deny(now, id, Denied::Ceiling, out),
                 // The executor answers for its rounds; this is for one that died.
                 Stage::Out(r, _) if now > r.horizon + Span::secs(5) => {
--- a/crates/gate/src/keyed.rs
+++ b/crates/gate/src/keyed.rs
@@ -14,6 +14,8 @@
     pub print: Print,
     /// The key's combs, for each set of the roll as it was when it was claimed.
     pub named: Vec<Vec<Addr>>,
+    /// When it was last sent.
+    pub asked: Mono,
 }
 
 impl Claim {
@@ -46,6 +48,8 @@
 /// A granted round must leave within this, so that it never runs late into
 /// the next grant of its key.
 const LEAVE: Span = Span::secs(5);
+/// How long a comb may keep silent before it is asked again.
+const AGAIN: Span = Span::ms(120);
 
 impl Gate {
     pub(crate) fn claim(&mut self, now: Mono, mut j: Job, out: &mut Vec<Out>) {
@@ -54,7 +58,7 @@
         let n = self.number();
         let round = RoundId { node: self.follow.env.id, birth: self.follow.env.birth, n };
         let named = self.table.roll.named(&key);
-        let c = Claim { round, key, print, named };
+        let c = Claim { round, key, print, named, asked: now };
         out.extend(c.combs().into_iter().map(|a| c.ask(a)));
         j.claim = Some(c);
         j.must_leave = now + LEAVE;
@@ -65,6 +69,17 @@
         self.count_votes(now, n, false, out);
     }
 
+    /// A claim or its answer may be lost with a link; asking again changes nothing.
+    pub(crate) fn claim_again(&mut self, now: Mono, id: u64, out: &mut Vec<Out>) {
+        let Some(j) = self.jobs.get_mut(&id) else { return };
+        let (Stage::Claim(votes), Some(c)) = (&j.stage, &mut j.claim) else { return };
+        if now - c.asked >= AGAIN {
+            c.asked = now;
+            let silent = c.combs().into_iter().filter(|a| !votes.contains_key(a));
+            out.extend(silent.map(|a| c.ask(a)));
+        }
+    }
+
     /// A word that comes after the count changes nothing: a denied round was
     /// released after its claim on the same link, and a round that went out
     /// keeps its key.
--- a/crates/hive/src/desk.rs
+++ b/crates/hive/src/desk.rs
@@ -170,7 +170,8 @@
 
 /// What the origin gets of the fields: end to end, and who forwarded what for whom.
 fn forwarded(c: &Call) -> Heads {
-    let was = |n: &str| c.heads.get(n).map(|v| format!("{v}, ")).unwrap_or_default();
+    let was =
+        |n: &str| -> String { c.heads.all(n).map(|v| format!("{}, ", String::from_utf8_lossy(v))).collect() };
     let peer = c.peer.map(|p| p.ip().to_string()).unwrap_or_else(|| "unknown".into());
     let chain = format!("{}{peer}", was("x-forwarded-for"));
     let via = format!("{}1.1 lanewing", was("via"));
