--- a/crates/brood/src/cmd.rs
+++ b/crates/brood/src/cmd.rs
@@ -1,6 +1,7 @@
 //! What keepers agree on, and which of it clashes.
 use crate::items::*;
 use crate::roll::Seat;
+use crate::sheet::{Edit, PurgeBy};
 use crate::state::Era;
 use serde::{Deserialize, Serialize};
 use waggle::Command;
@@ -25,6 +26,9 @@
     DrainNode(NodeId),
     RemoveNode(NodeId),
     Purge(Vec<(Svc, String)>),
+    PurgeBy(Vec<PurgeBy>),
+    /// Edits of the sheet, valid or refused as a whole.
+    Edit(Vec<Edit>),
     /// Names the ledger's combs anew, beside the set there is; the same again
     /// only makes the version new, to count its time in force from.
     Seats {
@@ -68,6 +72,8 @@
             }
             Op::Join(n, _) | Op::DrainNode(n) | Op::RemoveNode(n) => vec![Key::Node(*n)],
             Op::Seats { .. } | Op::Settle { .. } => vec![Key::Roll],
+            Op::PurgeBy(s) => s.iter().cloned().map(Key::PurgeBy).collect(),
+            Op::Edit(es) => es.iter().map(Edit::key).collect(),
             Op::Purge(s) => s.iter().map(|(v, p)| Key::Purge(v.clone(), p.clone())).collect(),
         }
     }
@@ -78,6 +84,11 @@
         match (self, b) {
             (Op::Purge(x), Op::Purge(y)) => x.iter().any(|s| y.contains(s)),
             (Op::Purge(_), _) | (_, Op::Purge(_)) => false,
+            (Op::PurgeBy(x), Op::PurgeBy(y)) => x.iter().any(|s| y.contains(s)),
+            (Op::PurgeBy(_), _) | (_, Op::PurgeBy(_)) => false,
+            // Whether lanes name known services depends on all edits before.
+            (Op::Edit(_), Op::Edit(_)) => true,
+            (Op::Edit(_), _) | (_, Op::Edit(_)) => false,
             _ => {
                 let ks = b.keys();
                 self.keys().iter().any(|k| ks.contains(k))
@@ -89,8 +100,12 @@
     fn asks_rows(&self) -> bool {
         matches!(self, Op::Settle { early: true, .. })
     }
+    /// Purges travel together.
+    pub fn is_purge(&self) -> bool {
+        matches!(self, Op::Purge(_) | Op::PurgeBy(_))
+    }
     fn is_row(&self) -> bool {
-        matches!(self, Op::Row { .. })
+        matches!(self, Op::Row { .. } | Op::Edit(_))
     }
 }
 
--- a/crates/brood/src/follow.rs
+++ b/crates/brood/src/follow.rs
@@ -23,6 +23,9 @@
     /// This process's life; renewals asked for by an earlier one lend nothing.
     pub life: u64,
     pub lease: Span,
+    /// Goes on without a lease once it has heard any news: a deployment's choice of
+    /// serving while out of touch over denying; see `docs/in-force.md`.
+    pub serve_on: bool,
 }
 
 #[derive(Debug)]
@@ -62,9 +65,19 @@
         now - self.asked >= EVERY
     }
 
+    /// Whether it serves at all, lease or not.
+    pub fn leased_until(&self) -> Mono {
+        let on = self.env.serve_on && !self.members.is_empty();
+        if on {
+            Mono(u64::MAX >> 1)
+        } else {
+            self.in_touch_until()
+        }
+    }
+
     /// Until when the lease holds: so many keepers carry it that they meet every
     /// classic quorum.
-    pub fn leased_until(&self) -> Mono {
+    pub fn in_touch_until(&self) -> Mono {
         let need = waggle::meets_all(self.members.len());
         let mut v: Vec<Mono> = self.members.iter().filter_map(|m| self.leases.get(&m.kid)).copied().collect();
         v.sort_by(|a, b| b.cmp(a));
@@ -87,7 +100,7 @@
     pub fn subscribe(&mut self, now: Mono, wants: &[(Svc, u32)], epoch: Epoch, out: &mut Vec<Out>) {
         self.asked = now;
         // Without a lease the seeds are asked too: the roster may have moved on.
-        let lost = !self.leased(now);
+        let lost = self.in_touch_until() <= now;
         let seeds = self.env.seeds.iter().copied().filter(|_| lost);
         let all: BTreeSet<Addr> = self.members.iter().map(|m| m.addr).chain(seeds).collect();
         out.extend(all.into_iter().map(|a| self.sub(now, a, wants, epoch)));
--- a/crates/brood/src/items.rs
+++ b/crates/brood/src/items.rs
@@ -1,5 +1,6 @@
 //! The things the control state holds. Each is an item under a key, with its
 //! own version.
+use crate::sheet::{CallerLimits, LaneEntry, PurgeBy, Section, ServiceEntry};
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use wax::{Addr, Birth, Mono, NodeId, Span, Version};
@@ -54,6 +55,9 @@
     Purge(Svc, String),
     /// Which combs keep the ledger of keys.
     Roll,
+    /// One entry of the operator's sheet.
+    Entry(Section, String),
+    PurgeBy(PurgeBy),
 }
 
 /// What requests of a lane are. Where rows of one lane differ, the strictest
@@ -64,6 +68,8 @@
     Read,
     /// Asked of the origin each time.
     Plain,
+    /// Asked of the origin, and run at most once.
+    Once,
     /// Carries a key and runs once.
     Keyed,
 }
@@ -96,6 +102,8 @@
     pub zone: Zone,
     /// How many requests at once it says it holds.
     pub cap: u32,
+    /// What it calls its life itself, if it does.
+    pub tag: String,
     pub standing: Standing,
 }
 
@@ -124,6 +132,9 @@
     Node(Node),
     Purge,
     Roll(crate::roll::Roll),
+    Lane(LaneEntry),
+    Service(ServiceEntry),
+    Limits(CallerLimits),
 }
 
 /// Invariant: `ver` grows by one with each change of the item, also across its
@@ -154,6 +165,10 @@
     /// Requests in hand.
     pub occupancy: u32,
     pub mood: Mood,
+    /// Grows with every word of one life; nought where its origin does not count.
+    pub seq: u64,
+    /// What its origin calls its life itself, if it does.
+    pub tag: String,
 }
 
 impl Mood {
@@ -165,10 +180,12 @@
 
 impl Beat {
     /// Whether this one, heard then, takes the place of what was heard before at its
-    /// address: the later word counts, but a life that said it leaves never serves again.
+    /// address: the later word counts, but a life that said it leaves never serves again,
+    /// and of one life's counted words the higher is the later.
     pub fn replaces(&self, heard: Mono, was: Option<&(Beat, Mono)>) -> bool {
         let over = |w: &Beat| w.birth == self.birth && w.mood.ends() && !self.mood.ends();
-        was.is_none_or(|(w, t)| heard > *t && !over(w))
+        let late = |w: &Beat| w.birth == self.birth && self.seq < w.seq;
+        was.is_none_or(|(w, t)| heard > *t && !over(w) && !late(w))
     }
 }
 
--- a/crates/brood/src/msg.rs
+++ b/crates/brood/src/msg.rs
@@ -1,8 +1,9 @@
 //! Every message between lanewing's own processes.
-use crate::cmd::Cmd;
+use crate::cmd::{Change, Cmd};
 use crate::heads::{Heads, Print};
 use crate::items::*;
-use crate::state::{Era, Picture};
+use crate::part::Receipt;
+use crate::state::{Era, Picture, Verdict};
 use crate::whole::Whole;
 use serde::{Deserialize, Serialize};
 use waggle::{Cid, Kid, Wag};
@@ -82,6 +83,13 @@
     Blank(Member),
     Picture(Box<Picture>),
     WantPicture(Era, Birth),
+    /// Who has a seat, for processes that have none to pass on.
+    Roster(Era, Vec<Member>),
+    /// The one blank keeper that is to found the deployment.
+    Found(Birth),
+    /// A node passes on what it was asked, under a number of its own.
+    Call(u64, Box<Call>),
+    Called(u64, Box<Said>),
     /// Beats and their ages, as of a moment after the receiver's own one given last:
     /// the sender's clock now, and the receiver's as it was last heard.
     Beats(Vec<(Beat, Span)>, Mono, Option<Mono>),
@@ -196,6 +204,41 @@
     pub age: Span,
 }
 
+/// What any node may be asked of the control state.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Call {
+    Change(Change),
+    Beat(Beat),
+    Table,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Said {
+    Change(Verdict),
+    Took,
+    NotNow(String),
+    Table(Box<Picture>, Vec<(Beat, Span)>),
+}
+
+impl Said {
+    pub fn of(r: Receipt) -> Said {
+        match r {
+            Receipt::Change(v) => Said::Change(v),
+            Receipt::Table(p, b) => Said::Table(p, b),
+            Receipt::NotNow(why) => Said::NotNow(why.to_string()),
+            _ => Said::Took,
+        }
+    }
+    pub fn receipt(self) -> Receipt {
+        match self {
+            Said::Change(v) => Receipt::Change(v),
+            Said::Table(p, b) => Receipt::Table(p, b),
+            Said::NotNow(_) => Receipt::NotNow("a keeper cannot answer now"),
+            Said::Took => Receipt::Took,
+        }
+    }
+}
+
 impl Msg {
     pub fn wag(era: Era, kid: Kid, w: Wag<Cmd>) -> Msg {
         Msg::Wag(era, kid, Box::new(w))
--- a/crates/brood/src/part.rs
+++ b/crates/brood/src/part.rs
@@ -10,15 +10,19 @@
 use wax::{Addr, Birth, Mono, Span, Token};
 
 /// A caller's request as a gate sees it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Req {
     pub method: String,
+    /// Found by host and path, if there is a host.
     pub lane: Lane,
+    pub host: Option<String>,
     pub path: String,
     pub key: Option<String>,
     /// End-to-end fields, with those that forwarding adds.
     pub heads: Heads,
     pub body: Arc<Vec<u8>>,
+    /// How long its caller waits, if it says so.
+    pub left: Option<Span>,
 }
 
 /// One try at an origin.
@@ -28,6 +32,8 @@
     pub addr: Addr,
     pub svc: Svc,
     pub birth: Birth,
+    /// What the origin calls its life itself, if it does.
+    pub tag: String,
     /// Invariant: not a byte leaves after this.
     pub until: Mono,
     /// When the answer is given up.
@@ -43,6 +49,10 @@
     Whole(Whole),
     /// Not a byte left.
     NotSent,
+    /// The origin says that it did not run it.
+    Refused,
+    /// Another life is at the address: it did not run it.
+    Elsewhere,
     /// Bytes left and no whole answer came back.
     Lost,
     /// The answer is longer than any that is served here.
@@ -62,6 +72,10 @@
     SplitVote,
     Leaving,
     TooMany,
+    /// Another try of the key is under way, or its outcome is not known.
+    KeyAtWork,
+    /// Origins took it, none could run it.
+    Refused,
 }
 
 /// The last word on a request.
@@ -100,6 +114,8 @@
         new: Addr,
     },
     Table,
+    /// The whole state by agreement, whoever is asked.
+    Read,
     // at gates
     Begin(Req),
     Done(u64, Fetched),
--- a/crates/brood/src/purged.rs
+++ b/crates/brood/src/purged.rs
@@ -14,7 +14,7 @@
 
 /// Whether this is a purge that nobody needs any more.
 pub fn old_purge(era: Era, k: &Key, it: &Item) -> bool {
-    matches!(k, Key::Purge(..)) && (it.ver.0 >> 32) + KEPT < era.0
+    matches!(k, Key::Purge(..) | Key::PurgeBy(_)) && (it.ver.0 >> 32) + KEPT < era.0
 }
 
 /// What purges say of an object: grows with each that covers it, so a copy under
--- a/crates/brood/src/read.rs
+++ b/crates/brood/src/read.rs
@@ -49,7 +49,7 @@
 }
 
 fn node(l: &Look) -> Result<NodeId> {
-    l.num(0, u16::MAX as u64).map(|n| NodeId(n as u16))
+    l.num(0, 1 << 53).map(NodeId)
 }
 
 /// A change: an id and exactly one of the operations.
@@ -109,6 +109,8 @@
         cap: l.field("cap")?.num(1, 1_000_000)? as u32,
         occupancy: l.field("occupancy")?.num(0, 1_000_000)? as u32,
         mood: l.field("mood")?.one_of(&MOODS)?,
+        seq: 0,
+        tag: String::new(),
     };
     Ok((beat, mark))
 }
--- a/crates/brood/src/roll.rs
+++ b/crates/brood/src/roll.rs
@@ -88,7 +88,7 @@
 
 /// Ranked by hash, zones first spread out.
 fn name_combs(key: &str, all: &[Seat]) -> Vec<Addr> {
-    let ranked = wax::rank(&key, all, |c| c.id.0 as u64);
+    let ranked = wax::rank(&key, all, |c| c.id.0);
     let mut picked: Vec<&Seat> = vec![];
     for c in &ranked {
         if picked.len() < 3 && picked.iter().all(|p| p.zone != c.zone) {
--- a/crates/brood/src/share.rs
+++ b/crates/brood/src/share.rs
@@ -1,6 +1,7 @@
 //! How a service's ceiling is split between the gates' own shares and what the
 //! duty holder lends.
 use crate::items::*;
+use crate::sheet::Section;
 use std::collections::BTreeMap;
 use wax::Span;
 
@@ -16,6 +17,32 @@
     pub lent: f64,
 }
 
+impl Share {
+    /// Nothing bounds it.
+    pub fn free(&self) -> bool {
+        self.ceiling.is_infinite()
+    }
+
+    fn of(c: f64, gates: f64) -> Share {
+        // Each gate may burst by one request; where that would already be more
+        // than a twentieth of the ceiling in five seconds, all of it is lent.
+        let own = if gates <= 0.25 * c { 0.4 * c / gates } else { 0.0 };
+        let lent = if own > 0.0 { 0.55 * c } else { 0.95 * c };
+        Share { ceiling: c, own, lent }
+    }
+}
+
+fn gates(items: &BTreeMap<Key, Item>) -> f64 {
+    let gate = |it: &&Item| matches!(&it.body, Some(Body::Node(n)) if n.role == Role::Gate);
+    items.values().filter(gate).count().max(1) as f64
+}
+
+/// The share of a service with so many thousandths of a request a second.
+pub fn rate_share(items: &BTreeMap<Key, Item>, rate: Option<u64>) -> Share {
+    let free = Share { ceiling: f64::INFINITY, own: f64::INFINITY, lent: 0.0 };
+    rate.map_or(free, |r| Share::of(r as f64 / 1000.0, gates(items)))
+}
+
 /// The ceiling of a service: the lowest of its rows.
 pub fn ceiling(items: &BTreeMap<Key, Item>, svc: &Svc) -> Option<u32> {
     let of = |(k, it): (&Key, &Item)| match (k, &it.body) {
@@ -26,14 +53,9 @@
 }
 
 pub fn share(items: &BTreeMap<Key, Item>, svc: &Svc) -> Option<Share> {
-    let gate = |it: &Item| matches!(&it.body, Some(Body::Node(n)) if n.role == Role::Gate);
-    let gates = items.values().filter(|it| gate(it)).count().max(1) as f64;
-    ceiling(items, svc).map(|c| {
-        let c = c as f64;
-        // Each gate may burst by one request; where that would already be more
-        // than a twentieth of the ceiling in five seconds, all of it is lent.
-        let own = if gates <= 0.25 * c { 0.4 * c / gates } else { 0.0 };
-        let lent = if own > 0.0 { 0.55 * c } else { 0.95 * c };
-        Share { ceiling: c, own, lent }
-    })
+    let entry = items.get(&Key::Entry(Section::Services, svc.0.clone())).and_then(|it| it.body.as_ref());
+    match entry {
+        Some(Body::Service(s)) => Some(rate_share(items, s.rate)),
+        _ => ceiling(items, svc).map(|c| Share::of(c as f64, gates(items))),
+    }
 }
--- /dev/null
+++ b/crates/brood/src/sheet.rs
@@ -0,0 +1,192 @@
+//! The operator's sheet: lanes by host and path, services, and limits on callers,
+//! as named entries whose versions the operator chooses.
+use crate::items::*;
+use crate::state::{Picture, Verdict};
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+use std::collections::BTreeSet;
+use wax::{Span, Version};
+
+/// A part of the sheet.
+#[derive(Copy, Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Section {
+    Lanes,
+    Services,
+    Limits,
+}
+
+/// One lane, reached by host and the longest prefix of the path.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LaneEntry {
+    pub host: String,
+    /// Begins and ends with a slash.
+    pub prefix: String,
+    pub kind: Kind,
+    /// The longest a request may be held.
+    pub timeout: Span,
+    /// Within this an answer is worth most.
+    pub aim: Span,
+    /// Urgency; 0 goes first.
+    pub rank: u8,
+    /// Services and their weights, in thousandths.
+    pub weights: Vec<(Svc, u64)>,
+    /// Origins that one request may be sent to, at most.
+    pub attempts: u32,
+    /// How long a copy lives.
+    pub ttl: Span,
+    /// As its operator wrote it.
+    pub said: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceEntry {
+    /// Where an origin is asked whether it is well.
+    pub health: String,
+    /// Connections that one origin takes from all callers together.
+    pub connections: u32,
+    /// Origins that remember keys themselves.
+    pub dedups: bool,
+    /// Requests that all its origins together may get, in thousandths a second.
+    pub rate: Option<u64>,
+    /// As its operator wrote it.
+    pub said: String,
+}
+
+/// What a caller may send and how long it may take.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallerLimits {
+    pub heads: usize,
+    pub body: usize,
+    pub head_wait: Span,
+    pub idle: Span,
+    /// As its operator wrote it.
+    pub said: String,
+}
+
+/// One entry's change. Invariant: of two versions of a name the higher holds,
+/// whether it sets the entry or (with no body) drops it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Edit {
+    pub section: Section,
+    pub name: String,
+    pub ver: Version,
+    pub body: Option<Body>,
+}
+
+/// Copies to be purged, by what they are rather than by where they come from.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum PurgeBy {
+    /// One host's one path, whatever its query.
+    Page(String, String),
+    /// What its origin marked with this tag.
+    Tag(String),
+}
+
+/// Why a set of edits is invalid as a whole.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu, Serialize, Deserialize)]
+pub enum Flaw {
+    #[snafu(display("{name}: the host is empty"))]
+    NoHost { name: String },
+    #[snafu(display("{name}: the path prefix should begin and end with a slash"))]
+    Prefix { name: String },
+    #[snafu(display("{name}: a request needs at least one attempt"))]
+    NoAttempts { name: String },
+    #[snafu(display("{name}: the aim exceeds the timeout by a minute or more"))]
+    AimOver { name: String },
+    #[snafu(display("{name}: the weights come to nothing"))]
+    NoWeight { name: String },
+    #[snafu(display("{name}: no service is called {svc}"))]
+    UnknownService { name: String, svc: Svc },
+    #[snafu(display("{name} is given twice"))]
+    Twice { name: String },
+    #[snafu(display("{name}: this is not an entry of its section"))]
+    Misplaced { name: String },
+}
+
+const AIM_OVER: Span = Span::secs(60);
+
+impl Edit {
+    pub fn key(&self) -> Key {
+        Key::Entry(self.section, self.name.clone())
+    }
+
+    fn lane(&self) -> Option<&LaneEntry> {
+        match &self.body {
+            Some(Body::Lane(l)) => Some(l),
+            _ => None,
+        }
+    }
+
+    /// What is wrong with it, whatever else there is.
+    pub fn flaw(&self) -> Option<Flaw> {
+        let name = || self.name.clone();
+        let placed = matches!(
+            (self.section, &self.body),
+            (_, None)
+                | (Section::Lanes, Some(Body::Lane(_)))
+                | (Section::Services, Some(Body::Service(_)))
+                | (Section::Limits, Some(Body::Limits(_)))
+        );
+        let misplaced = (!placed).then(|| Flaw::Misplaced { name: name() });
+        let l = self.lane();
+        let or = |bad: fn(&LaneEntry) -> bool, f: Flaw| l.filter(|l| bad(l)).map(|_| f);
+        misplaced
+            .or_else(|| or(|l| l.host.is_empty(), Flaw::NoHost { name: name() }))
+            .or_else(|| or(|l| !bounded(&l.prefix), Flaw::Prefix { name: name() }))
+            .or_else(|| or(|l| l.attempts == 0, Flaw::NoAttempts { name: name() }))
+            .or_else(|| or(|l| l.aim.0 >= l.timeout.0 + AIM_OVER.0, Flaw::AimOver { name: name() }))
+            .or_else(|| or(|l| l.weights.iter().all(|(_, w)| *w == 0), Flaw::NoWeight { name: name() }))
+    }
+}
+
+fn bounded(p: &str) -> bool {
+    p.starts_with('/') && p.ends_with('/')
+}
+
+impl Picture {
+    fn newer(&self, e: &Edit) -> bool {
+        self.items.get(&e.key()).is_none_or(|it| e.ver > it.ver)
+    }
+
+    fn service_after(&self, edits: &[Edit], svc: &Svc) -> bool {
+        let k = Key::Entry(Section::Services, svc.0.clone());
+        let was = self.item(&k);
+        let edit = edits.iter().find(|e| e.key() == k && self.newer(e));
+        edit.map_or(was.body.is_some(), |e| e.body.is_some())
+    }
+
+    /// Why the edits, all together, may not be taken.
+    pub fn flaw(&self, edits: &[Edit]) -> Option<Flaw> {
+        let mut seen = BTreeSet::new();
+        let twice = edits.iter().find(|e| !seen.insert(e.key()));
+        let unknown = |e: &Edit| {
+            let lost = e.lane()?.weights.iter().find(|(s, _)| !self.service_after(edits, s))?;
+            Some(Flaw::UnknownService { name: e.name.clone(), svc: lost.0.clone() })
+        };
+        twice
+            .map(|e| Flaw::Twice { name: e.name.clone() })
+            .or_else(|| edits.iter().find_map(Edit::flaw))
+            .or_else(|| edits.iter().find_map(unknown))
+    }
+
+    /// All of them or none; those that are overtaken have no effect.
+    pub(crate) fn edit(&mut self, edits: &[Edit]) -> Verdict {
+        if let Some(f) = self.flaw(edits) {
+            return Verdict::Flawed(f);
+        }
+        let newer: Vec<&Edit> = edits.iter().filter(|e| self.newer(e)).collect();
+        let set = |e: &&Edit| {
+            self.items.insert(e.key(), Item { ver: e.ver, body: e.body.clone() });
+            (e.key(), e.ver)
+        };
+        Verdict::Done(newer.iter().map(set).collect())
+    }
+
+    /// The sheet's entries that stand, by section and name.
+    pub fn entries(&self) -> impl Iterator<Item = (Section, &String, &Item)> {
+        self.items.iter().filter_map(|(k, it)| match k {
+            Key::Entry(s, n) if it.body.is_some() => Some((*s, n, it)),
+            _ => None,
+        })
+    }
+}
--- a/crates/brood/src/show.rs
+++ b/crates/brood/src/show.rs
@@ -1,6 +1,7 @@
 //! The control state as JSON, for operators.
 use crate::items::*;
 use crate::roll::Seat;
+use crate::sheet::PurgeBy;
 use crate::state::*;
 use std::collections::HashMap;
 use tinyjson::JsonValue;
@@ -27,6 +28,7 @@
     match k {
         Kind::Read => "read",
         Kind::Plain => "plain",
+        Kind::Once => "once",
         Kind::Keyed => "keyed",
     }
 }
@@ -40,8 +42,11 @@
     match k {
         Key::Row(l, s) => f.extend([("lane", text(l)), ("service", text(s))]),
         Key::Origin(a) => f.push(("address", text(a))),
-        Key::Node(n) => f.push(("node", num(n.0 as u64))),
+        Key::Node(n) => f.push(("node", num(n.0))),
         Key::Roll => f.push(("roll", text("ledger"))),
+        Key::Entry(_, n) => f.push(("name", text(n))),
+        Key::PurgeBy(PurgeBy::Page(h, p)) => f.extend([("host", text(h)), ("path", text(p))]),
+        Key::PurgeBy(PurgeBy::Tag(t)) => f.push(("tag", text(t))),
         Key::Purge(s, p) => f.extend([("service", text(s)), ("prefix", text(p))]),
     }
     match &it.body {
@@ -69,13 +74,16 @@
             ("standing", standing(n.standing)),
         ]),
         Some(Body::Roll(r)) => f.push(("sets", list(r.sets.iter().map(|s| show_seats(s)).collect()))),
+        Some(Body::Lane(l)) => f.push(("lane", text(&l.said))),
+        Some(Body::Service(s)) => f.push(("service", text(&s.said))),
+        Some(Body::Limits(l)) => f.push(("limits", text(&l.said))),
         Some(Body::Purge) => (),
     }
     obj(f)
 }
 
 fn show_seats(s: &[Seat]) -> JsonValue {
-    list(s.iter().map(|s| obj(vec![("node", num(s.id.0 as u64)), ("cohort", text(s.addr))])).collect())
+    list(s.iter().map(|s| obj(vec![("node", num(s.id.0)), ("cohort", text(s.addr))])).collect())
 }
 
 /// The live items of one sort, or with `all` the tombstones too.
@@ -118,6 +126,7 @@
             obj(vec![("done", list(ks.iter().map(one).collect()))])
         }
         Verdict::Stale(k, it) => obj(vec![("problem", text("stale")), ("current", show_item(k, it))]),
+        Verdict::Flawed(w) => obj(vec![("problem", text("invalid")), ("reason", text(w))]),
         Verdict::Void(w) => obj(vec![("problem", text(format!("{w:?}")))]),
     }
 }
--- a/crates/brood/src/state.rs
+++ b/crates/brood/src/state.rs
@@ -2,6 +2,7 @@
 use crate::cmd::*;
 use crate::items::*;
 use crate::purged::old_purge;
+use crate::sheet::{Flaw, PurgeBy};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use wax::Version;
@@ -27,6 +28,8 @@
     Done(Vec<(Key, Version)>),
     Stale(Key, Item),
     Void(Void),
+    /// Invalid, and of no effect at all.
+    Flawed(Flaw),
 }
 
 /// Keep at least this many receipts; older whole eras of them are dropped at a cut.
@@ -61,7 +64,7 @@
 
     pub(crate) fn put(&mut self, k: Key, body: Option<Body>) -> Verdict {
         let it = self.items.entry(k.clone()).or_default();
-        let floor = if matches!(k, Key::Purge(..)) { self.era.0 << 32 } else { 0 };
+        let floor = if matches!(k, Key::Purge(..) | Key::PurgeBy(_)) { self.era.0 << 32 } else { 0 };
         it.ver = Version(it.ver.0.max(floor) + 1);
         it.body = body;
         Verdict::Done(vec![(k, it.ver)])
@@ -142,6 +145,15 @@
             }
             Op::Seats { expect, next } => self.name_seats(*expect, next),
             Op::Settle { expect, early } => self.settle(*expect, *early),
+            Op::Edit(es) => self.edit(es),
+            Op::PurgeBy(scopes) => {
+                let mut put = |s: &PurgeBy| {
+                    let k = Key::PurgeBy(s.clone());
+                    self.put(k.clone(), Some(Body::Purge));
+                    (k.clone(), self.items[&k].ver)
+                };
+                Verdict::Done(scopes.iter().map(&mut put).collect())
+            }
             Op::Purge(scopes) => Verdict::Done(
                 scopes
                     .iter()
@@ -165,7 +177,7 @@
 
     /// Whether a row ever existed, so that keys can have been granted.
     pub fn rows(&self) -> bool {
-        self.items.keys().any(|k| matches!(k, Key::Row(..)))
+        self.items.keys().any(|k| matches!(k, Key::Row(..) | Key::Entry(..)))
     }
 
     pub fn origin(&self, a: &wax::Addr) -> Option<&Origin> {
--- a/crates/comb/tests/room.rs
+++ b/crates/comb/tests/room.rs
@@ -19,6 +19,7 @@
         birth: Birth(7),
         life: 1,
         lease: Span::secs(10),
+        serve_on: false,
     };
     let window = Span::secs(90);
     let env = CombEnv { follow, window, base_after: 20_000, room: 1000, most: 40_000, boot: 1 };
--- /dev/null
+++ b/crates/gate/src/errand.rs
@@ -0,0 +1,97 @@
+//! Errands: what any node is asked of the control state, passed on to a keeper
+//! that can answer, and on to the next one if it does not in time.
+use crate::gate::Gate;
+use brood::*;
+use std::collections::BTreeMap;
+use wax::{Addr, Mono, Span, Token};
+
+/// Invariant: whatever is asked may be asked twice: edits and beats carry versions,
+/// purges and readings repeat without harm.
+#[derive(Debug)]
+pub(crate) struct Errand {
+    token: Token,
+    call: Call,
+    began: Mono,
+    sent: Mono,
+    asked: Vec<Addr>,
+    why: &'static str,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct Errands {
+    open: BTreeMap<u64, Errand>,
+    /// When each keeper last answered one.
+    heard: BTreeMap<Addr, Mono>,
+}
+
+/// How long one keeper may take before another is asked as well.
+const NEXT: Span = Span::ms(350);
+
+fn patience(c: &Call) -> Span {
+    match c {
+        Call::Beat(_) => Span::ms(900),
+        Call::Table => Span::secs(2),
+        Call::Change(_) => Span::secs(4),
+    }
+}
+
+impl Gate {
+    pub(crate) fn run_errand(&mut self, now: Mono, token: Token, call: Call, out: &mut Vec<Out>) {
+        let n = self.number();
+        let why = "no keeper is known yet";
+        let e = Errand { token, call, began: now, sent: Mono(0), asked: vec![], why };
+        self.errands.open.insert(n, e);
+        self.send_errand(now, n, out);
+    }
+
+    /// The nearest keeper first, then whichever answered last.
+    fn next_keeper(&self, asked: &[Addr]) -> Option<Addr> {
+        let me = &self.follow.env;
+        let near = |m: &Member| (m.addr.0.ip() != me.addr.0.ip(), m.zone != me.zone);
+        let heard = |m: &Member| std::cmp::Reverse(self.errands.heard.get(&m.addr).copied());
+        let mut all: Vec<&Member> = self.follow.members.iter().filter(|m| !asked.contains(&m.addr)).collect();
+        all.sort_by_key(|m| (near(m), heard(m)));
+        all.first().map(|m| m.addr)
+    }
+
+    fn send_errand(&mut self, now: Mono, n: u64, out: &mut Vec<Out>) {
+        let Some(mut e) = self.errands.open.remove(&n) else { return };
+        let to = self.next_keeper(&e.asked).or_else(|| {
+            e.asked.clear();
+            self.next_keeper(&[])
+        });
+        if let Some(a) = to {
+            e.asked.push(a);
+            out.push(Out::Send(a, Msg::Call(n, Box::new(e.call.clone()))));
+        }
+        e.sent = now;
+        self.errands.open.insert(n, e);
+    }
+
+    pub(crate) fn on_called(&mut self, now: Mono, from: Addr, n: u64, said: Said, out: &mut Vec<Out>) {
+        self.errands.heard.insert(from, now);
+        let Some(e) = self.errands.open.get_mut(&n) else { return };
+        if let Said::NotNow(_) = said {
+            e.why = "no keeper in reach can answer now";
+            // Everybody was asked once: the next round waits for its turn.
+            let all = self.follow.members.iter().all(|m| e.asked.contains(&m.addr));
+            if !all {
+                self.send_errand(now, n, out);
+            }
+            return;
+        }
+        let e = self.errands.open.remove(&n).expect("found above");
+        out.push(Out::Tell(e.token, said.receipt()));
+    }
+
+    pub(crate) fn mind_errands(&mut self, now: Mono, out: &mut Vec<Out>) {
+        let late = |e: &Errand| now - e.began >= patience(&e.call);
+        let over: Vec<u64> = self.errands.open.iter().filter(|(_, e)| late(e)).map(|(n, _)| *n).collect();
+        for e in over.iter().filter_map(|n| self.errands.open.remove(n)) {
+            out.push(Out::Tell(e.token, Receipt::NotNow(e.why)));
+        }
+        let due = |e: &Errand| now - e.sent >= NEXT;
+        let due: Vec<u64> = self.errands.open.iter().filter(|(_, e)| due(e)).map(|(n, _)| *n).collect();
+        due.into_iter().for_each(|n| self.send_errand(now, n, out));
+    }
+}
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -1,4 +1,5 @@
 use crate::copies::Copies;
+use crate::errand::Errands;
 use crate::jobs::Job;
 use crate::keyed::Outgoing;
 use crate::origins::Seen;
@@ -23,6 +24,28 @@
     pub hands: (usize, usize),
     /// How long requests are still taken once it leaves, for callers to notice.
     pub grace: Span,
+    pub policy: GatePolicy,
+}
+
+/// What a deployment may choose; the default is the product's own.
+#[derive(Clone, Debug)]
+pub struct GatePolicy {
+    /// What each first try earns of an extra one.
+    pub earn: f64,
+    /// Extra tries that all gates of the deployment together may have saved up; each
+    /// may have one at least.
+    pub saved: f64,
+    /// An object's homes are gates of the asking gate's own zone, and only they keep it.
+    pub near: bool,
+    /// Origins are chosen by load and nearness, not by rendezvous.
+    pub by_load: bool,
+}
+
+impl Default for GatePolicy {
+    /// A tenth: well under a fifth.
+    fn default() -> GatePolicy {
+        GatePolicy { earn: 0.1, saved: 0.0, near: false, by_load: false }
+    }
 }
 
 pub struct Gate {
@@ -47,6 +70,9 @@
     pub(crate) solo: BTreeMap<(Svc, Lane, String), Mono>,
     /// Gates that lately did not answer.
     pub(crate) mute: BTreeMap<Addr, Mono>,
+    pub(crate) errands: Errands,
+    /// When the copies were last looked through.
+    swept: Mono,
     pub(crate) next: u64,
     /// Since when it leaves: not ready at once, but taking requests for the grace.
     pub(crate) leaving: Option<Mono>,
@@ -69,6 +95,8 @@
             outgoing: vec![],
             solo: BTreeMap::new(),
             mute: BTreeMap::new(),
+            errands: Errands::default(),
+            swept: Mono(0),
             // Numbers of an earlier life must mean nothing in this one: answers to
             // its askings may still be on their way.
             next: env.follow.birth.0 << 20,
@@ -132,8 +160,12 @@
         self.serve_line(now, out);
         self.expire_jobs(now, out);
         self.push_outcomes(now, out);
-        self.copies.drop_old(now);
-        self.solo.retain(|_, t| *t > now);
+        self.mind_errands(now, out);
+        if now - self.swept >= Span::ms(500) {
+            self.swept = now;
+            self.copies.drop_old(now);
+            self.solo.retain(|_, t| *t > now);
+        }
         while self.offers.len() > 1000 {
             self.offers.pop_first();
         }
@@ -171,9 +203,13 @@
                     let beats = self.seen.beats.values().map(|(b, t)| (b.clone(), now - *t)).collect();
                     out.push(Out::Tell(t, Receipt::Table(Box::new(p), beats)));
                 }
+                Ask::Change(c) => self.run_errand(now, t, Call::Change(c), out),
+                Ask::Beat(b, _) => self.run_errand(now, t, Call::Beat(b), out),
+                Ask::Read => self.run_errand(now, t, Call::Table, out),
                 _ => out.push(Out::Tell(t, Receipt::NotNow("not asked of a gate"))),
             },
             In::Msg(from, m) => match m {
+                Msg::Called(n, said) => self.on_called(now, from, n, *said, out),
                 Msg::News(n) => self.on_news(now, from, *n, out),
                 Msg::CopyAsk { ask, svc, lane, path, heads } => {
                     self.on_copy_ask(now, (from, ask), (svc, lane, path), heads, out)
--- a/crates/gate/src/jobs.rs
+++ b/crates/gate/src/jobs.rs
@@ -35,7 +35,6 @@
     pub kind: Kind,
     pub callers: Vec<Caller>,
     pub stage: Stage,
-    pub began: Mono,
     pub staged: Mono,
     /// Rounds of which bytes may have reached an origin.
     pub tries: u32,
@@ -52,6 +51,12 @@
     pub claim: Option<Claim>,
     /// Keyed only. Invariant: nothing leaves after this, however long we froze.
     pub must_leave: Mono,
+    /// Given up after this.
+    pub by: Mono,
+    /// Origins it may be sent to.
+    pub attempts: u32,
+    /// Rounds that origins say they did not run.
+    pub refused: u32,
 }
 
 impl Job {
@@ -63,7 +68,12 @@
     }
     /// Whether running it twice does no harm.
     pub fn safe(&self) -> bool {
-        self.kind != Kind::Keyed && harmless(&self.req.method)
+        match self.kind {
+            Kind::Read => true,
+            // What the sheet calls repeatable is, whatever its method.
+            Kind::Plain => self.req.host.is_some() || harmless(&self.req.method),
+            Kind::Once | Kind::Keyed => false,
+        }
     }
 }
 
@@ -90,7 +100,7 @@
                 j.callers.push(caller);
                 match j.kind {
                     Kind::Read => self.read(now, j, out),
-                    Kind::Plain => {
+                    Kind::Plain | Kind::Once => {
                         self.launch(now, j, out);
                     }
                     Kind::Keyed => self.claim(now, j, out),
@@ -105,7 +115,11 @@
         yes(!self.drained(now), Denied::Leaving)?;
         yes(self.leased(now), Denied::NoLease)?;
         yes(self.jobs.len() < self.env.hands.1, Denied::TooMany)?;
+        let found = |h: &String| self.table.paths.find(h, &req.path).cloned();
+        let lane = req.host.as_ref().map_or(Some(req.lane.clone()), found).ok_or(Denied::NoLane)?;
+        let req = Req { lane, ..req };
         let kind = self.table.kind(&req.lane).ok_or(Denied::NoLane)?;
+        let entry = self.table.entries.get(&req.lane).cloned();
         yes(kind != Kind::Read || harmless(&req.method), Denied::BadMethod)?;
         yes(kind != Kind::Keyed || KEYED.contains(&req.method.as_str()), Denied::BadMethod)?;
         yes(kind != Kind::Keyed || req.key.is_some(), Denied::NoKey)?;
@@ -113,11 +127,13 @@
         let spin = match kind {
             Kind::Read => wax::hash(&req.path),
             Kind::Keyed => wax::hash(&req.key),
-            Kind::Plain => self.number().wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 16,
+            Kind::Plain | Kind::Once => self.number().wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 16,
         };
         let (svc, row) = self.table.pick(&req.lane, spin).ok_or(Denied::NoOrigin)?;
         // One service that hangs leaves room for the others.
         let held = self.jobs.values().filter(|j| j.svc == svc).count();
+        let most = entry.as_ref().map_or(self.env.patience, |e| e.timeout);
+        let by = now + req.left.map_or(most, |l| l.min(most));
         yes(held < self.env.hands.0, Denied::TooMany)?;
         Ok(Job {
             req,
@@ -126,7 +142,6 @@
             kind,
             callers: vec![],
             stage: Stage::Line,
-            began: now,
             staged: now,
             tries: 0,
             unsent: 0,
@@ -136,6 +151,9 @@
             stocked: false,
             claim: None,
             must_leave: Mono(u64::MAX),
+            by,
+            attempts: entry.map_or(3, |e| e.attempts),
+            refused: 0,
         })
     }
 
@@ -196,6 +214,9 @@
             let j = &self.jobs[&id];
             let waited = now - j.staged;
             match &j.stage {
+                Stage::Line | Stage::Home(..) | Stage::Claim(_) if now >= j.by => {
+                    self.deny(now, id, Denied::Ceiling, out);
+                }
                 Stage::Home(a, _, at_it) if waited > if *at_it { self.env.patience } else { HOME } => {
                     let a = *a;
                     self.mute.insert(a, now + Span::secs(2));
--- /dev/null
+++ b/crates/gate/src/lanes.rs
@@ -0,0 +1,25 @@
+//! Lanes by host and path: found in time that grows with the path, not the table.
+use brood::*;
+use std::collections::BTreeMap;
+
+/// Invariant: a prefix begins and ends with a slash; one lane has each.
+#[derive(Clone, Debug, Default)]
+pub struct Lanes {
+    by_host: BTreeMap<String, BTreeMap<String, Lane>>,
+}
+
+impl Lanes {
+    pub fn add(&mut self, name: &str, e: &LaneEntry) {
+        let host = self.by_host.entry(e.host.to_ascii_lowercase()).or_default();
+        host.insert(e.prefix.clone(), Lane(name.to_string()));
+    }
+
+    /// The lane with the longest prefix that begins the path.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Lane> {
+        let bare = path.split('?').next().unwrap_or(path);
+        let name = host.rsplit_once(':').map_or(host, |(h, _)| h).to_ascii_lowercase();
+        let lanes = self.by_host.get(&name)?;
+        let ends = bare.char_indices().filter(|(_, c)| *c == '/').map(|(i, _)| i);
+        ends.collect::<Vec<_>>().into_iter().rev().find_map(|i| lanes.get(&bare[..=i]))
+    }
+}
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -1,14 +1,18 @@
 //! The gate, a pure part: the decision object that executors ask and obey.
+mod choice;
 mod copies;
+mod errand;
 mod gate;
 mod jobs;
 mod keyed;
+mod lanes;
 mod news;
 mod origins;
 mod press;
+mod purge;
 mod read;
 mod rounds;
 mod sharing;
 mod table;
 
-pub use gate::{Gate, GateEnv};
+pub use gate::{Gate, GateEnv, GatePolicy};
--- a/crates/gate/src/news.rs
+++ b/crates/gate/src/news.rs
@@ -21,8 +21,10 @@
             self.table = Arc::new(Table::build(&self.follow.items));
         }
         for k in &new {
-            if let Key::Purge(svc, prefix) = k {
-                self.purge(now, svc, prefix, out);
+            match k {
+                Key::Purge(svc, prefix) => self.purge(now, svc, prefix, out),
+                Key::PurgeBy(p) => self.purge_by(now, p, out),
+                _ => (),
             }
         }
         // Times of an earlier life's asking would make old beats and slices new.
--- a/crates/gate/src/origins.rs
+++ b/crates/gate/src/origins.rs
@@ -16,6 +16,15 @@
     pace: BTreeMap<(Addr, Birth), Span>,
 }
 
+impl Seen {
+    pub(crate) fn pace(&self, a: &Addr, b: Birth) -> Option<Span> {
+        self.pace.get(&(*a, b)).copied()
+    }
+    pub(crate) fn is_bad(&self, now: Mono, a: &Addr, b: Birth) -> bool {
+        self.bad.get(&(*a, b)).is_some_and(|t| *t > now)
+    }
+}
+
 const PASS_OVER: Span = Span::ms(500);
 /// Slower than the service's quickest by this factor, and than this at all.
 const SLOW_BY: u64 = 4;
@@ -34,7 +43,7 @@
     /// Until when this life at this address counts as there.
     pub(crate) fn fresh_until(&self, a: &Addr, o: &Origin) -> Mono {
         let beat = self.seen.beats.get(a);
-        let by_beat = beat.filter(|(b, _)| b.birth == o.birth && b.svc == o.svc && b.mood == Mood::Serving);
+        let by_beat = beat.filter(|(b, _)| b.birth == o.birth && b.svc == o.svc && !b.mood.ends());
         let probe = self.seen.probes.get(a).filter(|(s, b, _)| *s == o.svc && *b == o.birth).map(|p| p.2);
         // A later word of leaving, or of another life, outweighs an older probe.
         let against = beat.filter(|_| by_beat.is_none()).map(|(_, t)| *t).unwrap_or_default();
--- a/crates/gate/src/press.rs
+++ b/crates/gate/src/press.rs
@@ -29,8 +29,7 @@
     wait: u32,
 }
 
-/// Each first try earns this much of an extra one: well under a fifth.
-const EARN: f64 = 0.1;
+/// Saved up at the most, where the deployment allows no more.
 const EXTRA_MOST: f64 = 1.0;
 /// Out of turn at most this often.
 const URGE: Span = Span::ms(20);
@@ -40,6 +39,9 @@
         let since = self.at.map_or(Span(0), |t| now - t);
         self.at = Some(now);
         let cap = (s.own * 0.1).max(1.0);
+        if s.free() {
+            return;
+        }
         self.own = (self.own + s.own * since.0 as f64 / 1e6).min(cap);
         self.lent.retain(|t| *t > now);
     }
@@ -56,6 +58,10 @@
     /// Takes one request's worth, valid until the point returned. Less urgent
     /// lanes leave lent requests to others while the line is long.
     pub(crate) fn spend(&mut self, now: Mono, svc: &Svc) -> Option<Mono> {
+        let free = self.table.shares.get(svc).is_some_and(Share::free);
+        if free {
+            return Some(now + Span::secs(60));
+        }
         let p = self.purse(now, svc)?;
         if !p.lent.is_empty() {
             return Some(p.lent.remove(0));
@@ -68,6 +74,9 @@
 
     /// Gives back what was not used after all.
     pub(crate) fn refund(&mut self, now: Mono, svc: &Svc, until: Mono) {
+        if self.table.shares.get(svc).is_some_and(Share::free) {
+            return;
+        }
         self.purse(now, svc).into_iter().for_each(|p| {
             if until > now {
                 p.lent.push(until);
@@ -76,9 +85,12 @@
     }
 
     pub(crate) fn first_try(&mut self, now: Mono, svc: &Svc) {
+        let e = &self.env.policy;
+        let most = (e.saved / self.table.gates.len().max(1) as f64).max(EXTRA_MOST);
+        let earn = e.earn;
         self.purse(now, svc).into_iter().for_each(|p| {
             p.recent += 1;
-            p.extra = (p.extra + EARN).min(EXTRA_MOST);
+            p.extra = (p.extra + earn).min(most);
         });
     }
 
@@ -96,7 +108,8 @@
         for j in self.jobs.values().filter(|j| j.in_line()) {
             *line.entry(j.svc.clone()).or_default() += 1;
         }
-        let shares = self.table.shares.clone();
+        let bound = self.table.shares.iter().filter(|(_, s)| !s.free());
+        let shares: BTreeMap<Svc, Share> = bound.map(|(v, s)| (v.clone(), *s)).collect();
         let mut v = vec![];
         for (svc, s) in &shares {
             let Some(p) = self.purse(now, svc) else { continue };
--- /dev/null
+++ b/crates/gate/src/purge.rs
@@ -0,0 +1,58 @@
+//! Purges: copies go, and what is being fetched is not used.
+use crate::copies::Copy;
+use crate::gate::Gate;
+use crate::jobs::Stage;
+use brood::*;
+use wax::Mono;
+
+/// The field in which an origin's answer names its tags, parted by spaces.
+const TAGS: &str = "lanewing-tags";
+
+type Object = (Svc, Lane, String);
+
+impl Gate {
+    /// A purge of all whose path begins so.
+    pub(crate) fn purge(&mut self, now: Mono, svc: &Svc, prefix: &str, out: &mut Vec<Out>) {
+        self.copies.drop_where(|k, _| k.0 == *svc && k.2.starts_with(prefix));
+        self.spoil(now, |o| o.0 == *svc && o.2.starts_with(prefix), out);
+    }
+
+    /// A purge by page or by tag. What is being fetched shows its tags too late, so
+    /// a tag spoils it all.
+    pub(crate) fn purge_by(&mut self, now: Mono, p: &PurgeBy, out: &mut Vec<Out>) {
+        let table = self.table.clone();
+        let host = |l: &Lane| table.entries.get(l).map(|e| e.host.to_ascii_lowercase());
+        let page = |o: &Object, h: &str, path: &str| {
+            let bare = |s: &str| s.split('?').next().unwrap_or(s).to_string();
+            bare(&o.2) == bare(path) && host(&o.1).is_none_or(|x| x == h.to_ascii_lowercase())
+        };
+        match p {
+            PurgeBy::Page(h, path) => {
+                self.copies.drop_where(|k, _| page(k, h, path));
+                self.spoil(now, |o| page(o, h, path), out);
+            }
+            PurgeBy::Tag(t) => {
+                let tagged = |c: &Copy| {
+                    let all = c.whole.heads.get(TAGS).unwrap_or_default();
+                    all.split_ascii_whitespace().any(|x| x == t)
+                };
+                self.copies.drop_where(|_, c| tagged(c));
+                self.spoil(now, |_| true, out);
+            }
+        }
+    }
+
+    /// What is being fetched is not used.
+    fn spoil(&mut self, now: Mono, hit: impl Fn(&Object) -> bool, out: &mut Vec<Out>) {
+        self.count("purges");
+        self.fills.retain(|o, _| !hit(o));
+        let ids: Vec<u64> = self.jobs.iter().filter(|(_, j)| hit(&j.object())).map(|(i, _)| *i).collect();
+        for id in ids {
+            let j = self.jobs.get_mut(&id).expect("listed above");
+            j.spoiled = j.kind == Kind::Read;
+            if j.spoiled && matches!(j.stage, Stage::Home(..)) {
+                self.fill_here(now, id, out);
+            }
+        }
+    }
+}
--- a/crates/gate/src/read.rs
+++ b/crates/gate/src/read.rs
@@ -22,7 +22,9 @@
     pub(crate) fn read(&mut self, now: Mono, mut j: Job, out: &mut Vec<Out>) {
         let obj = j.object();
         let own = j.req.heads.personal();
-        if let Some(c) = self.copies.get(now, &obj).filter(|c| c.public || !own).cloned() {
+        // A lifetime that was shortened since holds for what is kept already.
+        let young = |c: &&Copy| now - c.since < j.row.ttl;
+        if let Some(c) = self.copies.get(now, &obj).filter(|c| c.public || !own).filter(young).cloned() {
             let until = (c.until + WAY_OUT).min(self.leased_until());
             let s = Step::Serve(c.whole.clone(), Shared::Copy(now - c.since), until);
             return j.callers.iter().for_each(|c| self.tell(now, c, s.clone(), out));
@@ -62,9 +64,12 @@
     /// The first two gates by rendezvous know the object; one that lately kept
     /// silent is passed over.
     fn home(&self, now: Mono, obj: &(Svc, Lane, String)) -> Option<Addr> {
-        let ranked = wax::rank(obj, &self.table.gates, |(n, _)| n.0 as u64);
+        let here = &self.follow.env.zone;
+        let near = |g: &&(wax::NodeId, Addr, Zone)| !self.env.policy.near || g.2 == *here;
+        let gates: Vec<_> = self.table.gates.iter().filter(near).cloned().collect();
+        let ranked = wax::rank(obj, &gates, |(n, ..)| n.0);
         let speaks = |a: &Addr| self.mute.get(a).is_none_or(|t| *t <= now);
-        ranked.into_iter().map(|(_, a)| a).take(2).find(speaks)
+        ranked.into_iter().map(|(_, a, _)| a).take(2).find(speaks)
     }
 
     pub(crate) fn fill_here(&mut self, now: Mono, id: u64, out: &mut Vec<Out>) {
@@ -87,7 +92,7 @@
     fn stock_of(&self, now: Mono, obj: &(Svc, Lane, String)) -> Option<Addr> {
         let here = self.follow.env.zone.region();
         let near: Vec<_> = self.table.combs.iter().filter(|c| c.2.region() == here).cloned().collect();
-        let ranked = wax::rank(obj, &near, |c| c.0 .0 as u64);
+        let ranked = wax::rank(obj, &near, |c| c.0 .0);
         let speaks = |a: &Addr| self.mute.get(a).is_none_or(|t| *t <= now);
         ranked.into_iter().map(|c| c.1).next().filter(speaks)
     }
@@ -115,7 +120,11 @@
         out: &mut Vec<Out>,
     ) {
         let caller = Caller::Gate(from, ask);
-        let held = self.copies.get(now, &obj).filter(|_| self.leased(now)).cloned();
+        // Purges may not have reached a gate out of touch: others do not rely on it.
+        if self.follow.in_touch_until() <= now {
+            return out.push(Out::Send(from, Msg::CopyGot { ask, said: CopySaid::None }));
+        }
+        let held = self.copies.get(now, &obj).cloned();
         if let Some(c) = held {
             let until = c.until.min(self.leased_until());
             let said = CopySaid::Got(Box::new(c.show(now, until)));
@@ -130,7 +139,7 @@
         }
         let (svc, lane, path) = obj;
         let (method, body) = ("GET".into(), Arc::new(vec![]));
-        let req = Req { method, lane, path, key: None, heads: heads.for_all(), body };
+        let req = Req { method, lane, path, key: None, heads: heads.for_all(), body, ..Req::default() };
         match self.admit(now, req).ok().filter(|j| j.svc == svc && j.kind == Kind::Read) {
             Some(mut j) => {
                 j.callers.push(caller);
@@ -171,7 +180,9 @@
                 let until = (asked + c.left).min(self.leased_until());
                 self.count(if stocked { "filled from combs" } else { "filled from homes" });
                 let whole = Arc::new(c.whole);
-                self.keep(now, obj, Copy { whole: whole.clone(), public: c.public, since, until });
+                if !self.env.policy.near {
+                    self.keep(now, obj, Copy { whole: whole.clone(), public: c.public, since, until });
+                }
                 let out_by = (until + WAY_OUT).min(self.leased_until());
                 let s = Step::Serve(whole, Shared::Copy(now - since), out_by);
                 self.finish(now, ask, s, out);
@@ -218,20 +229,4 @@
             self.part_ways(now, id, Some(s), out);
         }
     }
-
-    /// A purge takes the copies, and spoils what is being fetched.
-    pub(crate) fn purge(&mut self, now: Mono, svc: &Svc, prefix: &str, out: &mut Vec<Out>) {
-        self.copies.drop_where(|k, _| k.0 == *svc && k.2.starts_with(prefix));
-        self.count("purges");
-        let hit = |o: &(Svc, Lane, String)| o.0 == *svc && o.2.starts_with(prefix);
-        self.fills.retain(|o, _| !hit(o));
-        let ids: Vec<u64> = self.jobs.iter().filter(|(_, j)| hit(&j.object())).map(|(i, _)| *i).collect();
-        for id in ids {
-            let j = self.jobs.get_mut(&id).expect("listed above");
-            j.spoiled = j.kind == Kind::Read;
-            if j.spoiled && matches!(j.stage, Stage::Home(..)) {
-                self.fill_here(now, id, out);
-            }
-        }
-    }
 }
--- a/crates/gate/src/rounds.rs
+++ b/crates/gate/src/rounds.rs
@@ -61,10 +61,14 @@
         let on = match j.kind {
             Kind::Read => wax::hash(&j.req.path),
             Kind::Keyed => wax::hash(&j.req.key),
-            Kind::Plain => id,
+            Kind::Plain | Kind::Once => id,
         };
         let fresh_first = |(a, o, _): &(wax::Addr, Origin, Mono)| j.tried.contains(&(*a, o.birth));
-        let mut all = self.candidates(now, &svc, on);
+        let mut all = if self.env.policy.by_load {
+            self.by_load(now, &svc, id)
+        } else {
+            self.candidates(now, &svc, on)
+        };
         all.sort_by_key(fresh_first);
         let lease = self.leased_until();
         let Some((addr, o, fresh)) = all.into_iter().next() else {
@@ -80,9 +84,10 @@
             addr,
             svc,
             birth: o.birth,
+            tag: o.tag,
             until: fresh.min(lease).min(token).min(leave),
-            horizon: now + self.env.patience,
-            extra: self.jobs.get(&id).is_some_and(|j| j.tries > 0),
+            horizon: self.jobs.get(&id).map_or(now, |j| j.by),
+            extra: self.jobs.get(&id).is_some_and(|j| j.tries + j.refused > 0),
             req,
         };
         self.rounds.insert(n, id);
@@ -111,6 +116,17 @@
                     self.deny(now, id, Denied::NoOrigin, out);
                 }
             }
+            Fetched::Refused | Fetched::Elsewhere => {
+                j.refused += 1;
+                let more = j.refused + j.tries < j.attempts;
+                self.note_bad(now, r.addr, r.birth);
+                if more && self.extra_try(now, &r.svc) {
+                    self.count("extra tries");
+                    self.line_up(now, id, out);
+                } else {
+                    self.deny(now, id, Denied::Refused, out);
+                }
+            }
             Fetched::Lost => {
                 j.tries += 1;
                 let safe = j.safe();
@@ -143,7 +159,7 @@
                         self.retry_or(now, id, true, s, out);
                     }
                     Kind::Read => self.filled(now, id, sent, w, out),
-                    Kind::Plain => self.finish(now, id, s, out),
+                    Kind::Plain | Kind::Once => self.finish(now, id, s, out),
                     Kind::Keyed => self.ran(now, id, w, s, out),
                 }
             }
@@ -153,8 +169,8 @@
     /// Another round if that does no harm and the budget has one, else `last`.
     fn retry_or(&mut self, now: Mono, id: u64, safe: bool, last: Step, out: &mut Vec<Out>) {
         let Some(j) = self.jobs.get_mut(&id) else { return };
-        let (svc, few) = (j.svc.clone(), j.tries < 3);
-        let late = now - j.began > self.env.patience;
+        let (svc, few) = (j.svc.clone(), j.tries + j.refused < j.attempts);
+        let late = now >= j.by;
         if safe && few && !late && self.extra_try(now, &svc) {
             self.count("extra tries");
             self.jobs.entry(id).and_modify(|j| j.spoiled = false);
--- a/crates/gate/src/sharing.rs
+++ b/crates/gate/src/sharing.rs
@@ -114,7 +114,15 @@
     fn judge(asked: &[(&str, &str)], said: &[(&str, &str)], status: u16) -> Sharing {
         let heads = |l: &[(&str, &str)]| l.iter().fold(Heads::default(), |h, (n, v)| h.with(n, *v));
         let (method, body) = ("GET".into(), Arc::new(vec![]));
-        let req = Req { method, lane: "l".into(), path: "x".into(), key: None, heads: heads(asked), body };
+        let req = Req {
+            method,
+            lane: "l".into(),
+            path: "x".into(),
+            key: None,
+            heads: heads(asked),
+            body,
+            ..Req::default()
+        };
         let w = Whole { status, heads: heads(said), ..Whole::default() };
         sharing(&req, &w, Span::secs(60))
     }
--- a/crates/gate/src/table.rs
+++ b/crates/gate/src/table.rs
@@ -1,6 +1,8 @@
 //! What a gate routes by: an immutable snapshot, built anew and swapped whole.
+use crate::lanes::Lanes;
 use brood::*;
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use wax::{Addr, NodeId};
 
 #[derive(Clone, Debug, Default)]
@@ -9,10 +11,14 @@
     pub lanes: BTreeMap<Lane, Vec<(Svc, Row)>>,
     /// Only origins that serve.
     pub origins: BTreeMap<Svc, Vec<(Addr, Origin)>>,
-    pub gates: Vec<(NodeId, Addr)>,
+    pub gates: Vec<(NodeId, Addr, Zone)>,
     pub combs: Vec<(NodeId, Addr, Zone)>,
     pub roll: Roll,
     pub shares: BTreeMap<Svc, Share>,
+    /// By host and path.
+    pub paths: Lanes,
+    pub entries: BTreeMap<Lane, Arc<LaneEntry>>,
+    pub limits: Option<CallerLimits>,
 }
 
 impl Table {
@@ -24,11 +30,18 @@
                     t.lanes.entry(l.clone()).or_default().push((s.clone(), r.clone()));
                     t.shares.entry(s.clone()).or_insert_with(|| share(items, s).expect("has this row"));
                 }
+                (Key::Entry(_, n), Some(Body::Lane(l))) => t.add_lane(n, l),
+                (Key::Entry(_, n), Some(Body::Service(s))) => {
+                    t.shares.insert(Svc(n.clone()), rate_share(items, s.rate));
+                }
+                (Key::Entry(..), Some(Body::Limits(l))) => t.limits = Some(l.clone()),
                 (Key::Origin(a), Some(Body::Origin(o))) if o.standing == Standing::Serving => {
                     t.origins.entry(o.svc.clone()).or_default().push((*a, o.clone()));
                 }
                 (Key::Node(id), Some(Body::Node(n))) => match n.role {
-                    Role::Gate if n.standing == Standing::Serving => t.gates.push((*id, n.addr)),
+                    Role::Gate if n.standing == Standing::Serving => {
+                        t.gates.push((*id, n.addr, n.zone.clone()))
+                    }
                     Role::Comb => t.combs.push((*id, n.addr, n.zone.clone())),
                     _ => (),
                 },
@@ -38,6 +51,15 @@
         t
     }
 
+    fn add_lane(&mut self, name: &str, l: &LaneEntry) {
+        self.paths.add(name, l);
+        let row =
+            |w: &u64| Row { weight: *w as u32, ceiling: u32::MAX, rank: l.rank, kind: l.kind, ttl: l.ttl };
+        let rows = l.weights.iter().map(|(s, w)| (s.clone(), row(w))).collect();
+        self.lanes.insert(Lane(name.to_string()), rows);
+        self.entries.insert(Lane(name.to_string()), Arc::new(l.clone()));
+    }
+
     /// The strictest kind of the lane's rows.
     pub fn kind(&self, l: &Lane) -> Option<Kind> {
         self.lanes.get(l)?.iter().map(|(_, r)| r.kind).max()
--- a/crates/hive/src/desk.rs
+++ b/crates/hive/src/desk.rs
@@ -84,6 +84,7 @@
                 Verdict::Done(_) => 200,
                 Verdict::Stale(..) | Verdict::Void(Void::IdTaken | Void::OtherLife | Void::NothingNew) => 409,
                 Verdict::Void(Void::Absent) => 404,
+                Verdict::Flawed(_) => 422,
             };
             Reply::json(status, show_verdict(&v))
         }
@@ -132,6 +133,8 @@
         Denied::SplitVote => (503, "the key could not be secured"),
         Denied::Leaving => (503, "this node is leaving"),
         Denied::TooMany => (503, "this node holds too many requests"),
+        Denied::KeyAtWork => (409, "another try of the key is under way, or its outcome is not known"),
+        Denied::Refused => (503, "no origin could run it"),
     }
 }
 
@@ -145,6 +148,7 @@
         key: c.key.clone(),
         heads: forwarded(&c),
         body: Arc::new(c.body),
+        ..Req::default()
     };
     // The body's room is given back once the request is over.
     let _hold = c.hold;
--- a/crates/hive/src/roles.rs
+++ b/crates/hive/src/roles.rs
@@ -58,6 +58,7 @@
             birth: Birth(birth),
             life: skep::life(),
             lease: self.env.limits.lease,
+            serve_on: false,
         }
     }
 
@@ -143,6 +144,7 @@
         zone: p.zone,
         seeds: p.seeds,
         found: true,
+        open: None,
         lease: l.lease,
         cut_at: l.cut_at,
         window: l.window,
@@ -165,6 +167,7 @@
         // A quarter for one service: two that hang leave half to the others.
         hands: (l.callers / 4, l.callers),
         grace: l.grace,
+        policy: gate::GatePolicy::default(),
     };
     s.run(Box::new(gate::Gate::new(env)), vec![], None)
 }
--- a/crates/keeper/src/beats.rs
+++ b/crates/keeper/src/beats.rs
@@ -70,7 +70,14 @@
         let op = match (b.mood, mine) {
             (Mood::Warming | Mood::Serving, None) => Some(Op::Register(
                 b.addr,
-                Origin { svc: b.svc, birth: b.birth, zone: b.zone, cap: b.cap, standing: Standing::Serving },
+                Origin {
+                    svc: b.svc,
+                    birth: b.birth,
+                    zone: b.zone,
+                    cap: b.cap,
+                    tag: b.tag,
+                    standing: Standing::Serving,
+                },
             )),
             (Mood::Leaving, Some(o)) if o.standing == Standing::Serving => Some(Op::Drain(b.addr, b.birth)),
             (Mood::Gone, _) => Some(Op::SignOff(b.addr, b.birth)),
--- a/crates/keeper/src/duty.rs
+++ b/crates/keeper/src/duty.rs
@@ -142,7 +142,7 @@
         }
         let mut got = vec![];
         for (svc, want) in &s.wants {
-            let Some(share) = share(&self.pic.items, svc) else { continue };
+            let Some(share) = share(&self.pic.items, svc).filter(|s| !s.free()) else { continue };
             // A new holder starts with nothing: the last one may have lent it all.
             let p = d.purses.entry(svc.clone()).or_insert(Purse { tokens: 0.0, at: now });
             // A quarter second's worth: with what is lent out for `LENT` and the
--- a/crates/keeper/src/found.rs
+++ b/crates/keeper/src/found.rs
@@ -19,6 +19,9 @@
         if self.mach.is_none() {
             return self.maybe_found(now, out);
         }
+        if self.env.open.is_some() {
+            self.gathers = self.gathers.or(Some(now));
+        }
         if self.base.members.iter().any(|x| x.addr == addr && x.birth == birth) {
             out.push(Out::Send(addr, Msg::Picture(Box::new(self.base.clone()))));
         } else if self.base.members.iter().any(|x| x.addr == addr) {
--- a/crates/keeper/src/keeper.rs
+++ b/crates/keeper/src/keeper.rs
@@ -5,34 +5,13 @@
 use crate::landing::Landed;
 use crate::recs::Kept;
 use crate::roll::RollWatch;
+pub use crate::settings::{KeeperEnv, Open};
 use crate::show::Hidden;
 use brood::*;
 use std::collections::{BTreeMap, BTreeSet};
-use waggle::{classic, Cid, Kid, Machine, Pace};
+use waggle::{classic, Cid, Kid, Machine};
 use wax::{Addr, Birth, Mono, NodeId, Span, Token};
 
-/// What a keeper is told about itself.
-#[derive(Clone, Debug)]
-pub struct KeeperEnv {
-    pub addr: Addr,
-    pub http: Addr,
-    pub zone: Zone,
-    pub seeds: Vec<Addr>,
-    /// This keeper and its seeds are the first ones of a new deployment.
-    pub found: bool,
-    /// How long a gate may serve without a renewal.
-    pub lease: Span,
-    /// An era is cut once it holds this many commands.
-    pub cut_at: usize,
-    /// How long a key stays with its round.
-    pub window: Span,
-    /// An origin silent for this long is removed.
-    pub vanish: Span,
-    /// Bytes of records after which all is written anew in short.
-    pub base_after: usize,
-    pub pace: Pace,
-}
-
 pub struct Keeper {
     pub(crate) env: KeeperEnv,
     /// Invariant: the life of the disk; a new disk draws a new one.
@@ -70,6 +49,12 @@
     /// Heard enough of the others when last looked at.
     near: bool,
     pub(crate) cutting: Option<Mono>,
+    /// Callers through other nodes, by the tokens given to their calls.
+    pub(crate) calls: BTreeMap<Token, (Addr, u64)>,
+    pub(crate) next_call: u64,
+    /// The blank keeper named to found, and since when blanks are heard.
+    pub(crate) named: Option<(Birth, Mono)>,
+    pub(crate) gathers: Option<Mono>,
     pub(crate) written: usize,
     pub(crate) counts: BTreeMap<&'static str, u64>,
     last: BTreeMap<&'static str, Mono>,
@@ -103,6 +88,10 @@
             said: BTreeMap::new(),
             near: false,
             cutting: None,
+            calls: BTreeMap::new(),
+            next_call: 0,
+            named: None,
+            gathers: None,
             written: 0,
             counts: BTreeMap::new(),
             last: BTreeMap::new(),
@@ -112,6 +101,7 @@
         k.wake(kept, now, out);
         if blank {
             out.push(Out::Base(Kept::Blank(k.birth).encode()));
+            k.found_alone(now, out);
         }
         k
     }
@@ -163,10 +153,10 @@
         *self.counts.entry(name).or_default() += 1;
     }
 
-    fn ask(&mut self, now: Mono, t: Token, ask: Ask, out: &mut Vec<Out>) {
+    pub(crate) fn ask(&mut self, now: Mono, t: Token, ask: Ask, out: &mut Vec<Out>) {
         let ready = self.connected(now);
         let r = match ask {
-            Ask::Change(c) if ready => return self.submit(now, Some(t), c, out),
+            Ask::Change(c) if ready && self.gathered(now, &c) => return self.submit(now, Some(t), c, out),
             Ask::Change(_) => Receipt::NotNow("no quorum of keepers in reach"),
             Ask::Beat(b, mark) if ready => return self.first_hand(now, t, b, mark, out),
             Ask::Beat(..) => Receipt::NotNow("no quorum of keepers in reach"),
@@ -183,6 +173,7 @@
         if self.due("blank", Span::ms(200), now) {
             self.show_blank(out);
         }
+        self.mind_roster(now, out);
         self.with_machine(now, out, |m, o| m.tick(now, o));
         let near = self.connected(now);
         if self.near && !near {
@@ -205,6 +196,7 @@
 impl Part for Keeper {
     fn step(&mut self, now: Mono, inp: In, out: &mut Vec<Out>) {
         self.pulse.step(now);
+        let first = out.len();
         match inp {
             In::Tick => self.tick(now, out),
             In::Ask(t, a) => self.ask(now, t, a, out),
@@ -222,9 +214,14 @@
                 Msg::DutyAsk(kid, e, t) => self.on_duty_ask(now, from, kid, e, t, out),
                 Msg::DutySaid(kid, e, t) => self.on_duty_said(now, kid, e, t),
                 Msg::Got { id, feed, got } => self.on_got(id, feed, got),
+                Msg::Sub(s) if self.passes_on() => self.show_roster(from, &s, out),
                 Msg::Sub(s) => self.on_sub(now, from, *s, out),
+                Msg::Roster(era, ms) => self.on_roster(era, ms),
+                Msg::Found(b) => self.on_found(now, b, out),
+                Msg::Call(n, c) => self.on_call(now, from, n, *c, out),
                 _ => self.count("stray"),
             },
         }
+        self.answer_calls(first, out);
     }
 }
--- /dev/null
+++ b/crates/keeper/src/open.rs
@@ -0,0 +1,163 @@
+//! A deployment nobody counted: who founds it, who joins, who passes on.
+//!
+//! Invariant: only one keeper ever founds. All processes of the first start hold
+//! the same seeds; the first of them by address founds alone, on a blank disk and
+//! at the first start only; if it can keep nothing it names one blank keeper, and
+//! none other while that one may live. A roster then grows by cuts only.
+use crate::keeper::Keeper;
+use brood::*;
+use waggle::Kid;
+use wax::{Addr, Birth, Mono, Span};
+
+/// Blanks that come together join together.
+const GATHER: Span = Span::ms(300);
+/// How long a seat that keeps nothing listens before it names a founder.
+const LISTEN: Span = Span::ms(800);
+/// Nothing is taken from operators before there are enough keepers and combs, or
+/// it is clear that no more will come.
+const PATIENT: Span = Span::secs(6);
+/// A member unheard for so long gives its seat to a newcomer.
+const GONE: Span = Span::secs(30);
+
+impl Keeper {
+    fn first_seed(&self) -> Option<Addr> {
+        self.env.seeds.iter().min().copied()
+    }
+
+    /// Keeps nothing itself.
+    pub(crate) fn passes_on(&self) -> bool {
+        self.env.open.is_some_and(|o| !o.keeps)
+    }
+
+    fn may_found(&self) -> bool {
+        self.env.open.is_some_and(|o| o.initial && o.keeps) && self.base.era == Era(0) && self.mach.is_none()
+    }
+
+    pub(crate) fn found_alone(&mut self, now: Mono, out: &mut Vec<Out>) {
+        if self.may_found() && self.first_seed() == Some(self.env.addr) {
+            self.found_now(now, out);
+        }
+    }
+
+    fn found_now(&mut self, now: Mono, out: &mut Vec<Out>) {
+        let p = Picture::default().cut(&[self.member(Kid(0))], Era(0), 0);
+        out.push(Out::Note("founding the deployment"));
+        self.enter(now, p, out);
+    }
+
+    pub(crate) fn on_found(&mut self, now: Mono, b: Birth, out: &mut Vec<Out>) {
+        if self.may_found() && self.birth == b {
+            self.found_now(now, out);
+        }
+    }
+
+    pub(crate) fn on_roster(&mut self, era: Era, ms: Vec<Member>) {
+        if self.passes_on() && era > self.base.era {
+            (self.base.era, self.base.members) = (era, ms);
+        }
+    }
+
+    /// A follower that turns to one without a seat learns where the seats are.
+    pub(crate) fn show_roster(&mut self, to: Addr, s: &Sub, out: &mut Vec<Out>) {
+        if self.base.members.is_empty() {
+            return;
+        }
+        let (era, members) = (self.base.era, self.base.members.clone());
+        let (feed, got) = (s.feed, s.got);
+        let n = News { feed, from: got, to: got, full: false, items: vec![], era, members, reply: None };
+        out.push(Out::Send(to, Msg::News(Box::new(n))));
+    }
+
+    /// Several times a second: names a founder, passes blanks on, lets them join,
+    /// and tells the seeds who has a seat.
+    pub(crate) fn mind_roster(&mut self, now: Mono, out: &mut Vec<Out>) {
+        if self.env.open.is_none() {
+            return;
+        }
+        if self.passes_on() {
+            if self.due("pass", Span::ms(200), now) {
+                self.pass_blanks(now, out);
+            }
+            return;
+        }
+        if self.due("roster", Span::ms(500), now) && self.mach.is_some() {
+            let m = Msg::Roster(self.base.era, self.base.members.clone());
+            let seat = |a: &&Addr| !self.base.members.iter().any(|m| m.addr == **a);
+            out.extend(self.env.seeds.iter().filter(seat).map(|s| Out::Send(*s, m.clone())));
+        }
+        if self.gathers.is_some_and(|t| now - t >= GATHER) {
+            self.gathers = None;
+            self.let_in(now, out);
+        }
+    }
+
+    fn pass_blanks(&mut self, now: Mono, out: &mut Vec<Out>) {
+        self.blanks.retain(|_, (_, t)| now - *t < Span::secs(1));
+        let first = self.blanks.values().map(|(m, _)| m.clone()).min_by_key(|m| m.addr);
+        if !self.base.members.is_empty() {
+            let shown = self.blanks.values().map(|(b, _)| b);
+            let to = |b: &Member| {
+                let b = b.clone();
+                self.base.members.iter().map(move |m| Out::Send(m.addr, Msg::Blank(b.clone())))
+            };
+            out.extend(shown.flat_map(to));
+            return;
+        }
+        let mine = self.first_seed() == Some(self.env.addr) && self.env.open.is_some_and(|o| o.initial);
+        let Some(m) = first.filter(|_| mine) else { return };
+        let (birth, since) = *self.named.get_or_insert((m.birth, now));
+        let at = self.blanks.values().find(|(b, _)| b.birth == birth).map(|(b, _)| b.addr);
+        match at {
+            Some(a) if now - since >= LISTEN => out.push(Out::Send(a, Msg::Found(birth))),
+            // Gone without a word, and blank when last heard: another may be named.
+            None if now - since >= Span::secs(5) => self.named = None,
+            _ => (),
+        }
+    }
+
+    /// Blank keepers heard lately get a seat: one that somebody left for good, or a new one.
+    fn let_in(&mut self, now: Mono, out: &mut Vec<Out>) {
+        let lately = self.cutting.is_some_and(|t| now - t < Span::secs(1));
+        let has = |m: &Member| self.base.members.iter().any(|x| x.addr == m.addr);
+        let new: Vec<Member> = self
+            .blanks
+            .values()
+            .filter(|(m, t)| now - *t < Span::secs(1) && !has(m))
+            .map(|(m, _)| m.clone())
+            .collect();
+        if new.is_empty() || lately || !self.connected(now) {
+            return;
+        }
+        self.cutting = Some(now);
+        self.count("joins");
+        out.push(Out::Note("proposing seats for new keepers"));
+        let heard = |m: &Member| {
+            m.kid == self.kid
+                || self.mach.as_ref().and_then(|x| x.heard_of(m.kid)).is_some_and(|t| now - t < GONE)
+        };
+        let long = now - self.seated >= GONE;
+        let mut left = self.pic.members.iter().position(|m| long && !heard(m));
+        let mut ms = self.pic.members.clone();
+        for (i, m) in new.into_iter().enumerate() {
+            let m = Member { kid: Kid(self.pic.next_kid + i as u16), ..m };
+            match left.take() {
+                Some(at) => ms[at] = m,
+                None => ms.push(m),
+            }
+        }
+        let landed = self.landed_to();
+        self.with_machine(now, out, |x, o| {
+            x.propose(now, Cmd::Cut(ms, landed), o);
+        });
+    }
+
+    /// Whether an operator's edits may be taken: a deployment still gathering
+    /// could lose them with fewer disks than it is to bear.
+    pub(crate) fn gathered(&self, now: Mono, c: &Change) -> bool {
+        let Some(o) = self.env.open.filter(|_| matches!(c.op, Op::Edit(_))) else { return true };
+        let need = 2 * o.losses + 1;
+        let roll = Roll::of(&self.pic.items);
+        let enough = self.base.members.len() >= need && roll.sets.last().is_some_and(|s| s.len() >= need);
+        enough || now - self.seated >= PATIENT
+    }
+}
--- /dev/null
+++ b/crates/keeper/src/settings.rs
@@ -0,0 +1,41 @@
+//! What a keeper is told about itself.
+use brood::Zone;
+use waggle::Pace;
+use wax::{Addr, Span};
+
+/// A deployment whose keepers are not named beforehand: the first of the seeds by
+/// address founds it alone, or where that one can keep nothing names one that
+/// can; every other keeper joins by a cut.
+#[derive(Copy, Clone, Debug)]
+pub struct Open {
+    /// The first start of all, on empty disks.
+    pub initial: bool,
+    /// Can keep what it promises; one that cannot only passes on.
+    pub keeps: bool,
+    /// Losses borne at once.
+    pub losses: usize,
+}
+
+/// What a keeper is told about itself.
+#[derive(Clone, Debug)]
+pub struct KeeperEnv {
+    pub addr: Addr,
+    pub http: Addr,
+    pub zone: Zone,
+    pub seeds: Vec<Addr>,
+    /// This keeper and its seeds are the first ones of a new deployment.
+    pub found: bool,
+    /// How it finds the others where nobody tells it of them.
+    pub open: Option<Open>,
+    /// How long a gate may serve without a renewal.
+    pub lease: Span,
+    /// An era is cut once it holds this many commands.
+    pub cut_at: usize,
+    /// How long a key stays with its round.
+    pub window: Span,
+    /// An origin silent for this long is removed.
+    pub vanish: Span,
+    /// Bytes of records after which all is written anew in short.
+    pub base_after: usize,
+    pub pace: Pace,
+}
--- a/crates/keeper/src/show.rs
+++ b/crates/keeper/src/show.rs
@@ -22,8 +22,13 @@
         classic(self.base.members.len())
     }
 
+    /// Heard in this era from so many that nothing shown before is unknown here.
+    fn enough_heard(&self) -> bool {
+        self.base.members.len() == 1 || self.heard.len() >= self.quorum()
+    }
+
     pub(crate) fn all_shown(&self) -> bool {
-        self.hidden.is_empty() && self.heard.len() >= self.quorum() && self.all_landed()
+        self.hidden.is_empty() && self.enough_heard() && self.all_landed()
     }
 
     /// Numbers the news for every feed, so that no lease is renewed without it.
@@ -88,7 +93,7 @@
     /// Sends every feed what it may see and was not sent, in the order of its
     /// numbers.
     pub(crate) fn push(&mut self, now: Mono, out: &mut Vec<Out>) {
-        if self.heard.len() < self.quorum() || !self.all_landed() {
+        if !self.enough_heard() || !self.all_landed() {
             return;
         }
         let veiled: BTreeSet<&Key> = self.hidden.values().flat_map(|h| &h.keys).collect();
--- a/crates/skep/src/env.rs
+++ b/crates/skep/src/env.rs
@@ -114,7 +114,7 @@
         return s.bad(Reason::Not { what: "a list of three addresses" });
     }
     Ok(Place {
-        node: NodeId(l.field("node")?.num(1, u16::MAX as u64)? as u16),
+        node: NodeId(l.field("node")?.num(1, u16::MAX as u64)?),
         role: l.field("role")?.one_of(&ROLES)?,
         machine: l.field("machine")?.name()?,
         zone: Zone(l.field("zone")?.name()?),
@@ -160,7 +160,7 @@
     }
 
     pub fn place(&self, node: u16, role: Role) -> std::result::Result<Place, EnvProblem> {
-        let p = self.nodes.iter().find(|p| p.node == NodeId(node)).cloned();
+        let p = self.nodes.iter().find(|p| p.node == NodeId(node as u64)).cloned();
         let p = p.ok_or(EnvProblem::NoSuchNode { node })?;
         let (is, asked) = (role_name(p.role).to_string(), role_name(role).to_string());
         (p.role == role).then_some(p).ok_or(EnvProblem::OtherRole { node, is, asked })
--- a/crates/swarm/src/field.rs
+++ b/crates/swarm/src/field.rs
@@ -95,6 +95,8 @@
     pub fn say_beat(&mut self, a: Addr, to: Addr) {
         let Some(b) = self.blooms.get(&a) else { return };
         let beat = Beat {
+            seq: 0,
+            tag: String::new(),
             svc: b.svc.clone(),
             addr: a,
             birth: b.birth,
--- a/crates/swarm/src/people.rs
+++ b/crates/swarm/src/people.rs
@@ -126,5 +126,6 @@
         key: key.map(str::to_string),
         heads: Heads::default(),
         body: Arc::new(path.as_bytes().to_vec()),
+        ..Req::default()
     }
 }
--- a/crates/swarm/src/stage.rs
+++ b/crates/swarm/src/stage.rs
@@ -25,7 +25,7 @@
 
 fn follow(id: u16, role: Role, a: Addr, zone: &str, seeds: &[Addr], lease: Span) -> FollowEnv {
     FollowEnv {
-        id: NodeId(id),
+        id: NodeId(id as u64),
         role,
         addr: a,
         http: a,
@@ -34,6 +34,7 @@
         birth: Birth(0),
         life: 0,
         lease,
+        serve_on: false,
     }
 }
 
@@ -45,6 +46,7 @@
             zone: zone.into(),
             seeds,
             found,
+            open: self.plan.open.clone(),
             lease: self.plan.lease,
             cut_at: self.plan.cut_at,
             window: self.plan.window,
@@ -62,6 +64,7 @@
     pub fn add_gate(&mut self, id: u16, a: Addr, zone: &str, seeds: &[Addr]) {
         let f = follow(id, Role::Gate, a, zone, seeds, self.plan.lease);
         let (hands, grace) = (self.plan.hands, self.plan.grace);
+        let policy = self.plan.policy.clone();
         let boot = move |_: Vec<Vec<u8>>, life: u64, _: Mono, _: &mut Vec<Out>| {
             let env = gate::GateEnv {
                 follow: FollowEnv { birth: Birth(life), life, ..f.clone() },
@@ -70,6 +73,7 @@
                 copies: 1 << 20,
                 hands,
                 grace,
+                policy: policy.clone(),
             };
             Role3::Gate(Box::new(gate::Gate::new(env)))
         };
--- a/crates/swarm/src/world.rs
+++ b/crates/swarm/src/world.rs
@@ -27,6 +27,11 @@
     pub hands: (usize, usize),
     /// How long a leaving gate still takes requests.
     pub grace: Span,
+    pub policy: gate::GatePolicy,
+    /// Gates serve on while out of touch.
+    pub serve_on: bool,
+    /// Keepers are not told of one another: the first seed founds, others join.
+    pub open: Option<keeper::Open>,
 }
 
 impl Plan {
@@ -44,6 +49,9 @@
             drift: 5,
             hands: (256, 1024),
             grace: Span::secs(1),
+            policy: gate::GatePolicy::default(),
+            serve_on: false,
+            open: None,
         }
     }
     pub fn bersatu() -> Plan {
--- a/crates/swarm/tests/checker.rs
+++ b/crates/swarm/tests/checker.rs
@@ -13,6 +13,7 @@
         until: Mono(0),
         horizon: Mono(0),
         extra: false,
+        tag: String::new(),
         req: q,
     }
 }
@@ -25,6 +26,7 @@
         key: key.map(str::to_string),
         heads: Heads::default(),
         body: Arc::new(vec![]),
+        ..Req::default()
     }
 }
 
--- a/crates/wax/src/ids.rs
+++ b/crates/wax/src/ids.rs
@@ -83,7 +83,7 @@
 
 id!(
     /// A node of the fleet: one process of one role.
-    NodeId, u16
+    NodeId, u64
 );
 id!(
     /// The version of one row, origin, node or purge scope; grows by one with each change.
