--- a/crates/skep/src/front.rs
+++ b/crates/skep/src/front.rs
@@ -47,6 +47,14 @@
         self.heads.push("retry-after", secs.max(1).to_string());
         self
     }
+
+    /// A thawed machine does not hand out what it decided on before the freeze.
+    pub(crate) fn in_time(self) -> Reply {
+        if crate::now() < self.until {
+            return self;
+        }
+        Reply::problem(503, "stale", "the decision is too old to be served").after(1)
+    }
 }
 
 #[derive(Clone)]
@@ -113,13 +121,7 @@
 }
 
 fn answer(req: Request, r: Reply) {
-    // A thawed machine does not hand out what it decided on before the freeze.
-    let r = if crate::now() < r.until {
-        r
-    } else {
-        Reply::problem(503, "stale", "the decision is too old to be served").after(1)
-    };
-    let _ = req.respond(response(&r));
+    let _ = req.respond(response(&r.in_time()));
 }
 
 /// The last word on this connection, which waits for nothing its caller may still
--- a/crates/skep/src/intake.rs
+++ b/crates/skep/src/intake.rs
@@ -46,13 +46,13 @@
 }
 
 /// How the body is framed, if that can be told beyond doubt.
-enum Body {
+pub(crate) enum Body {
     None,
     Sized(usize),
     Chunked,
 }
 
-fn framing(h: &Heads) -> Result<Body, &'static str> {
+pub(crate) fn framing(h: &Heads) -> Result<Body, &'static str> {
     let (lengths, codings) = (h.all("content-length").collect::<Vec<_>>(), h.all("transfer-encoding"));
     let codings: Vec<String> = codings.map(|v| String::from_utf8_lossy(v).to_ascii_lowercase()).collect();
     let digits = |v: &[u8]| v.len() <= 15 && !v.is_empty() && v.iter().all(u8::is_ascii_digit);
@@ -91,7 +91,7 @@
     (!dots).then_some(()).ok_or("the path has . or .. in it")
 }
 
-fn token(n: &str) -> bool {
+pub(crate) fn token(n: &str) -> bool {
     !n.is_empty() && n.bytes().all(|b| b.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&b))
 }
 
@@ -176,7 +176,7 @@
     Ok(Head { method, path: req.url()[1..].to_string(), key, heads, size })
 }
 
-fn large(most: usize) -> Amiss {
+pub(crate) fn large(most: usize) -> Amiss {
     amiss(413, "too large", &format!("bodies may have {most} bytes"), true)
 }
 
--- a/crates/skep/src/lib.rs
+++ b/crates/skep/src/lib.rs
@@ -1,5 +1,6 @@
 //! The basket round a part: it gives it a clock, links, a disk, HTTP and logs.
 pub mod cond;
+pub mod door;
 pub mod env;
 pub mod exec;
 pub mod front;
