--- a/crates/brood/src/msg.rs
+++ b/crates/brood/src/msg.rs
@@ -209,6 +209,7 @@
 pub enum Call {
     Change(Change),
     Beat(Beat),
+    SignOff(String),
     Table,
 }
 
--- a/crates/brood/src/part.rs
+++ b/crates/brood/src/part.rs
@@ -4,6 +4,7 @@
 use crate::heads::Heads;
 use crate::items::*;
 use crate::msg::*;
+use crate::sheet::CallerLimits;
 use crate::state::{Picture, Verdict};
 use crate::whole::Whole;
 use std::sync::Arc;
@@ -108,6 +109,8 @@
     /// A beat, and if its origin gives it back, the keeper's clock as of the last
     /// reply it had: the beat is no older.
     Beat(Beat, Option<Mono>),
+    /// An origin signs off, by what it calls its life itself.
+    SignOff(String),
     /// Swap a lost keeper for the one now at an address.
     Replace {
         old: Addr,
@@ -122,6 +125,8 @@
     /// What a probe that was begun then found: service, life, whether it serves.
     Probed(Addr, Option<(Svc, Birth, bool)>, Mono),
     Probes,
+    /// What callers may send.
+    Limits,
     // at any
     Ready,
     /// Stop taking new work; finished once nothing is in hand.
@@ -148,6 +153,7 @@
     Table(Box<Picture>, Vec<(Beat, Span)>),
     Step(Step),
     Probes(Vec<Addr>),
+    Limits(Option<CallerLimits>),
     Health(Health),
 }
 
--- a/crates/gate/src/errand.rs
+++ b/crates/gate/src/errand.rs
@@ -29,7 +29,7 @@
 
 fn patience(c: &Call) -> Span {
     match c {
-        Call::Beat(_) => Span::ms(900),
+        Call::Beat(_) | Call::SignOff(_) => Span::ms(900),
         Call::Table => Span::secs(2),
         Call::Change(_) => Span::secs(4),
     }
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -39,12 +39,14 @@
     pub near: bool,
     /// Origins are chosen by load and nearness, not by rendezvous.
     pub by_load: bool,
+    /// When a denied caller should come back; else it depends on why.
+    pub back: Option<Span>,
 }
 
 impl Default for GatePolicy {
     /// A tenth: well under a fifth.
     fn default() -> GatePolicy {
-        GatePolicy { earn: 0.1, saved: 0.0, near: false, by_load: false }
+        GatePolicy { earn: 0.1, saved: 0.0, near: false, by_load: false, back: None }
     }
 }
 
@@ -138,7 +140,9 @@
 
     fn health(&self, now: Mono) -> Health {
         let (leaving, drained) = (self.leaving.is_some(), self.drained(now));
-        let why = match (drained, leaving, self.leased(now)) {
+        // One that serves on out of touch does so for callers that have nowhere else to go.
+        let fit = self.follow.in_touch_until() > now;
+        let why = match (drained, leaving, fit) {
             (true, ..) => "draining",
             (_, true, _) => "leaving: takes requests for a moment yet",
             (.., false) => "no setup lease",
@@ -187,6 +191,7 @@
                     self.probed(a, said, began);
                     out.push(Out::Tell(t, Receipt::Took));
                 }
+                Ask::Limits => out.push(Out::Tell(t, Receipt::Limits(self.table.limits.clone()))),
                 Ask::Ready => out.push(Out::Tell(t, Receipt::Health(self.health(now)))),
                 Ask::Drain => {
                     self.leave(now);
@@ -205,6 +210,7 @@
                 }
                 Ask::Change(c) => self.run_errand(now, t, Call::Change(c), out),
                 Ask::Beat(b, _) => self.run_errand(now, t, Call::Beat(b), out),
+                Ask::SignOff(tag) => self.run_errand(now, t, Call::SignOff(tag), out),
                 Ask::Read => self.run_errand(now, t, Call::Table, out),
                 _ => out.push(Out::Tell(t, Receipt::NotNow("not asked of a gate"))),
             },
--- a/crates/gate/src/jobs.rs
+++ b/crates/gate/src/jobs.rs
@@ -95,7 +95,7 @@
     pub(crate) fn enter(&mut self, now: Mono, t: Token, req: Arc<Req>, out: &mut Vec<Out>) {
         let caller = Caller::Local(t, req.clone());
         match self.admit(now, (*req).clone()) {
-            Err(d) => self.tell(now, &caller, Step::Deny(d, come_back(d)), out),
+            Err(d) => self.tell(now, &caller, Step::Deny(d, self.come_back(d)), out),
             Ok(mut j) => {
                 j.callers.push(caller);
                 match j.kind {
@@ -203,7 +203,7 @@
     /// Denied means that nothing went out; after a try that did, it is doubt.
     pub(crate) fn deny(&mut self, now: Mono, id: u64, d: Denied, out: &mut Vec<Out>) {
         let sent = self.jobs.get(&id).is_some_and(|j| j.tries > 0);
-        let s = if sent { Step::Doubt(come_back(d)) } else { Step::Deny(d, come_back(d)) };
+        let s = if sent { Step::Doubt(self.come_back(d)) } else { Step::Deny(d, self.come_back(d)) };
         self.finish(now, id, s, out);
     }
 
@@ -237,11 +237,13 @@
     }
 }
 
-/// When a denied client should ask again.
-fn come_back(d: Denied) -> Span {
-    match d {
-        Denied::Ceiling | Denied::TooMany => Span::secs(2),
-        Denied::NoLease | Denied::Leaving => Span::secs(3),
-        _ => Span::secs(1),
+impl Gate {
+    /// When a denied client should ask again.
+    fn come_back(&self, d: Denied) -> Span {
+        self.env.policy.back.unwrap_or(match d {
+            Denied::Ceiling | Denied::TooMany => Span::secs(2),
+            Denied::NoLease | Denied::Leaving => Span::secs(3),
+            _ => Span::secs(1),
+        })
     }
 }
--- a/crates/gate/src/keyed.rs
+++ b/crates/gate/src/keyed.rs
@@ -119,6 +119,10 @@
         } else if held && (all || late) {
             // Another round has the key and its outcome is not known (yet).
             self.release_job(id, out);
+            let at_work = self.jobs.get(&id).is_some_and(|j| j.req.host.is_some());
+            if at_work {
+                return self.deny(now, id, Denied::KeyAtWork, out);
+            }
             self.finish(now, id, Step::Doubt(Span::secs(1)), out);
         } else if all || late {
             self.deny(now, id, Denied::SplitVote, out);
--- a/crates/hive/src/main.rs
+++ b/crates/hive/src/main.rs
@@ -4,6 +4,7 @@
 mod commands;
 mod daemons;
 mod desk;
+mod elsewhere;
 mod kernel;
 mod ops;
 mod plan;
@@ -20,6 +21,8 @@
     #[snafu(display("{source}"), context(false))]
     Start { source: roles::StartProblem },
     #[snafu(display("{source}"), context(false))]
+    Platform { source: platform::PlatformProblem },
+    #[snafu(display("{source}"), context(false))]
     Ops { source: ops::OpsProblem },
     #[snafu(display("{source}"), context(false))]
     Play { source: play::PlayProblem },
@@ -31,6 +34,7 @@
     fn code(&self) -> u8 {
         match self {
             HiveProblem::Start { source: roles::StartProblem::Env { .. } } => 2,
+            HiveProblem::Platform { source } => source.code(),
             HiveProblem::Ops { source } => source.code(),
             _ => 1,
         }
--- a/crates/hive/src/roles.rs
+++ b/crates/hive/src/roles.rs
@@ -87,7 +87,11 @@
         let gate = self.place.role == Role::Gate;
         let l = self.env.limits.clone();
         let room = Room::new(l.memory_mb << 20);
-        let (tx, start) = skep::exec::rounds(ExecEnv { answer: l.answer_kb << 10, room: room.clone() });
+        let (tx, start) = skep::exec::rounds(ExecEnv {
+            answer: l.answer_kb << 10,
+            room: room.clone(),
+            manner: Default::default(),
+        });
         let front =
             FrontEnv { callers: l.callers, body: l.body_kb << 10, room, patience: Default::default() };
         let frame = Frame { part, first, ring, net, rounds: Some(tx), log: log.clone() };
--- a/crates/keeper/src/beats.rs
+++ b/crates/keeper/src/beats.rs
@@ -92,6 +92,20 @@
         }
     }
 
+    /// An origin's last word, by the name of its life; one that nobody knows has
+    /// nothing to sign off from.
+    pub(crate) fn sign_off(&mut self, now: Mono, t: Token, tag: &str, out: &mut Vec<Out>) {
+        let known = self.pic.items.iter().find_map(|(k, it)| match (k, &it.body) {
+            (Key::Origin(a), Some(Body::Origin(o))) if o.tag == tag => Some((*a, o.birth)),
+            _ => None,
+        });
+        let heard = self.beats.values().find(|(b, _)| b.tag == tag).map(|(b, _)| (b.addr, b.birth));
+        match known.or(heard) {
+            Some((a, b)) => self.farewell(now, t, Op::SignOff(a, b), out),
+            None => out.push(Out::Tell(t, Receipt::Took)),
+        }
+    }
+
     /// Beats passed on by another keeper, no older than `echo`, this one's own clock.
     pub(crate) fn on_relay(
         &mut self,
--- a/crates/keeper/src/calls.rs
+++ b/crates/keeper/src/calls.rs
@@ -19,6 +19,7 @@
         let ask = match c {
             Call::Change(c) => Ask::Change(c),
             Call::Beat(b) => Ask::Beat(b, None),
+            Call::SignOff(tag) => Ask::SignOff(tag),
             Call::Table => Ask::Table,
         };
         self.ask(now, t, ask, out);
--- /dev/null
+++ b/crates/nuc/src/lib.rs
@@ -0,0 +1,78 @@
+//! A nucleus hive: all parts of one machine in one process, for deployments that
+//! place a program on each machine and tell it little about the others.
+mod leave;
+mod parts;
+mod run;
+
+pub use run::{run, Fronts, StartProblem};
+
+use brood::Zone;
+use std::net::{IpAddr, SocketAddr};
+use std::path::PathBuf;
+use wax::{Addr, NodeId, Span};
+
+/// What the process is told of its place and of what it must keep to.
+#[derive(Clone, Debug)]
+pub struct NucEnv {
+    pub ip: IpAddr,
+    /// The first of the ports that are free for the parts' own links; three are used.
+    pub port: u16,
+    /// Written `region/zone`.
+    pub zone: Zone,
+    /// Machines to begin with.
+    pub seeds: Vec<IpAddr>,
+    /// The first start of the whole deployment, on empty disks.
+    pub initial: bool,
+    /// Where files may lie, and how many megabytes.
+    pub disk: Option<(PathBuf, u64)>,
+    /// The disk's loss is among those borne: keepers and the ledger may rely on it.
+    pub counted: bool,
+    /// Losses borne at once.
+    pub losses: usize,
+    /// Bytes of memory the process may have.
+    pub memory: usize,
+    /// How long a key stays with its first try.
+    pub window: Span,
+    /// From the word to stop until the process is killed.
+    pub grace: Span,
+    /// Extra tries: the part of all requests, and the allowance over it.
+    pub retry: (f64, f64),
+    /// How often origins beat.
+    pub beat: Span,
+    /// Where callers come, where readiness is asked, and where control is.
+    pub front: Option<SocketAddr>,
+    pub ready: Option<SocketAddr>,
+    pub control: Option<SocketAddr>,
+}
+
+/// The parts, by the port they have after the first.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Seat {
+    Keeper,
+    Gate,
+    Comb,
+}
+
+impl NucEnv {
+    pub(crate) fn addr(&self, s: Seat) -> Addr {
+        Addr(SocketAddr::new(self.ip, self.port + s as u16))
+    }
+
+    /// Invariant: one number for each part of each machine.
+    pub(crate) fn id(&self, s: Seat) -> NodeId {
+        let ip = match self.ip {
+            IpAddr::V4(a) => u32::from(a) as u64,
+            IpAddr::V6(a) => wax::hash(&a) >> 12,
+        };
+        NodeId(ip << 2 | s as u64)
+    }
+
+    /// The seeds' keepers.
+    pub(crate) fn seats(&self) -> Vec<Addr> {
+        self.seeds.iter().map(|ip| Addr(SocketAddr::new(*ip, self.port + Seat::Keeper as u16))).collect()
+    }
+
+    pub(crate) fn keeps(&self) -> Option<&(PathBuf, u64)> {
+        self.disk.as_ref().filter(|_| self.counted)
+    }
+}
--- /dev/null
+++ b/crates/nuc/src/run.rs
@@ -0,0 +1,183 @@
+//! Starting, running and stopping the parts of one machine.
+use crate::leave::leave;
+use crate::{NucEnv, Seat};
+use brood::*;
+use skep::door::{self, Door, Limits, Visit};
+use skep::exec::{ExecEnv, Manner};
+use skep::front::Reply;
+use skep::logs::{on_panic, LogRing};
+use skep::net::{Counts, Net};
+use skep::ring::{Ring, RingProblem};
+use skep::room::Room;
+use skep::shell::{self, Frame, Handle};
+use slog::{info, Logger};
+use snafu::{ResultExt, Snafu};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use wax::{Addr, Mono, Span};
+
+#[derive(Debug, Snafu)]
+pub enum StartProblem {
+    #[snafu(display("cannot listen on {addr}: {source}"))]
+    Listen { addr: SocketAddr, source: std::io::Error },
+    #[snafu(display("disk: {source}"), context(false))]
+    Disk { source: RingProblem },
+    #[snafu(display("disk: {has} MB are too few, at least {need} are needed"))]
+    Small { has: u64, need: u64 },
+    #[snafu(display("disk: a record with a good checksum does not decode; another version wrote it"))]
+    Undecodable,
+    #[snafu(display("signals: {source}"))]
+    Signals { source: std::io::Error },
+}
+
+type Result<T> = std::result::Result<T, StartProblem>;
+type Answer = dyn Fn(&Handle, Visit) -> Reply + Send + Sync;
+
+/// How a deployment speaks: what comes in becomes the gate's questions, and its
+/// receipts become answers.
+#[derive(Clone)]
+pub struct Fronts {
+    pub callers: Arc<Answer>,
+    pub ready: Arc<Answer>,
+    pub control: Arc<Answer>,
+    /// How origins are spoken to.
+    pub manner: Manner,
+    /// What callers may send; asked for each request.
+    pub limits: Arc<dyn Fn(&Handle) -> Limits + Send + Sync>,
+}
+
+/// The smallest disk, in MB.
+const LEAST: u64 = 16;
+
+fn bind(a: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(a).context(ListenSnafu { addr: a })
+}
+
+fn disk<K>(dir: std::path::PathBuf, size: u64, decode: fn(&[u8]) -> Option<K>) -> Result<(Ring, Vec<K>)> {
+    let (ring, recs) = Ring::open(&dir, 4, size)?;
+    let all = shell::unpack(recs).and_then(|e| e.iter().map(|b| decode(b)).collect());
+    all.map(|k| (ring, k)).ok_or(StartProblem::Undecodable)
+}
+
+struct Start {
+    part: Box<dyn Part>,
+    first: Vec<Out>,
+    ring: Option<Ring>,
+    seat: Seat,
+    rounds: Option<std::sync::mpsc::Sender<Round>>,
+}
+
+impl Start {
+    fn run(self, env: &NucEnv, log: &Logger, front: impl FnOnce(Handle)) -> Result<()> {
+        let at = env.addr(self.seat);
+        let counts = Arc::new(Counts::default());
+        let net = Net::new(at, Arc::new(|_: &Addr| Default::default()), counts.clone());
+        let l = bind(at.0)?;
+        let log = log.new(slog::o!("part" => format!("{:?}", self.seat).to_lowercase()));
+        let Start { part, first, ring, rounds, .. } = self;
+        shell::run(Frame { part, first, ring, net, rounds, log }, l, counts, front);
+        Ok(())
+    }
+
+    /// On a thread of its own; it ends with the process.
+    fn spawn(self, env: &NucEnv, log: &Logger) -> Result<()> {
+        let (env, log) = (env.clone(), log.clone());
+        thread::spawn(move || {
+            if let Err(p) = self.run(&env, &log, |_| ()) {
+                slog::crit!(log, "a part cannot run"; "problem" => %p);
+                std::process::exit(74);
+            }
+        });
+        Ok(())
+    }
+}
+
+fn keeper(env: &NucEnv) -> Result<Start> {
+    let (ring, kept) = match env.keeps() {
+        Some((dir, _)) => {
+            let (r, k) = disk(dir.join("keeper"), env.keeper_file(), keeper::Kept::decode)?;
+            (Some(r), k)
+        }
+        None => (None, vec![]),
+    };
+    let mut first = vec![];
+    let part = Box::new(env.keeper(kept, skep::now(), &mut first));
+    Ok(Start { part, first, ring, seat: Seat::Keeper, rounds: None })
+}
+
+fn comb(env: &NucEnv, dir: &std::path::Path) -> Result<Start> {
+    let (ring, kept) = disk(dir.join("comb"), env.comb_file(), comb::Kept::decode)?;
+    let mut first = vec![];
+    let part = Box::new(env.comb(kept, skep::now(), &mut first));
+    Ok(Start { part, first, ring: Some(ring), seat: Seat::Comb, rounds: None })
+}
+
+/// Runs until told to stop.
+pub fn run(env: NucEnv, fronts: Fronts) -> Result<()> {
+    if let Some((_, has)) = env.keeps().filter(|(_, mb)| *mb < LEAST) {
+        return SmallSnafu { has: *has, need: LEAST }.fail();
+    }
+    let logs = LogRing::default();
+    on_panic(logs.clone());
+    let log = logs.logger();
+    keeper(&env)?.spawn(&env, &log)?;
+    if let Some((dir, _)) = env.keeps() {
+        comb(&env, dir)?.spawn(&env, &log)?;
+    }
+    let room = Room::new(env.memory / 4);
+    let exec = ExecEnv { answer: 64 << 20, room, manner: fronts.manner.clone() };
+    let (tx, start) = skep::exec::rounds(exec);
+    let listen = |a: Option<SocketAddr>| a.map(bind).transpose();
+    let (front, ready, control) = (listen(env.front)?, listen(env.ready)?, listen(env.control)?);
+    let mut signals = signal_hook::iterator::Signals::new([15, 2]).context(SignalsSnafu)?;
+    let part = Box::new(env.gate(skep::life()));
+    let gate = Start { part, first: vec![], ring: None, seat: Seat::Gate, rounds: Some(tx) };
+    let grace = env.grace;
+    gate.run(&env, &log.clone(), move |h| {
+        start(h.clone());
+        let serve = |l: Option<TcpListener>, f: &Arc<Answer>, lim: Arc<dyn Fn() -> Limits + Send + Sync>| {
+            let (h, f) = (h.clone(), f.clone());
+            l.map(|l| door::open(l, lim, move |v| f(&h, v)))
+        };
+        let (hl, lf) = (h.clone(), fronts.limits.clone());
+        let callers = serve(front, &fronts.callers, now_and_then(move || lf(&hl)));
+        let _ready = serve(ready, &fronts.ready, Arc::new(inner));
+        let _control = serve(control, &fronts.control, Arc::new(inner));
+        thread::spawn(move || {
+            if let Some(s) = signals.forever().next() {
+                info!(log, "leaving"; "signal" => s);
+                leave(&h, callers.as_deref(), grace);
+                h.stop();
+            }
+        });
+    })
+}
+
+/// Looked up once a second at most: it is asked for every request.
+fn now_and_then(f: impl Fn() -> Limits + Send + Sync + 'static) -> Arc<dyn Fn() -> Limits + Send + Sync> {
+    let last: Mutex<Option<(Mono, Limits)>> = Mutex::default();
+    Arc::new(move || {
+        let mut l = last.lock().expect("no thread panics with it");
+        let now = skep::now();
+        let fresh = l.filter(|(t, _)| now - *t < Span::secs(1)).map(|(_, x)| x);
+        let x = fresh.unwrap_or_else(&f);
+        *l = Some((fresh.map_or(now, |_| l.map_or(now, |(t, _)| t)), x));
+        x
+    })
+}
+
+/// What operators, origins and the platform may send.
+fn inner() -> Limits {
+    Limits {
+        heads: 16 << 10,
+        body: 8 << 20,
+        head_wait: Span::secs(3),
+        idle: Span::secs(60),
+        send: Span::secs(5),
+        connections: 256,
+    }
+}
+
+/// Keeps doors apart from what is behind them.
+pub(crate) type Callers<'a> = Option<&'a Door>;
--- a/crates/skep/src/exec.rs
+++ b/crates/skep/src/exec.rs
@@ -12,25 +12,60 @@
 use ureq::Agent;
 use wax::{Addr, Birth, Mono, Span};
 
+type Dress = dyn Fn(&Round, Span) -> Vec<(String, Vec<u8>)> + Send + Sync;
+type Judge = dyn Fn(&Round, Whole) -> Fetched + Send + Sync;
+
+/// How a deployment's origins are spoken to.
 #[derive(Clone)]
-pub struct ExecEnv {
-    /// Answers larger than this are not served.
-    pub answer: usize,
-    pub room: Arc<Room>,
+pub struct Manner {
+    /// The fields that go out beside the caller's own; given what time is left.
+    pub dress: Arc<Dress>,
+    /// What a whole answer means.
+    pub judge: Arc<Judge>,
+    /// How long a connection may take to come up.
+    pub connect: Duration,
 }
 
-type Answer = Option<Result<Response<ureq::Body>, ureq::Error>>;
+impl Default for Manner {
+    fn default() -> Manner {
+        Manner { dress: Arc::new(own), judge: Arc::new(judge), connect: Duration::from_millis(800) }
+    }
+}
 
-fn ask(agent: &Agent, r: &Round) -> Answer {
-    let uri = format!("http://{}/{}", r.addr, r.req.path);
+fn own(r: &Round, _: Span) -> Vec<(String, Vec<u8>)> {
     let own = [
         ("Lanewing-Service", r.svc.0.clone()),
         ("Lanewing-Birth", r.birth.to_string()),
         ("Lanewing-Lane", r.req.lane.0.clone()),
     ];
     let key = r.req.key.iter().map(|k| ("Idempotency-Key", k.clone()));
+    own.into_iter().chain(key).map(|(n, v)| (n.to_string(), v.into_bytes())).collect()
+}
+
+/// 421: meant for another life of this address, so it was not run.
+fn judge(_: &Round, w: Whole) -> Fetched {
+    if w.status == 421 {
+        Fetched::NotSent
+    } else {
+        Fetched::Whole(w)
+    }
+}
+
+#[derive(Clone)]
+pub struct ExecEnv {
+    /// Answers larger than this are not served.
+    pub answer: usize,
+    pub room: Arc<Room>,
+    pub manner: Manner,
+}
+
+type Answer = Option<Result<Response<ureq::Body>, ureq::Error>>;
+
+fn ask(agent: &Agent, r: &Round, own: Vec<(String, Vec<u8>)>) -> Answer {
+    let slash = if r.req.path.starts_with('/') { "" } else { "/" };
+    let uri = format!("http://{}{slash}{}", r.addr, r.req.path);
     let heads = r.req.heads.iter().map(|(n, v)| (n.to_string(), v.to_vec()));
-    let all = own.into_iter().chain(key).map(|(n, v)| (n.to_string(), v.into_bytes())).chain(heads);
+    let all = own.into_iter().chain(heads);
     let body: &[u8] = &r.req.body;
     if r.req.method == "DELETE" && !body.is_empty() {
         let q = all.fold(agent.delete(uri), |b, (n, v)| b.header(n, v));
@@ -49,7 +84,8 @@
     may_leave(r.until);
     let left = || if has_left() { Fetched::Lost } else { Fetched::NotSent };
     let most = (r.horizon - crate::now()).max(Span::ms(1));
-    let Some(Ok(mut resp)) = ask(&agent(most.into()), r) else { return left() };
+    let own = (env.manner.dress)(r, most);
+    let Some(Ok(mut resp)) = ask(&agent(most.into(), env.manner.connect), r, own) else { return left() };
     let mut held: Option<Taken> = None;
     // Room is waited for as long as the origin is; nobody holds it for longer.
     let mut room = |n: usize| {
@@ -63,9 +99,7 @@
         }
     };
     match whole(&r.req.method, &mut resp, env.answer, &mut room) {
-        // Meant for another life of this address: it was not run, and may go elsewhere.
-        Came::Whole(w) if w.status == 421 => Fetched::NotSent,
-        Came::Whole(w) => Fetched::Whole(Whole { hold: Hold(held.map(|t| Arc::new(t) as _)), ..w }),
+        Came::Whole(w) => (env.manner.judge)(r, Whole { hold: Hold(held.map(|t| Arc::new(t) as _)), ..w }),
         Came::TooLarge => Fetched::TooLarge,
         Came::Broken => left(),
     }
@@ -94,7 +128,7 @@
 
 /// Asks origins themselves, whenever their beats do not come through.
 pub fn probe(h: Handle) {
-    let agent = agent(Duration::from_millis(400));
+    let agent = agent(Duration::from_millis(400), Duration::from_millis(400));
     thread::spawn(move || loop {
         thread::sleep(Duration::from_millis(300));
         let Some(Receipt::Probes(all)) = h.ask(Ask::Probes, Duration::from_secs(1)) else { continue };
--- a/crates/skep/src/shell.rs
+++ b/crates/skep/src/shell.rs
@@ -33,6 +33,13 @@
         self.0.send(Event::Ask(a, tx));
         rx.recv_timeout(wait).ok()
     }
+    /// What callers may send, where the part says so.
+    pub fn limits(&self) -> Option<CallerLimits> {
+        match self.ask(Ask::Limits, Duration::from_millis(200)) {
+            Some(Receipt::Limits(l)) => l,
+            _ => None,
+        }
+    }
     /// Nothing is in hand any more and nothing new is begun: what now finds no
     /// answer here was never sent anywhere.
     pub fn stopping(&self) -> bool {
--- a/crates/skep/src/wire.rs
+++ b/crates/skep/src/wire.rs
@@ -51,7 +51,7 @@
 }
 
 /// Never pools: a kept-alive connection could outlive the service behind it.
-pub(crate) fn agent(most: Duration) -> Agent {
+pub(crate) fn agent(most: Duration, connect: Duration) -> Agent {
     let c = Config::builder()
         .http_status_as_error(false)
         .max_redirects(0)
@@ -62,7 +62,10 @@
         .user_agent("")
         .accept("")
         .accept_encoding("")
-        .timeout_connect(Some(Duration::from_millis(800)))
+        .timeout_connect(Some(connect))
+        // Heads and small bodies; large ones take more turns.
+        .input_buffer_size(16 << 10)
+        .output_buffer_size(16 << 10)
         .timeout_global(Some(most))
         .build();
     let tcp: TcpConnector = TcpConnector::default();
