--- a/crates/brood/src/sheet.rs
+++ b/crates/brood/src/sheet.rs
@@ -4,7 +4,6 @@
 use crate::state::{Picture, Verdict};
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
-use std::collections::BTreeSet;
 use wax::{Span, Version};
 
 /// A part of the sheet.
@@ -97,8 +96,6 @@
     NoWeight { name: String },
     #[snafu(display("{name}: no service is called {svc}"))]
     UnknownService { name: String, svc: Svc },
-    #[snafu(display("{name} is given twice"))]
-    Twice { name: String },
     #[snafu(display("{name}: this is not an entry of its section"))]
     Misplaced { name: String },
 }
@@ -151,21 +148,20 @@
     fn service_after(&self, edits: &[Edit], svc: &Svc) -> bool {
         let k = Key::Entry(Section::Services, svc.0.clone());
         let was = self.item(&k);
-        let edit = edits.iter().find(|e| e.key() == k && self.newer(e));
+        let mine = edits.iter().filter(|e| e.key() == k && self.newer(e));
+        let edit = mine.max_by_key(|e| e.ver);
         edit.map_or(was.body.is_some(), |e| e.body.is_some())
     }
 
     /// Why the edits, all together, may not be taken.
     pub fn flaw(&self, edits: &[Edit]) -> Option<Flaw> {
-        let mut seen = BTreeSet::new();
-        let twice = edits.iter().find(|e| !seen.insert(e.key()));
         let unknown = |e: &Edit| {
             let lost = e.lane()?.weights.iter().find(|(s, _)| !self.service_after(edits, s))?;
             Some(Flaw::UnknownService { name: e.name.clone(), svc: lost.0.clone() })
         };
-        twice
-            .map(|e| Flaw::Twice { name: e.name.clone() })
-            .or_else(|| edits.iter().find_map(Edit::flaw))
+        edits
+            .iter()
+            .find_map(Edit::flaw)
             .or_else(|| edits.iter().find_map(unknown))
     }
 
@@ -174,12 +170,14 @@
         if let Some(f) = self.flaw(edits) {
             return Verdict::Flawed(f);
         }
-        let newer: Vec<&Edit> = edits.iter().filter(|e| self.newer(e)).collect();
-        let set = |e: &&Edit| {
-            self.items.insert(e.key(), Item { ver: e.ver, body: e.body.clone() });
-            (e.key(), e.ver)
-        };
-        Verdict::Done(newer.iter().map(set).collect())
+        let mut done = vec![];
+        for e in edits {
+            if self.newer(e) {
+                self.items.insert(e.key(), Item { ver: e.ver, body: e.body.clone() });
+                done.push((e.key(), e.ver));
+            }
+        }
+        Verdict::Done(done)
     }
 
     /// The sheet's entries that stand, by section and name.
--- a/crates/keeper/src/era.rs
+++ b/crates/keeper/src/era.rs
@@ -11,6 +11,7 @@
         for k in kept {
             match k {
                 Kept::Blank(b) => self.birth = b,
+                Kept::First => self.first = true,
                 Kept::Base(b, p) => {
                     self.birth = b;
                     self.base = *p;
--- a/crates/keeper/src/found.rs
+++ b/crates/keeper/src/found.rs
@@ -7,7 +7,7 @@
 impl Keeper {
     /// Without a seat: shows itself to the seeds.
     pub(crate) fn show_blank(&mut self, out: &mut Vec<Out>) {
-        if self.mach.is_none() {
+        if self.mach.is_none() && !self.passes_on() {
             let m = self.member(Kid(0));
             out.extend(self.env.seeds.iter().map(|s| Out::Send(*s, Msg::Blank(m.clone()))));
         }
--- a/crates/keeper/src/keeper.rs
+++ b/crates/keeper/src/keeper.rs
@@ -22,6 +22,8 @@
     /// None while blank or retired.
     pub(crate) mach: Option<Machine<Cmd>>,
     pub(crate) kid: Kid,
+    /// This disk began with the deployment itself: it never founded unless it says so.
+    pub(crate) first: bool,
     pub(crate) blanks: BTreeMap<Addr, (Member, Mono)>,
     pub(crate) feeds: BTreeMap<NodeId, Feed>,
     pub(crate) feed_no: u64,
@@ -69,6 +71,7 @@
             pic: Picture::default(),
             mach: None,
             kid: Kid(0),
+            first: false,
             blanks: BTreeMap::new(),
             feeds: BTreeMap::new(),
             feed_no: life << 16,
@@ -101,8 +104,10 @@
         k.wake(kept, now, out);
         if blank {
             out.push(Out::Base(Kept::Blank(k.birth).encode()));
-            k.found_alone(now, out);
+            k.first = k.env.open.is_some_and(|o| o.initial);
+            out.extend(Some(Out::Save(Kept::First.encode())).filter(|_| k.first));
         }
+        k.found_alone(now, out);
         k
     }
 
--- a/crates/keeper/src/open.rs
+++ b/crates/keeper/src/open.rs
@@ -1,8 +1,8 @@
 //! A deployment nobody counted: who founds it, who joins, who passes on.
 //!
 //! Invariant: only one keeper ever founds. All processes of the first start hold
-//! the same seeds; the first of them by address founds alone, on a blank disk and
-//! at the first start only; if it can keep nothing it names one blank keeper, and
+//! the same seeds; the first of them by address founds alone, on a disk that
+//! began at the first start only; if it can keep nothing it names one blank keeper, and
 //! none other while that one may live. A roster then grows by cuts only.
 use crate::keeper::Keeper;
 use brood::*;
@@ -30,11 +30,11 @@
     }
 
     fn may_found(&self) -> bool {
-        self.env.open.is_some_and(|o| o.initial && o.keeps) && self.base.era == Era(0) && self.mach.is_none()
+        self.env.open.is_some_and(|o| o.keeps) && self.base.era == Era(0) && self.mach.is_none()
     }
 
     pub(crate) fn found_alone(&mut self, now: Mono, out: &mut Vec<Out>) {
-        if self.may_found() && self.first_seed() == Some(self.env.addr) {
+        if self.may_found() && self.first && self.first_seed() == Some(self.env.addr) {
             self.found_now(now, out);
         }
     }
--- a/crates/keeper/src/recs.rs
+++ b/crates/keeper/src/recs.rs
@@ -14,6 +14,8 @@
     Wag(Era, Rec<Cmd>),
     /// All of an era so far, in short.
     Whole(Birth, Box<Picture>, Vec<Rec<Cmd>>),
+    /// This disk began with the deployment itself.
+    First,
 }
 
 impl Kept {
--- a/crates/swarm/src/stage.rs
+++ b/crates/swarm/src/stage.rs
@@ -23,7 +23,7 @@
     pub desks: Vec<Addr>,
 }
 
-fn follow(id: u16, role: Role, a: Addr, zone: &str, seeds: &[Addr], lease: Span) -> FollowEnv {
+fn follow(id: u16, role: Role, a: Addr, zone: &str, seeds: &[Addr], plan: &Plan) -> FollowEnv {
     FollowEnv {
         id: NodeId(id as u64),
         role,
@@ -33,12 +33,20 @@
         seeds: seeds.to_vec(),
         birth: Birth(0),
         life: 0,
-        lease,
-        serve_on: false,
+        lease: plan.lease,
+        serve_on: plan.serve_on,
     }
 }
 
 impl World {
+    /// One that can keep nothing, and passes on what it hears.
+    pub fn add_porter(&mut self, a: Addr, zone: &str, seeds: Vec<Addr>) {
+        let open = self.plan.open;
+        self.plan.open = open.map(|o| keeper::Open { keeps: false, ..o });
+        self.add_keeper(a, zone, seeds, false);
+        self.plan.open = open;
+    }
+
     pub fn add_keeper(&mut self, a: Addr, zone: &str, seeds: Vec<Addr>, found: bool) {
         let env = keeper::KeeperEnv {
             addr: a,
@@ -46,7 +54,7 @@
             zone: zone.into(),
             seeds,
             found,
-            open: self.plan.open.clone(),
+            open: self.plan.open,
             lease: self.plan.lease,
             cut_at: self.plan.cut_at,
             window: self.plan.window,
@@ -54,15 +62,20 @@
             base_after: 20_000,
             pace: waggle::Pace { first_rtt: Span::ms(60), ..waggle::Pace::default() },
         };
+        // Only the very first start is told that it is.
+        let starts = std::cell::Cell::new(0);
         let boot = move |disk: Vec<Vec<u8>>, life: u64, now: Mono, out: &mut Vec<Out>| {
             let kept = disk.iter().filter_map(|b| keeper::Kept::decode(b)).collect();
-            Role3::Keeper(Box::new(keeper::Keeper::start(env.clone(), kept, life, now, out)))
+            starts.set(starts.get() + 1);
+            let open = env.open.map(|o| keeper::Open { initial: o.initial && starts.get() == 1, ..o });
+            let env = keeper::KeeperEnv { open, ..env.clone() };
+            Role3::Keeper(Box::new(keeper::Keeper::start(env, kept, life, now, out)))
         };
         self.add(a, zone.into(), Role::Keeper, Box::new(boot));
     }
 
     pub fn add_gate(&mut self, id: u16, a: Addr, zone: &str, seeds: &[Addr]) {
-        let f = follow(id, Role::Gate, a, zone, seeds, self.plan.lease);
+        let f = follow(id, Role::Gate, a, zone, seeds, &self.plan);
         let (hands, grace) = (self.plan.hands, self.plan.grace);
         let policy = self.plan.policy.clone();
         let boot = move |_: Vec<Vec<u8>>, life: u64, _: Mono, _: &mut Vec<Out>| {
@@ -81,7 +94,7 @@
     }
 
     pub fn add_comb(&mut self, id: u16, a: Addr, zone: &str, seeds: &[Addr]) {
-        let f = follow(id, Role::Comb, a, zone, seeds, self.plan.lease);
+        let f = follow(id, Role::Comb, a, zone, seeds, &self.plan);
         let window = self.plan.window;
         let boot = move |disk: Vec<Vec<u8>>, life: u64, now: Mono, out: &mut Vec<Out>| {
             let kept = disk.iter().filter_map(|b| comb::Kept::decode(b)).collect();
