--- a/crates/brood/src/msg.rs
+++ b/crates/brood/src/msg.rs
@@ -6,7 +6,7 @@
 use crate::whole::Whole;
 use serde::{Deserialize, Serialize};
 use waggle::{Cid, Kid, Wag};
-use wax::{Birth, Epoch, Mono, NodeId, Span};
+use wax::{Birth, Epoch, Mono, NodeId, Span, Version};
 
 /// One try at a keyed request: who tries, in which life, and its count.
 #[derive(Copy, Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -16,6 +16,11 @@
     pub n: u64,
 }
 
+impl RoundId {
+    /// No round: what a comb notes that cannot know which of several has the key.
+    pub const NONE: RoundId = RoundId { node: NodeId(0), birth: Birth(0), n: 0 };
+}
+
 /// What a comb says to a claim.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Claimed {
@@ -153,6 +158,20 @@
     /// Repair between combs: digests over ranges, then what differs.
     Digests(Vec<u64>),
     Ranges(Vec<(u16, Vec<Held>)>),
+    /// A comb with a new disk asks a seat for all it holds of the asker's keys, by
+    /// this version of the roll.
+    Recall {
+        ask: u64,
+        roll: Version,
+    },
+    /// One part of the answer, of so many. Invariant: sent only by a seat that may
+    /// grant, and all parts of one asking are as of one moment.
+    Recalled {
+        ask: u64,
+        part: u32,
+        of: u32,
+        held: Vec<Held>,
+    },
 }
 
 /// A copy as one process hands it to another: its rest of life and its age.
@@ -196,6 +215,13 @@
     pub age: Span,
 }
 
+impl Held {
+    /// What it comes to, roughly, on a link and in memory.
+    pub fn size(&self) -> usize {
+        128 + self.key.len() + self.whole.as_ref().map_or(0, |w| w.size())
+    }
+}
+
 impl Msg {
     pub fn wag(era: Era, kid: Kid, w: Wag<Cmd>) -> Msg {
         Msg::Wag(era, kid, Box::new(w))
--- a/crates/brood/src/roll.rs
+++ b/crates/brood/src/roll.rs
@@ -3,11 +3,26 @@
 use crate::state::{Picture, Verdict, Void};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
-use wax::{Addr, Birth, NodeId, Version};
+use wax::{Addr, Birth, NodeId, Span, Version};
+
+/// A granted round must leave within this of its claim, or it never does: so it never
+/// runs late into the next grant of its key.
+pub const LEAVE: Span = Span::secs(5);
+
+/// The combs a key is named to, for so many lost disks to be borne at once.
+pub fn replicas(losses: usize) -> usize {
+    2 * losses + 1
+}
+
+/// The grants a round needs. Invariant: any two quorums of a key's combs meet, also
+/// where there are fewer combs than replicas.
+pub fn quorum(losses: usize) -> usize {
+    losses + 1
+}
 
 /// One comb's place in the ledger: where it sits, and the life of the disk that
 /// it came with. Invariant: a disk of another life at the same place has lost
-/// grants, and must wait for their window before it grants.
+/// grants, and must recall them or wait for their window before it grants.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Seat {
     pub id: NodeId,
@@ -16,8 +31,8 @@
     pub birth: Birth,
 }
 
-/// Invariant: one set, or two while the set changes; a round needs two of a key's
-/// three combs in every set. The older one goes only a window after the newer was
+/// Invariant: one set, or two while the set changes; a round needs a quorum of a key's
+/// combs in every set. The older one goes only a window after the newer was
 /// in force at every gate, so any two rounds of a key that could run within the
 /// window of one another meet in some comb's memory.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -34,8 +49,8 @@
     }
 
     /// A key's combs, for each set.
-    pub fn named(&self, key: &str) -> Vec<Vec<Addr>> {
-        self.sets.iter().map(|s| name_combs(key, s)).collect()
+    pub fn named(&self, key: &str, losses: usize) -> Vec<Vec<Addr>> {
+        self.sets.iter().map(|s| name_combs(key, s, losses)).collect()
     }
 
     pub fn seats(&self) -> impl Iterator<Item = &Seat> {
@@ -87,16 +102,17 @@
 }
 
 /// Ranked by hash, zones first spread out.
-fn name_combs(key: &str, all: &[Seat]) -> Vec<Addr> {
+fn name_combs(key: &str, all: &[Seat], losses: usize) -> Vec<Addr> {
+    let most = replicas(losses);
     let ranked = wax::rank(&key, all, |c| c.id.0 as u64);
     let mut picked: Vec<&Seat> = vec![];
     for c in &ranked {
-        if picked.len() < 3 && picked.iter().all(|p| p.zone != c.zone) {
+        if picked.len() < most && picked.iter().all(|p| p.zone != c.zone) {
             picked.push(c);
         }
     }
     let rest = ranked.iter().filter(|c| !picked.iter().any(|p| p.id == c.id));
-    let fill: Vec<_> = rest.take(3 - picked.len().min(3)).collect();
+    let fill: Vec<_> = rest.take(most - picked.len()).collect();
     picked.extend(fill);
     picked.into_iter().map(|c| c.addr).collect()
 }
--- a/crates/comb/src/comb.rs
+++ b/crates/comb/src/comb.rs
@@ -1,4 +1,5 @@
 use crate::ledger::*;
+use crate::recall::Recall;
 use crate::stock::Stock;
 use brood::*;
 use std::collections::BTreeMap;
@@ -12,13 +13,16 @@
     pub window: Span,
     /// Bytes of records after which all is written anew in short.
     pub base_after: usize,
-    /// Bytes of copies kept; with all keys they must fit one file of the ring.
+    /// Bytes of copies kept, none if nought; with all keys they must fit one file of
+    /// the ring.
     pub room: usize,
     /// Bytes of keys and outcomes kept; beyond it no key is granted. With `room`
     /// they must fit one file of the ring, or they could not be written in short.
     pub most: usize,
     /// Which boot of the machine this is.
     pub boot: u64,
+    /// Lost disks borne at once; the same at every gate and comb.
+    pub losses: usize,
 }
 
 pub struct Comb {
@@ -29,6 +33,7 @@
     pub(crate) swept: Mono,
     /// Invariant: true only if this disk has missed no grant that still counts.
     pub(crate) open: bool,
+    pub(crate) recall: Recall,
     pub(crate) boot: Mono,
     pub(crate) written: usize,
     pub(crate) mended: Mono,
@@ -71,6 +76,7 @@
             stock,
             swept: now,
             open,
+            recall: Recall::new(life),
             boot: now,
             written: 0,
             mended: now,
@@ -92,23 +98,6 @@
         self.ledger.apply(k, now);
     }
 
-    /// May grant: at once on the disk that its seat in the roll was taken with, else
-    /// only after every grant that an earlier disk made has lost its force.
-    fn maybe_open(&mut self, now: Mono, out: &mut Vec<Out>) {
-        if self.open {
-            return;
-        }
-        let me = &self.follow.env;
-        let seat = |s: &Seat| (s.id, s.addr, s.birth) == (me.id, me.addr, me.birth);
-        let clean = Roll::of(&self.follow.items).seats().any(seat);
-        let waited = self.follow.myself().is_some() && now - self.boot >= self.env.window.padded();
-        if clean || waited {
-            self.open = true;
-            out.push(Out::Note("grants keys from now on"));
-            self.save(now, Kept::Open, out);
-        }
-    }
-
     fn on_claim(
         &mut self,
         now: Mono,
@@ -152,7 +141,7 @@
     fn health(&self, now: Mono) -> Health {
         let why = match (self.follow.leased(now), self.open) {
             (false, _) => "no setup lease",
-            (_, false) => "disk is new: grants nothing until the window is over",
+            (_, false) => "disk is new: grants nothing until it has recalled the keys or the window is over",
             _ => "",
         };
         let mut counts: Vec<_> = self.counts.iter().map(|(k, v)| (*k, *v)).collect();
@@ -178,6 +167,7 @@
             out.push(Out::Base(b.encode()));
         }
         self.mend(now, out);
+        self.recall(now, out);
         self.mind_stock(now);
     }
 
@@ -222,6 +212,10 @@
                 }
                 Msg::Digests(d) => self.on_digests(now, from, d, out),
                 Msg::Ranges(r) => self.on_ranges(now, r, out),
+                Msg::Recall { ask, roll } => self.on_recall(now, from, ask, roll, out),
+                Msg::Recalled { ask, part, of, held } => {
+                    self.on_recalled(now, from, (ask, part, of), held, out)
+                }
                 _ => self.count("stray"),
             },
         }
--- a/crates/comb/src/ledger.rs
+++ b/crates/comb/src/ledger.rs
@@ -1,6 +1,6 @@
 //! The ledger of keys and what of it reaches the disk.
 use crate::stock::Stocked;
-use brood::{Claimed, Print, RoundId, Whole};
+use brood::{Claimed, Held, Print, RoundId, Whole};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use wax::{Birth, Mono, Span};
@@ -49,6 +49,13 @@
     pub at: Mono,
 }
 
+impl Grant {
+    pub fn show(&self, now: Mono, key: &str) -> Held {
+        let (print, round, whole) = (self.print, self.round, self.whole.clone());
+        Held { key: key.into(), print, round, whole, age: now - self.at }
+    }
+}
+
 /// Invariant: a key is granted to one round until its window is over or that
 /// round gave it back unsent.
 #[derive(Debug, Default)]
--- a/crates/comb/src/lib.rs
+++ b/crates/comb/src/lib.rs
@@ -2,6 +2,7 @@
 mod comb;
 mod ledger;
 mod mend;
+mod recall;
 mod stock;
 
 pub use comb::{Comb, CombEnv};
--- a/crates/comb/src/mend.rs
+++ b/crates/comb/src/mend.rs
@@ -14,19 +14,20 @@
 }
 
 impl Comb {
-    fn others(&self) -> BTreeSet<Addr> {
+    pub(crate) fn others(&self) -> BTreeSet<Addr> {
         let me = self.follow.env.addr;
         Roll::of(&self.follow.items).seats().map(|s| s.addr).filter(|a| *a != me).collect()
     }
 
     /// Only keys that both combs are named for count between the two, and only
-    /// grants that are no longer in the making.
+    /// grants that are no longer in the making, of a round that is known.
     fn shared(&self, now: Mono, other: Addr) -> impl Iterator<Item = (&String, &Grant)> {
         let roll = Roll::of(&self.follow.items);
         let me = self.follow.env.addr;
-        let settled = move |g: &Grant| g.whole.is_some() || now - g.at > Span::secs(8);
+        let settled =
+            move |g: &Grant| g.whole.is_some() || (now - g.at > Span::secs(8) && g.round != RoundId::NONE);
         self.ledger.keys.iter().filter(move |(_, g)| settled(g)).filter(move |(k, _)| {
-            let named = roll.named(k);
+            let named = roll.named(k, self.env.losses);
             named.iter().any(|n| n.contains(&me)) && named.iter().any(|n| n.contains(&other))
         })
     }
@@ -54,13 +55,7 @@
         let mine = self.digests(now, from);
         let differs = |i: &usize| theirs.get(*i).is_some_and(|d| *d != mine[*i]);
         let show = |i: usize| {
-            let held = self.shared(now, from).filter(|(k, _)| range(k) == i).map(|(k, g)| Held {
-                key: k.clone(),
-                print: g.print,
-                round: g.round,
-                whole: g.whole.clone(),
-                age: now - g.at,
-            });
+            let held = self.shared(now, from).filter(|(k, _)| range(k) == i).map(|(k, g)| g.show(now, k));
             (i as u16, held.collect::<Vec<_>>())
         };
         let ranges: Vec<_> = (0..RANGES).filter(differs).map(show).filter(|(_, h)| !h.is_empty()).collect();
--- a/crates/comb/src/stock.rs
+++ b/crates/comb/src/stock.rs
@@ -39,14 +39,14 @@
     /// A gate has a copy to leave here. The asking's time is this comb's, so a
     /// word read late makes the copy's life shorter, never longer.
     pub(crate) fn on_stock_offer(&self, now: Mono, from: Addr, ask: u64, out: &mut Vec<Out>) {
-        if self.follow.leased(now) {
+        if self.env.room > 0 && self.follow.leased(now) {
             out.push(Out::Send(from, Msg::StockWant { ask, at: now }));
         }
     }
 
     pub(crate) fn on_stock_put(&mut self, now: Mono, at: Mono, p: StockPut, out: &mut Vec<Out>) {
         let (until, since) = (at + p.shown.left, at - p.shown.aged);
-        let fits = p.shown.whole.size() <= self.env.room / 4;
+        let fits = self.env.room > 0 && p.shown.whole.size() <= self.env.room / 4;
         if until > now && fits && at <= now {
             self.count("stocked");
             let Shown { whole, public, .. } = p.shown;
--- /dev/null
+++ b/crates/comb/tests/common/mod.rs
@@ -0,0 +1,73 @@
+//! A comb by itself, a roll of two, and a keeper's news.
+#![allow(dead_code)]
+use brood::*;
+use comb::{Comb, CombEnv, Kept};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use wax::{Addr, Birth, Epoch, Mono, NodeId, Span, Version};
+
+pub fn addr(port: u16) -> Addr {
+    Addr(SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), port))
+}
+
+pub const KEEPER: u16 = 9;
+
+/// The comb at this port, on a disk of this life.
+pub fn comb(port: u16, birth: u64, most: usize) -> Comb {
+    let follow = FollowEnv {
+        id: NodeId(port),
+        role: Role::Comb,
+        addr: addr(port),
+        http: addr(port),
+        zone: "a/b".into(),
+        seeds: vec![addr(KEEPER)],
+        birth: Birth(0),
+        life: 1,
+        lease: Span::secs(1000),
+    };
+    let window = Span::secs(90);
+    let env = CombEnv { follow, window, base_after: 1 << 24, room: 0, most, boot: 1, losses: 1 };
+    Comb::start(env, vec![Kept::Birth(Birth(birth))], 1, Mono(0), &mut vec![])
+}
+
+/// A roll of two, each with the disk of life 1, and a lease.
+pub fn news() -> Msg {
+    let seat = |p| Seat { id: NodeId(p), addr: addr(p), zone: "a/b".into(), birth: Birth(1) };
+    let roll = Roll { sets: vec![vec![seat(1), seat(2)]] };
+    let a = addr(KEEPER);
+    let reply = Reply {
+        ask: Mono(1),
+        life: 1,
+        kid: Default::default(),
+        lent: true,
+        beats: vec![],
+        slices: vec![],
+        epoch: Epoch(0),
+    };
+    Msg::News(Box::new(News {
+        feed: 1,
+        from: 0,
+        to: 1,
+        full: true,
+        items: vec![(Key::Roll, Item { ver: Version(1), body: Some(Body::Roll(roll)) })],
+        era: Era(1),
+        members: vec![Member {
+            kid: Default::default(),
+            addr: a,
+            http: a,
+            zone: "a/b".into(),
+            birth: Birth(1),
+        }],
+        reply: Some(reply),
+    }))
+}
+
+pub fn step(c: &mut Comb, now: Mono, from: u16, m: Msg) -> Vec<Msg> {
+    let mut out = vec![];
+    c.step(now, In::Msg(addr(from), m), &mut out);
+    sent(out)
+}
+
+pub fn sent(out: Vec<Out>) -> Vec<Msg> {
+    let one = |o| if let Out::Send(_, m) = o { Some(m) } else { None };
+    out.into_iter().filter_map(one).collect()
+}
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -23,6 +23,10 @@
     pub hands: (usize, usize),
     /// How long requests are still taken once it leaves, for callers to notice.
     pub grace: Span,
+    /// Lost disks of combs borne at once; the same at every gate and comb.
+    pub losses: usize,
+    /// Copies are offered to combs and asked of them.
+    pub stock: bool,
 }
 
 pub struct Gate {
--- a/crates/gate/src/keyed.rs
+++ b/crates/gate/src/keyed.rs
@@ -1,4 +1,4 @@
-//! Keyed requests: two of the key's three combs must grant it, synced, before
+//! Keyed requests: a quorum of the key's combs must grant it, synced, before
 //! anything leaves.
 use crate::gate::Gate;
 use crate::jobs::*;
@@ -26,10 +26,10 @@
         let (key, print, round) = (self.key.clone(), self.print, self.round);
         Out::Send(comb, Msg::Claim { key, print, round })
     }
-    /// Two of three granted it, in every set.
-    pub fn won(&self, votes: &BTreeMap<Addr, Claimed>) -> bool {
+    /// A quorum granted it, in every set.
+    pub fn won(&self, votes: &BTreeMap<Addr, Claimed>, losses: usize) -> bool {
         let yes = |a: &&Addr| votes.get(a) == Some(&Claimed::Granted);
-        !self.named.is_empty() && self.named.iter().all(|n| n.iter().filter(yes).count() >= 2)
+        !self.named.is_empty() && self.named.iter().all(|n| n.iter().filter(yes).count() >= quorum(losses))
     }
 }
 
@@ -45,9 +45,6 @@
     sent: Mono,
 }
 
-/// A granted round must leave within this, so that it never runs late into
-/// the next grant of its key.
-const LEAVE: Span = Span::secs(5);
 /// How long a comb may keep silent before it is asked again.
 const AGAIN: Span = Span::ms(120);
 
@@ -57,7 +54,7 @@
         let print = Print::of(&j.req.method, &j.req.path, &j.req.heads, &j.req.body);
         let n = self.number();
         let round = RoundId { node: self.follow.env.id, birth: self.follow.env.birth, n };
-        let named = self.table.roll.named(&key);
+        let named = self.table.roll.named(&key, self.env.losses);
         let c = Claim { round, key, print, named, asked: now };
         out.extend(c.combs().into_iter().map(|a| c.ask(a)));
         j.claim = Some(c);
@@ -114,7 +111,7 @@
             self.release_job(id, out);
             let s = Step::Serve(std::sync::Arc::new(w), Shared::Record, Mono(u64::MAX));
             self.finish(now, id, s, out);
-        } else if claim.won(votes) {
+        } else if claim.won(votes, self.env.losses) {
             self.line_up(now, id, out);
         } else if held && (all || late) {
             // Another round has the key and its outcome is not known (yet).
--- a/crates/gate/src/read.rs
+++ b/crates/gate/src/read.rs
@@ -83,8 +83,11 @@
         }
     }
 
-    /// The comb that stocks an object, of this gate's region if there is one.
+    /// The comb that stocks an object, of this gate's region, if combs stock any.
     fn stock_of(&self, now: Mono, obj: &(Svc, Lane, String)) -> Option<Addr> {
+        if !self.env.stock {
+            return None;
+        }
         let here = self.follow.env.zone.region();
         let near: Vec<_> = self.table.combs.iter().filter(|c| c.2.region() == here).cloned().collect();
         let ranked = wax::rank(obj, &near, |c| c.0 .0 as u64);
@@ -204,9 +207,10 @@
             let whole = Arc::new(w.kept());
             self.keep(now, obj.clone(), Copy { whole, public: says.public, since, until });
             if until - now >= WORTH {
-                let to = self.stock_of(now, &obj);
-                out.extend(to.map(|a| Out::Send(a, Msg::StockOffer(id))));
-                self.offers.insert(id, obj);
+                if let Some(a) = self.stock_of(now, &obj) {
+                    out.push(Out::Send(a, Msg::StockOffer(id)));
+                    self.offers.insert(id, obj);
+                }
             }
         }
         // An answer just fetched may be served even if it may not be kept.
--- a/crates/hive/src/roles.rs
+++ b/crates/hive/src/roles.rs
@@ -165,6 +165,8 @@
         // A quarter for one service: two that hang leave half to the others.
         hands: (l.callers / 4, l.callers),
         grace: l.grace,
+        losses: 1,
+        stock: true,
     };
     s.run(Box::new(gate::Gate::new(env)), vec![], None)
 }
@@ -183,6 +185,7 @@
         // One file of the ring, less the copies and an eighth to spare.
         most: base_after - room - base_after / 8,
         boot: skep::boot(),
+        losses: 1,
     };
     let mut out = vec![];
     let c = comb::Comb::start(env, kept, skep::life(), skep::now(), &mut out);
--- a/crates/swarm/src/stage.rs
+++ b/crates/swarm/src/stage.rs
@@ -62,6 +62,7 @@
     pub fn add_gate(&mut self, id: u16, a: Addr, zone: &str, seeds: &[Addr]) {
         let f = follow(id, Role::Gate, a, zone, seeds, self.plan.lease);
         let (hands, grace) = (self.plan.hands, self.plan.grace);
+        let (losses, stock) = (self.plan.losses, self.plan.stock);
         let boot = move |_: Vec<Vec<u8>>, life: u64, _: Mono, _: &mut Vec<Out>| {
             let env = gate::GateEnv {
                 follow: FollowEnv { birth: Birth(life), life, ..f.clone() },
@@ -70,6 +71,8 @@
                 copies: 1 << 20,
                 hands,
                 grace,
+                losses,
+                stock,
             };
             Role3::Gate(Box::new(gate::Gate::new(env)))
         };
@@ -78,12 +81,13 @@
 
     pub fn add_comb(&mut self, id: u16, a: Addr, zone: &str, seeds: &[Addr]) {
         let f = follow(id, Role::Comb, a, zone, seeds, self.plan.lease);
-        let window = self.plan.window;
+        let (window, losses) = (self.plan.window, self.plan.losses);
+        let room = if self.plan.stock { 1 << 17 } else { 0 };
         let boot = move |disk: Vec<Vec<u8>>, life: u64, now: Mono, out: &mut Vec<Out>| {
             let kept = disk.iter().filter_map(|b| comb::Kept::decode(b)).collect();
             let follow = FollowEnv { life, ..f.clone() };
-            let env =
-                comb::CombEnv { follow, window, base_after: 1 << 18, room: 1 << 17, most: 1 << 18, boot: 1 };
+            let (base_after, most) = (1 << 18, 1 << 18);
+            let env = comb::CombEnv { follow, window, base_after, room, most, boot: 1, losses };
             Role3::Comb(Box::new(comb::Comb::start(env, kept, life, now, out)))
         };
         self.add(a, zone.into(), Role::Comb, Box::new(boot));
@@ -102,9 +106,10 @@
         for (i, g) in gates.iter().enumerate() {
             w.add_gate(100 + i as u16, *g, z[i % 4], &keepers[..3]);
         }
-        let combs: Vec<Addr> = [1, 2, 3, 4, 14, 15].map(|m| addr(m, 3)).to_vec();
+        let combs: Vec<Addr> =
+            [1, 2, 3, 4, 14, 15, 16, 17][..w.plan.combs].iter().map(|m| addr(*m, 3)).collect();
         for (i, c) in combs.iter().enumerate() {
-            w.add_comb(200 + i as u16, *c, z[[0, 1, 2, 3, 0, 2][i]], &keepers[1..]);
+            w.add_comb(200 + i as u16, *c, z[[0, 1, 2, 3, 0, 2, 1, 3][i]], &keepers[1..]);
         }
         let pages = (0..3).map(|i| addr(50 + i, 80)).collect();
         let desks = (0..4).map(|i| addr(60 + i, 80)).collect();
--- a/crates/swarm/src/world.rs
+++ b/crates/swarm/src/world.rs
@@ -12,6 +12,11 @@
 #[derive(Clone, Debug)]
 pub struct Plan {
     pub gates: usize,
+    pub combs: usize,
+    /// Lost disks of combs borne at once.
+    pub losses: usize,
+    /// Combs keep copies.
+    pub stock: bool,
     pub drop: f64,
     pub dup: f64,
     /// One-way, within a zone, between zones, between regions; in microseconds.
@@ -33,6 +38,9 @@
     pub fn trinacria() -> Plan {
         Plan {
             gates: 5,
+            combs: 6,
+            losses: 1,
+            stock: true,
             drop: 0.0,
             dup: 0.0,
             away: [100, 750, 750],
--- a/crates/swarm/tests/common/mod.rs
+++ b/crates/swarm/tests/common/mod.rs
@@ -111,3 +111,34 @@
     }
     assert!(tables.iter().all(|t| rows(t) == rows(tables[0])), "keepers differ");
 }
+
+/// Origins run what they get, and every answer of theirs is lost.
+pub fn lose_answers(w: &mut World, f: &Fleet, share: f64) {
+    f.desks.iter().for_each(|a| w.blooms.get_mut(a).unwrap().lose = share);
+}
+
+pub fn pay(w: &mut World, gate: wax::Addr, key: &str) {
+    w.post(gate, "pay", key, Some(key));
+}
+
+pub fn runs(w: &World, key: &str) -> u64 {
+    w.blooms.values().filter_map(|b| b.hits.get(key)).sum()
+}
+
+pub fn lose_disk(w: &mut World, a: wax::Addr) {
+    w.kill(a);
+    w.wipe(a);
+}
+
+pub fn open(w: &World, a: &wax::Addr) -> bool {
+    w.comb(*a).is_some_and(|c| c.is_open())
+}
+
+/// New keys are granted at every gate.
+pub fn grants(w: &mut World, f: &Fleet, salt: &str) {
+    lose_answers(w, f, 0.0);
+    let since = w.now;
+    (0..60).for_each(|i| pay(w, f.gates[i % 5], &format!("{salt}{i}")));
+    w.run(Span::secs(3));
+    assert_eq!(lately(w, since), (60, 60), "new keys that were served");
+}
