--- /dev/null
+++ b/crates/brood/src/call.rs
@@ -0,0 +1,43 @@
+//! Calls that a node passes on to a keeper, and what comes back.
+use crate::cmd::Change;
+use crate::items::Beat;
+use crate::part::Receipt;
+use crate::state::{Picture, Verdict};
+use serde::{Deserialize, Serialize};
+use wax::Span;
+
+/// What any node may be asked of the control state.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Call {
+    Change(Change),
+    Beat(Beat),
+    SignOff(String),
+    Table,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Said {
+    Change(Verdict),
+    Took,
+    NotNow(String),
+    Table(Box<Picture>, Vec<(Beat, Span)>),
+}
+
+impl Said {
+    pub fn of(r: Receipt) -> Said {
+        match r {
+            Receipt::Change(v) => Said::Change(v),
+            Receipt::Table(p, b) => Said::Table(p, b),
+            Receipt::NotNow(why) => Said::NotNow(why.to_string()),
+            _ => Said::Took,
+        }
+    }
+    pub fn receipt(self) -> Receipt {
+        match self {
+            Said::Change(v) => Receipt::Change(v),
+            Said::Table(p, b) => Receipt::Table(p, b),
+            Said::NotNow(_) => Receipt::NotNow("a keeper cannot answer now"),
+            Said::Took => Receipt::Took,
+        }
+    }
+}
--- a/crates/brood/src/lib.rs
+++ b/crates/brood/src/lib.rs
@@ -1,5 +1,6 @@
 //! The control state that keepers decide and gates obey, and every message
 //! between lanewing's processes.
+mod call;
 mod cmd;
 mod follow;
 mod heads;
@@ -17,6 +18,7 @@
 mod state;
 mod whole;
 
+pub use call::*;
 pub use cmd::*;
 pub use follow::*;
 pub use heads::*;
--- a/crates/brood/src/msg.rs
+++ b/crates/brood/src/msg.rs
@@ -1,13 +1,13 @@
 //! Every message between lanewing's own processes.
-use crate::cmd::{Change, Cmd};
+use crate::call::{Call, Said};
+use crate::cmd::Cmd;
 use crate::heads::{Heads, Print};
 use crate::items::*;
-use crate::part::Receipt;
-use crate::state::{Era, Picture, Verdict};
+use crate::state::{Era, Picture};
 use crate::whole::Whole;
 use serde::{Deserialize, Serialize};
 use waggle::{Cid, Kid, Wag};
-use wax::{Birth, Epoch, Mono, NodeId, Span};
+use wax::{Birth, Epoch, Mono, NodeId, Span, Version};
 
 /// One try at a keyed request: who tries, in which life, and its count.
 #[derive(Copy, Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -17,6 +17,11 @@
     pub n: u64,
 }
 
+impl RoundId {
+    /// No round: what a comb notes that cannot know which of several has the key.
+    pub const NONE: RoundId = RoundId { node: NodeId(0), birth: Birth(0), n: 0 };
+}
+
 /// What a comb says to a claim.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Claimed {
@@ -161,6 +166,20 @@
     /// Repair between combs: digests over ranges, then what differs.
     Digests(Vec<u64>),
     Ranges(Vec<(u16, Vec<Held>)>),
+    /// A comb with a new disk asks a seat for all it holds of the asker's keys, by
+    /// this version of the roll.
+    Recall {
+        ask: u64,
+        roll: Version,
+    },
+    /// One part of the answer, of so many. Invariant: sent only by a seat that may
+    /// grant, and all parts of one asking are as of one moment.
+    Recalled {
+        ask: u64,
+        part: u32,
+        of: u32,
+        held: Vec<Held>,
+    },
 }
 
 /// A copy as one process hands it to another: its rest of life and its age.
@@ -204,39 +223,10 @@
     pub age: Span,
 }
 
-/// What any node may be asked of the control state.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Call {
-    Change(Change),
-    Beat(Beat),
-    SignOff(String),
-    Table,
-}
-
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Said {
-    Change(Verdict),
-    Took,
-    NotNow(String),
-    Table(Box<Picture>, Vec<(Beat, Span)>),
-}
-
-impl Said {
-    pub fn of(r: Receipt) -> Said {
-        match r {
-            Receipt::Change(v) => Said::Change(v),
-            Receipt::Table(p, b) => Said::Table(p, b),
-            Receipt::NotNow(why) => Said::NotNow(why.to_string()),
-            _ => Said::Took,
-        }
-    }
-    pub fn receipt(self) -> Receipt {
-        match self {
-            Said::Change(v) => Receipt::Change(v),
-            Said::Table(p, b) => Receipt::Table(p, b),
-            Said::NotNow(_) => Receipt::NotNow("a keeper cannot answer now"),
-            Said::Took => Receipt::Took,
-        }
+impl Held {
+    /// What it comes to, roughly, on a link and in memory.
+    pub fn size(&self) -> usize {
+        128 + self.key.len() + self.whole.as_ref().map_or(0, |w| w.size())
     }
 }
 
--- a/crates/brood/src/sheet.rs
+++ b/crates/brood/src/sheet.rs
@@ -159,10 +159,7 @@
             let lost = e.lane()?.weights.iter().find(|(s, _)| !self.service_after(edits, s))?;
             Some(Flaw::UnknownService { name: e.name.clone(), svc: lost.0.clone() })
         };
-        edits
-            .iter()
-            .find_map(Edit::flaw)
-            .or_else(|| edits.iter().find_map(unknown))
+        edits.iter().find_map(Edit::flaw).or_else(|| edits.iter().find_map(unknown))
     }
 
     /// All of them or none; those that are overtaken have no effect.
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -3,6 +3,7 @@
 use crate::jobs::Job;
 use crate::keyed::Outgoing;
 use crate::origins::Seen;
+pub use crate::policy::GatePolicy;
 use crate::press::Press;
 use crate::table::Table;
 use brood::*;
@@ -24,32 +25,15 @@
     pub hands: (usize, usize),
     /// How long requests are still taken once it leaves, for callers to notice.
     pub grace: Span,
+    /// Lost disks of combs borne at once; the same at every gate and comb.
+    pub losses: usize,
+    /// Copies are offered to combs and asked of them.
+    pub stock: bool,
+    /// A granted round must leave within this; the same at every gate and comb.
+    pub leave: Span,
     pub policy: GatePolicy,
 }
 
-/// What a deployment may choose; the default is the product's own.
-#[derive(Clone, Debug)]
-pub struct GatePolicy {
-    /// What each first try earns of an extra one.
-    pub earn: f64,
-    /// Extra tries that all gates of the deployment together may have saved up; each
-    /// may have one at least.
-    pub saved: f64,
-    /// An object's homes are gates of the asking gate's own zone, and only they keep it.
-    pub near: bool,
-    /// Origins are chosen by load and nearness, not by rendezvous.
-    pub by_load: bool,
-    /// When a denied caller should come back; else it depends on why.
-    pub back: Option<Span>,
-}
-
-impl Default for GatePolicy {
-    /// A tenth: well under a fifth.
-    fn default() -> GatePolicy {
-        GatePolicy { earn: 0.1, saved: 0.0, near: false, by_load: false, back: None }
-    }
-}
-
 pub struct Gate {
     pub(crate) env: GateEnv,
     pub(crate) follow: Follow,
--- a/crates/gate/src/jobs.rs
+++ b/crates/gate/src/jobs.rs
@@ -242,7 +242,7 @@
 
 impl Gate {
     /// When a denied client should ask again.
-    fn come_back(&self, d: Denied) -> Span {
+    pub(crate) fn come_back(&self, d: Denied) -> Span {
         self.env.policy.back.unwrap_or(match d {
             Denied::Ceiling | Denied::TooMany => Span::secs(2),
             Denied::NoLease | Denied::Leaving => Span::secs(3),
--- a/crates/gate/src/keyed.rs
+++ b/crates/gate/src/keyed.rs
@@ -1,4 +1,4 @@
-//! Keyed requests: two of the key's three combs must grant it, synced, before
+//! Keyed requests: a quorum of the key's combs must grant it, synced, before
 //! anything leaves.
 use crate::gate::Gate;
 use crate::jobs::*;
@@ -26,10 +26,10 @@
         let (key, print, round) = (self.key.clone(), self.print, self.round);
         Out::Send(comb, Msg::Claim { key, print, round })
     }
-    /// Two of three granted it, in every set.
-    pub fn won(&self, votes: &BTreeMap<Addr, Claimed>) -> bool {
+    /// A quorum granted it, in every set.
+    pub fn won(&self, votes: &BTreeMap<Addr, Claimed>, losses: usize) -> bool {
         let yes = |a: &&Addr| votes.get(a) == Some(&Claimed::Granted);
-        !self.named.is_empty() && self.named.iter().all(|n| n.iter().filter(yes).count() >= 2)
+        !self.named.is_empty() && self.named.iter().all(|n| n.iter().filter(yes).count() >= quorum(losses))
     }
 }
 
@@ -45,23 +45,30 @@
     sent: Mono,
 }
 
-/// A granted round must leave within this, so that it never runs late into
-/// the next grant of its key.
-const LEAVE: Span = Span::secs(5);
+/// How long after a lease keys are claimed, where a gate serves on without one.
+const CLAIMS_ON: Span = Span::secs(5);
 /// How long a comb may keep silent before it is asked again.
 const AGAIN: Span = Span::ms(120);
 
 impl Gate {
+    /// Only under a lease that holds or lapsed a moment ago: a set of combs loses its
+    /// force a window after every lease that knew no newer one, and claims of before
+    /// must have lost theirs by then.
     pub(crate) fn claim(&mut self, now: Mono, mut j: Job, out: &mut Vec<Out>) {
+        if self.follow.in_touch_until() + CLAIMS_ON <= now {
+            let c = j.callers.remove(0);
+            let back = self.come_back(Denied::NoLease);
+            return self.tell(now, &c, Step::Deny(Denied::NoLease, back), out);
+        }
         let key = format!("{}/{}", j.req.lane, j.req.key.as_deref().unwrap_or(""));
         let print = Print::of(&j.req.method, &j.req.path, &j.req.heads, &j.req.body);
         let n = self.number();
         let round = RoundId { node: self.follow.env.id, birth: self.follow.env.birth, n };
-        let named = self.table.roll.named(&key);
+        let named = self.table.roll.named(&key, self.env.losses);
         let c = Claim { round, key, print, named, asked: now };
         out.extend(c.combs().into_iter().map(|a| c.ask(a)));
         j.claim = Some(c);
-        j.must_leave = now + LEAVE;
+        j.must_leave = now + self.env.leave;
         j.stage = Stage::Claim(BTreeMap::new());
         j.staged = now;
         self.jobs.insert(n, j);
@@ -114,7 +121,7 @@
             self.release_job(id, out);
             let s = Step::Serve(std::sync::Arc::new(w), Shared::Record, Mono(u64::MAX));
             self.finish(now, id, s, out);
-        } else if claim.won(votes) {
+        } else if claim.won(votes, self.env.losses) {
             self.line_up(now, id, out);
         } else if held && (all || late) {
             // Another round has the key and its outcome is not known (yet).
@@ -148,7 +155,7 @@
     pub(crate) fn ran(&mut self, now: Mono, id: u64, w: Whole, s: Step, out: &mut Vec<Out>) {
         let claim = self.jobs.get(&id).and_then(|j| j.claim.clone());
         if let Some(c) = claim {
-            let to = c.combs();
+            let to = self.recorders(&c);
             let Claim { round, key, print, .. } = c;
             self.outgoing.push(Outgoing { key, print, round, whole: w, to, began: now, sent: Mono(0) });
             self.push_outcomes(now, out);
@@ -156,6 +163,17 @@
         self.finish(now, id, s, out);
     }
 
+    /// Who is to keep the outcome: all of the key's combs, or where bytes are dear the
+    /// nearest one.
+    fn recorders(&self, c: &Claim) -> BTreeSet<Addr> {
+        let mut all: Vec<Addr> = c.combs().into_iter().collect();
+        let here = &self.follow.env.zone;
+        let zone = |a: &Addr| self.table.combs.iter().find(|x| x.1 == *a).map(|x| x.2.clone());
+        all.sort_by_key(|a| zone(a).is_none_or(|z| z != *here));
+        let most = if self.env.policy.near { 1 } else { all.len() };
+        all.into_iter().take(most).collect()
+    }
+
     pub(crate) fn push_outcomes(&mut self, now: Mono, out: &mut Vec<Out>) {
         for o in self.outgoing.iter_mut().filter(|o| now - o.sent >= Span::ms(250)) {
             o.sent = now;
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -8,6 +8,7 @@
 mod lanes;
 mod news;
 mod origins;
+mod policy;
 mod press;
 mod purge;
 mod read;
--- /dev/null
+++ b/crates/gate/src/policy.rs
@@ -0,0 +1,25 @@
+//! What a deployment may choose of a gate's ways.
+use wax::Span;
+
+/// What a deployment may choose; the default is the product's own.
+#[derive(Clone, Debug)]
+pub struct GatePolicy {
+    /// What each first try earns of an extra one.
+    pub earn: f64,
+    /// Extra tries that all gates of the deployment together may have saved up; each
+    /// may have one at least.
+    pub saved: f64,
+    /// An object's homes are gates of the asking gate's own zone, and only they keep it.
+    pub near: bool,
+    /// Origins are chosen by load and nearness, not by rendezvous.
+    pub by_load: bool,
+    /// When a denied caller should come back; else it depends on why.
+    pub back: Option<Span>,
+}
+
+impl Default for GatePolicy {
+    /// A tenth: well under a fifth.
+    fn default() -> GatePolicy {
+        GatePolicy { earn: 0.1, saved: 0.0, near: false, by_load: false, back: None }
+    }
+}
--- a/crates/hive/src/roles.rs
+++ b/crates/hive/src/roles.rs
@@ -172,6 +172,9 @@
         hands: (l.callers / 4, l.callers),
         grace: l.grace,
         policy: gate::GatePolicy::default(),
+        losses: 1,
+        stock: true,
+        leave: LEAVE,
     };
     s.run(Box::new(gate::Gate::new(env)), vec![], None)
 }
@@ -190,6 +193,9 @@
         // One file of the ring, less the copies and an eighth to spare.
         most: base_after - room - base_after / 8,
         boot: skep::boot(),
+        losses: 1,
+        leave: LEAVE,
+        sparing: false,
     };
     let mut out = vec![];
     let c = comb::Comb::start(env, kept, skep::life(), skep::now(), &mut out);
--- a/crates/nuc/src/parts.rs
+++ b/crates/nuc/src/parts.rs
@@ -10,6 +10,9 @@
 /// out of touch. Short: an operator's order is to be answered within seconds
 /// though a machine is frozen, and gates serve on without.
 pub(crate) const LEASE: Span = Span::ms(600);
+/// How long a granted try may take to leave. Short: a comb that lost its disk asks
+/// the others only after it.
+const LEAVE: Span = Span::secs(2);
 /// What a granted try may take over its key's window: to leave, and to run.
 const LATE: Span = Span::secs(12);
 /// Parts of the disk, in sixty-fourths: a file of each ring; each has four.
@@ -50,6 +53,9 @@
                 by_load: true,
                 back: Some(Span::ms(120)),
             },
+            losses: self.losses,
+            stock: false,
+            leave: LEAVE,
         })
     }
 
@@ -80,6 +86,9 @@
             room: 0,
             most: file * 3 / 4,
             boot: skep::boot(),
+            losses: self.losses,
+            leave: LEAVE,
+            sparing: true,
         };
         comb::Comb::start(env, kept, skep::life(), now, out)
     }
--- a/crates/swarm/src/stage.rs
+++ b/crates/swarm/src/stage.rs
@@ -78,6 +78,7 @@
         let f = follow(id, Role::Gate, a, zone, seeds, &self.plan);
         let (hands, grace) = (self.plan.hands, self.plan.grace);
         let policy = self.plan.policy.clone();
+        let (losses, stock) = (self.plan.losses, self.plan.stock);
         let boot = move |_: Vec<Vec<u8>>, life: u64, _: Mono, _: &mut Vec<Out>| {
             let env = gate::GateEnv {
                 follow: FollowEnv { birth: Birth(life), life, ..f.clone() },
@@ -87,6 +88,9 @@
                 hands,
                 grace,
                 policy: policy.clone(),
+                losses,
+                stock,
+                leave: LEAVE,
             };
             Role3::Gate(Box::new(gate::Gate::new(env)))
         };
@@ -95,12 +99,24 @@
 
     pub fn add_comb(&mut self, id: u16, a: Addr, zone: &str, seeds: &[Addr]) {
         let f = follow(id, Role::Comb, a, zone, seeds, &self.plan);
-        let window = self.plan.window;
+        let (window, losses) = (self.plan.window, self.plan.losses);
+        let sparing = self.plan.policy.near;
+        let room = if self.plan.stock { 1 << 17 } else { 0 };
         let boot = move |disk: Vec<Vec<u8>>, life: u64, now: Mono, out: &mut Vec<Out>| {
             let kept = disk.iter().filter_map(|b| comb::Kept::decode(b)).collect();
             let follow = FollowEnv { life, ..f.clone() };
-            let env =
-                comb::CombEnv { follow, window, base_after: 1 << 18, room: 1 << 17, most: 1 << 18, boot: 1 };
+            let (base_after, most) = (1 << 18, 1 << 18);
+            let env = comb::CombEnv {
+                follow,
+                window,
+                base_after,
+                room,
+                most,
+                boot: 1,
+                losses,
+                leave: LEAVE,
+                sparing,
+            };
             Role3::Comb(Box::new(comb::Comb::start(env, kept, life, now, out)))
         };
         self.add(a, zone.into(), Role::Comb, Box::new(boot));
@@ -119,9 +135,10 @@
         for (i, g) in gates.iter().enumerate() {
             w.add_gate(100 + i as u16, *g, z[i % 4], &keepers[..3]);
         }
-        let combs: Vec<Addr> = [1, 2, 3, 4, 14, 15].map(|m| addr(m, 3)).to_vec();
+        let combs: Vec<Addr> =
+            [1, 2, 3, 4, 14, 15, 16, 17][..w.plan.combs].iter().map(|m| addr(*m, 3)).collect();
         for (i, c) in combs.iter().enumerate() {
-            w.add_comb(200 + i as u16, *c, z[[0, 1, 2, 3, 0, 2][i]], &keepers[1..]);
+            w.add_comb(200 + i as u16, *c, z[[0, 1, 2, 3, 0, 2, 1, 3][i]], &keepers[1..]);
         }
         let pages = (0..3).map(|i| addr(50 + i, 80)).collect();
         let desks = (0..4).map(|i| addr(60 + i, 80)).collect();
