--- a/crates/gate/src/jobs.rs
+++ b/crates/gate/src/jobs.rs
@@ -23,7 +23,7 @@
     /// Waits in line for leave to press the service.
     Line,
     /// A round is out; its number, where, until when it might have left.
-    Out(Round, Mono),
+    Out(Box<Round>, Mono),
 }
 
 #[derive(Debug)]
@@ -239,14 +239,3 @@
         }
     }
 }
-
-impl Gate {
-    /// When a denied client should ask again.
-    pub(crate) fn come_back(&self, d: Denied) -> Span {
-        self.env.policy.back.unwrap_or(match d {
-            Denied::Ceiling | Denied::TooMany => Span::secs(2),
-            Denied::NoLease | Denied::Leaving => Span::secs(3),
-            _ => Span::secs(1),
-        })
-    }
-}
--- a/crates/gate/src/policy.rs
+++ b/crates/gate/src/policy.rs
@@ -1,4 +1,6 @@
 //! What a deployment may choose of a gate's ways.
+use crate::gate::Gate;
+use brood::Denied;
 use wax::Span;
 
 /// What a deployment may choose; the default is the product's own.
@@ -23,3 +25,14 @@
         GatePolicy { earn: 0.1, saved: 0.0, near: false, by_load: false, back: None }
     }
 }
+
+impl Gate {
+    /// When a denied client should ask again.
+    pub(crate) fn come_back(&self, d: Denied) -> Span {
+        self.env.policy.back.unwrap_or(match d {
+            Denied::Ceiling | Denied::TooMany => Span::secs(2),
+            Denied::NoLease | Denied::Leaving => Span::secs(3),
+            _ => Span::secs(1),
+        })
+    }
+}
--- a/crates/gate/src/rounds.rs
+++ b/crates/gate/src/rounds.rs
@@ -93,7 +93,7 @@
             req,
         };
         self.rounds.insert(n, id);
-        self.stage(now, id, Stage::Out(r.clone(), token));
+        self.stage(now, id, Stage::Out(Box::new(r.clone()), token));
         let j = self.jobs.get_mut(&id).expect("looked up above");
         j.tried.push((addr, o.birth));
         self.count("rounds");
