--- a/crates/brood/src/follow.rs
+++ b/crates/brood/src/follow.rs
@@ -23,7 +23,7 @@
     /// This process's life; renewals asked for by an earlier one lend nothing.
     pub life: u64,
     pub lease: Span,
-    /// Goes on without a lease once it has heard any news: a deployment's choice of
+    /// Goes on without a lease once it holds all that some keeper had: a deployment's choice of
     /// serving while out of touch over denying; see `docs/in-force.md`.
     pub serve_on: bool,
 }
@@ -67,7 +67,7 @@
 
     /// Whether it serves at all, lease or not.
     pub fn leased_until(&self) -> Mono {
-        let on = self.env.serve_on && !self.members.is_empty();
+        let on = self.env.serve_on && !self.got.is_empty();
         if on {
             Mono(u64::MAX >> 1)
         } else {
--- a/crates/comb/src/comb.rs
+++ b/crates/comb/src/comb.rs
@@ -138,7 +138,8 @@
             self.save(now, grant, out);
         }
         // Too large to keep: later tries are in doubt, as if the answer were lost.
-        let small = whole.size() <= self.env.most / 16;
+        // Nor may outcomes take the room of grants.
+        let small = whole.size() <= self.env.most / 16 && self.ledger.bytes < self.env.most / 4 * 3;
         if small && held.is_none_or(|(same, known)| same && !known) {
             self.count("outcomes");
             self.save(now, Kept::Outcome { key: key.clone(), round, whole }, out);
--- a/crates/comb/src/mend.rs
+++ b/crates/comb/src/mend.rs
@@ -24,8 +24,9 @@
     fn shared(&self, now: Mono, other: Addr) -> impl Iterator<Item = (&String, &Grant)> {
         let roll = Roll::of(&self.follow.items);
         let me = self.follow.env.addr;
-        let settled =
-            move |g: &Grant| g.whole.is_some() || (now - g.at > Span::secs(8) && g.round != RoundId::NONE);
+        // Where outcomes stay where they are, they do not tell when a grant is made.
+        let known = |g: &Grant| g.whole.is_some() && !self.env.sparing;
+        let settled = move |g: &Grant| known(g) || (now - g.at > Span::secs(8) && g.round != RoundId::NONE);
         self.ledger.keys.iter().filter(move |(_, g)| settled(g)).filter(move |(k, _)| {
             let named = roll.named(k, self.env.losses);
             named.iter().any(|n| n.contains(&me)) && named.iter().any(|n| n.contains(&other))
@@ -50,12 +51,22 @@
         }
     }
 
+    /// A record as other combs are to see it.
+    pub(crate) fn show(&self, now: Mono, key: &str, g: &Grant) -> Held {
+        let h = g.show(now, key);
+        if self.env.sparing {
+            Held { whole: None, ..h }
+        } else {
+            h
+        }
+    }
+
     /// Shows the ranges that differ.
     pub(crate) fn on_digests(&mut self, now: Mono, from: Addr, theirs: Vec<u64>, out: &mut Vec<Out>) {
         let mine = self.digests(now, from);
         let differs = |i: &usize| theirs.get(*i).is_some_and(|d| *d != mine[*i]);
         let show = |i: usize| {
-            let held = self.shared(now, from).filter(|(k, _)| range(k) == i).map(|(k, g)| g.show(now, k));
+            let held = self.shared(now, from).filter(|(k, _)| range(k) == i).map(|(k, g)| self.show(now, k, g));
             (i as u16, held.collect::<Vec<_>>())
         };
         let ranges: Vec<_> = (0..RANGES).filter(differs).map(show).filter(|(_, h)| !h.is_empty()).collect();
--- a/crates/comb/src/recall.rs
+++ b/crates/comb/src/recall.rs
@@ -116,8 +116,7 @@
         self.ledger.drop_old(now, self.env.window);
         let r = Roll::of(&self.follow.items);
         let theirs = |k: &str| r.named(k, self.env.losses).iter().any(|n| n.contains(&from));
-        let spare = |h: Held| if self.env.sparing { Held { whole: None, ..h } } else { h };
-        let held = self.ledger.keys.iter().filter(|(k, _)| theirs(k)).map(|(k, g)| spare(g.show(now, k)));
+        let held = self.ledger.keys.iter().filter(|(k, _)| theirs(k)).map(|(k, g)| self.show(now, k, g));
         let mut parts: Vec<(usize, Vec<Held>)> = vec![(0, vec![])];
         for h in held {
             let full = parts.last().is_some_and(|(n, p)| !p.is_empty() && n + h.size() > PART);
