--- a/crates/brood/src/follow.rs
+++ b/crates/brood/src/follow.rs
@@ -43,6 +43,8 @@
     /// By keeper: its feed, and the last number held of it without a gap.
     got: BTreeMap<Addr, (u64, u64)>,
     asked: Mono,
+    /// Holds all that some keeper had when this follower turned to it.
+    synced: bool,
 }
 
 const EVERY: Span = Span::ms(200);
@@ -58,6 +60,7 @@
             leases: BTreeMap::new(),
             got: BTreeMap::new(),
             asked: Mono(0),
+            synced: false,
         }
     }
 
@@ -67,7 +70,7 @@
 
     /// Whether it serves at all, lease or not.
     pub fn leased_until(&self) -> Mono {
-        let on = self.env.serve_on && !self.got.is_empty();
+        let on = self.env.serve_on && self.synced;
         if on {
             Mono(u64::MAX >> 1)
         } else {
@@ -137,6 +140,7 @@
         let era = self.era;
         self.items.retain(|k, it| !old_purge(era, k, it));
         let (feed, got) = self.got.get(&from).copied().unwrap_or_default();
+        self.synced |= n.full;
         if n.full || (n.feed == feed && n.from <= got) {
             let to = if n.feed == feed { n.to.max(got) } else { n.to };
             self.got.insert(from, (n.feed, to));
--- a/crates/comb/src/mend.rs
+++ b/crates/comb/src/mend.rs
@@ -66,7 +66,8 @@
         let mine = self.digests(now, from);
         let differs = |i: &usize| theirs.get(*i).is_some_and(|d| *d != mine[*i]);
         let show = |i: usize| {
-            let held = self.shared(now, from).filter(|(k, _)| range(k) == i).map(|(k, g)| self.show(now, k, g));
+            let held =
+                self.shared(now, from).filter(|(k, _)| range(k) == i).map(|(k, g)| self.show(now, k, g));
             (i as u16, held.collect::<Vec<_>>())
         };
         let ranges: Vec<_> = (0..RANGES).filter(differs).map(show).filter(|(_, h)| !h.is_empty()).collect();
--- a/crates/gate/src/choice.rs
+++ b/crates/gate/src/choice.rs
@@ -8,7 +8,7 @@
 /// What another zone, and another region, counts as over the origin's own pace: for
 /// what may be long and is shared, and for the rest.
 const SHARED: (f64, f64) = (4.0, 6.0);
-const OWN: (f64, f64) = (0.35, 1.0);
+const OWN: (f64, f64) = (0.7, 1.5);
 /// An origin that nobody here has asked yet.
 const UNKNOWN: Span = Span::ms(80);
 /// One that is still warming up.
@@ -52,7 +52,9 @@
                 let n = out.get(&(a, o.birth)).copied().unwrap_or(0);
                 let until = self.fresh_until(&a, &o);
                 let stale = until <= now;
-                let demerit = self.seen.is_bad(now, &a, o.birth) as u8 * 2 + stale as u8;
+                let silent = self.seen.is_unreached(now, &a, o.birth);
+                let bad = self.seen.is_bad(now, &a, o.birth);
+                let demerit = silent as u8 * 4 + bad as u8 * 2 + stale as u8;
                 let until = if stale && self.follow.env.serve_on { now + Span::secs(1) } else { until };
                 let noise = 0.75 + (wax::hash(&(draw, a)) % 1000) as f64 / 2000.0;
                 (demerit, self.outlook(&a, &o, n, shared) * noise, (a, o, until))
--- a/crates/gate/src/jobs.rs
+++ b/crates/gate/src/jobs.rs
@@ -220,7 +220,9 @@
                 Stage::Line | Stage::Home(..) | Stage::Claim(_) if now >= j.by => {
                     self.deny(now, id, Denied::Ceiling, out);
                 }
-                Stage::Home(a, _, at_it) if waited > if *at_it { self.env.patience } else { HOME } => {
+                Stage::Home(a, _, at_it)
+                    if waited > if *at_it { self.env.patience } else { self.env.policy.home } =>
+                {
                     let a = *a;
                     self.mute.insert(a, now + Span::secs(2));
                     self.count("mute homes");
--- a/crates/gate/src/origins.rs
+++ b/crates/gate/src/origins.rs
@@ -14,18 +14,27 @@
     bad: BTreeMap<(Addr, Birth), Mono>,
     /// How long each life's answers take, smoothed.
     pace: BTreeMap<(Addr, Birth), Span>,
+    /// Lives that could not be reached, and when that was tried.
+    unreached: BTreeMap<(Addr, Birth), Mono>,
 }
 
 impl Seen {
     pub(crate) fn pace(&self, a: &Addr, b: Birth) -> Option<Span> {
         self.pace.get(&(*a, b)).copied()
     }
+    /// Nothing was heard of it since it could not be reached.
+    pub(crate) fn is_unreached(&self, now: Mono, a: &Addr, b: Birth) -> bool {
+        let heard = self.beats.get(a).filter(|(x, _)| x.birth == b).map(|(_, t)| *t).unwrap_or_default();
+        self.unreached.get(&(*a, b)).is_some_and(|t| heard <= *t && now - *t < UNREACHED)
+    }
     pub(crate) fn is_bad(&self, now: Mono, a: &Addr, b: Birth) -> bool {
         self.bad.get(&(*a, b)).is_some_and(|t| *t > now)
     }
 }
 
 const PASS_OVER: Span = Span::ms(500);
+/// Silent ones are tried again after so long, beat or not.
+const UNREACHED: Span = Span::secs(8);
 /// Slower than the service's quickest by this factor, and than this at all.
 const SLOW_BY: u64 = 4;
 const SLOW: Span = Span::ms(150);
@@ -99,6 +108,11 @@
         self.seen.bad.remove(&(a, b));
     }
 
+    pub(crate) fn note_unreached(&mut self, now: Mono, a: Addr, b: Birth) {
+        self.seen.unreached.retain(|_, t| now - *t < UNREACHED);
+        self.seen.unreached.insert((a, b), now);
+    }
+
     pub(crate) fn note_bad(&mut self, now: Mono, a: Addr, b: Birth) {
         self.seen.bad.retain(|_, t| *t > now);
         self.seen.bad.insert((a, b), now + PASS_OVER);
--- a/crates/gate/src/policy.rs
+++ b/crates/gate/src/policy.rs
@@ -15,6 +15,8 @@
     pub near: bool,
     /// Origins are chosen by load and nearness, not by rendezvous.
     pub by_load: bool,
+    /// How long an object's home may take to say that it is at it.
+    pub home: Span,
     /// When a denied caller should come back; else it depends on why.
     pub back: Option<Span>,
 }
@@ -22,7 +24,7 @@
 impl Default for GatePolicy {
     /// A tenth: well under a fifth.
     fn default() -> GatePolicy {
-        GatePolicy { earn: 0.1, saved: 0.0, near: false, by_load: false, back: None }
+        GatePolicy { earn: 0.1, saved: 0.0, home: Span::ms(400), near: false, by_load: false, back: None }
     }
 }
 
--- a/crates/gate/src/rounds.rs
+++ b/crates/gate/src/rounds.rs
@@ -112,6 +112,7 @@
                 let again = j.unsent < 3;
                 self.refund(now, &r.svc, token);
                 self.note_bad(now, r.addr, r.birth);
+                self.note_unreached(now, r.addr, r.birth);
                 if again {
                     self.line_up(now, id, out);
                 } else {
--- a/crates/keeper/src/beats.rs
+++ b/crates/keeper/src/beats.rs
@@ -7,6 +7,8 @@
 
 /// Beats older than this are forgotten.
 const OLD: Span = Span::secs(10);
+/// By how much what is told overlaps with what was told before.
+const OVERLAP: Span = Span::ms(300);
 
 /// What this keeper knows of pauses, its own and the links'.
 #[derive(Debug)]
@@ -128,13 +130,21 @@
     }
 
     pub(crate) fn beats_now(&self, now: Mono) -> Vec<(Beat, Span)> {
-        let fresh = self.beats.values().filter(|(_, t)| now - *t < OLD);
-        fresh.map(|(b, t)| (b.clone(), now - *t)).collect()
+        self.beats_since(now, Mono(0)).collect()
+    }
+
+    /// Those heard after some moment, a little overlapping: what comes in late counts
+    /// from earlier.
+    pub(crate) fn beats_since(&self, now: Mono, then: Mono) -> impl Iterator<Item = (Beat, Span)> + '_ {
+        let from = then - OVERLAP;
+        let fresh = self.beats.values().filter(move |(_, t)| now - *t < OLD && *t >= from);
+        fresh.map(move |(b, t)| (b.clone(), now - *t))
     }
 
     pub(crate) fn relay_beats(&mut self, now: Mono, out: &mut Vec<Out>) {
         self.beats.retain(|_, (_, t)| now - *t < OLD);
-        let bs = self.beats_now(now);
+        let bs: Vec<(Beat, Span)> = self.beats_since(now, self.relayed).collect();
+        self.relayed = now;
         if self.mach.is_some() {
             let me = self.env.addr;
             let others = self.base.members.iter().map(|m| m.addr).filter(|a| *a != me);
--- a/crates/keeper/src/era.rs
+++ b/crates/keeper/src/era.rs
@@ -152,8 +152,12 @@
         // The others step in when the holder leaves it undone.
         let due =
             (size >= self.env.cut_at && self.duty.held(now)) || size >= self.env.cut_at + self.env.cut_at / 4;
+        // A roster that landed is forgotten by a cut: kept, it would hold up a restart of
+        // all, which must take every lease for alive.
+        let past = !self.base.past.is_empty() && self.all_landed() && now - self.seated > Span::secs(2);
+        let tidy = self.env.open.is_some() && past && self.duty.held(now);
         let lately = self.cutting.is_some_and(|t| now - t < Span::secs(2));
-        if due && !lately {
+        if (due || tidy) && !lately {
             self.cutting = Some(now);
             let (members, landed) = (self.pic.members.clone(), self.landed_to());
             self.with_machine(now, out, |m, o| {
--- a/crates/keeper/src/feeds.rs
+++ b/crates/keeper/src/feeds.rs
@@ -25,6 +25,8 @@
     pub life: u64,
     /// The era whose roster the subscriber goes by, as last heard.
     pub era: Era,
+    /// Beats heard up to then were told.
+    pub beats: Mono,
     /// When the feed was started anew.
     pub begun: Mono,
 }
@@ -41,6 +43,7 @@
             lent,
             pushed: Mono(0),
             begun: Mono(0),
+            beats: Mono(0),
             life: 0,
             era: Era(0),
         }
@@ -96,6 +99,7 @@
             self.feed_no += 1;
             f.feed = self.feed_no;
             f.begun = now;
+            f.beats = Mono(0);
             f.life = s.life;
             f.sent = 1;
             f.out = 1;
@@ -127,7 +131,8 @@
         } else {
             vec![]
         };
-        let (feed, to) = (f.feed, f.out);
+        let (feed, to, told) = (f.feed, f.out, f.beats);
+        f.beats = now;
         let from_no = if anew {
             0
         } else if again {
@@ -140,7 +145,7 @@
             life: s.life,
             kid: self.kid,
             lent,
-            beats: self.beats_now(now),
+            beats: self.beats_since(now, told).filter(|_| s.node.role == Role::Gate).collect(),
             slices: self.lend(now, &s),
             epoch: self.duty.epoch(),
         };
--- a/crates/keeper/src/keeper.rs
+++ b/crates/keeper/src/keeper.rs
@@ -29,6 +29,8 @@
     pub(crate) feed_no: u64,
     pub(crate) beats: BTreeMap<Addr, (Beat, Mono)>,
     pub(crate) pulse: Pulse,
+    /// Beats heard up to then were passed on.
+    pub(crate) relayed: Mono,
     /// What was lately proposed without an operator, so as not to repeat it.
     pub(crate) derived: BTreeMap<u64, Mono>,
     pub(crate) pending: BTreeMap<Cid, Pending>,
@@ -77,6 +79,7 @@
             feed_no: life << 16,
             beats: BTreeMap::new(),
             pulse: Pulse::new(now),
+            relayed: Mono(0),
             derived: BTreeMap::new(),
             pending: BTreeMap::new(),
             line: vec![],
--- a/crates/nuc/src/parts.rs
+++ b/crates/nuc/src/parts.rs
@@ -51,6 +51,8 @@
                 saved: allowance * 0.5,
                 near: true,
                 by_load: true,
+                // In one zone; one that takes longer is frozen, gone or overrun.
+                home: Span::ms(100),
                 back: Some(Span::ms(120)),
             },
             losses: self.losses,
