--- a/crates/brood/src/cmd.rs
+++ b/crates/brood/src/cmd.rs
@@ -100,9 +100,10 @@
     fn asks_rows(&self) -> bool {
         matches!(self, Op::Settle { early: true, .. })
     }
-    /// Purges travel together.
-    pub fn is_purge(&self) -> bool {
-        matches!(self, Op::Purge(_) | Op::PurgeBy(_))
+    /// Those that come together travel as one command: purges, and what a start of many
+    /// processes brings.
+    pub fn gathers(&self) -> bool {
+        matches!(self, Op::Purge(_) | Op::PurgeBy(_) | Op::Join(..) | Op::Register(..))
     }
     fn is_row(&self) -> bool {
         matches!(self, Op::Row { .. } | Op::Edit(_))
--- a/crates/keeper/src/feeds.rs
+++ b/crates/keeper/src/feeds.rs
@@ -84,7 +84,10 @@
         let known = self.pic.node(&s.id).cloned();
         let same = |n: &Node| n.birth == s.node.birth && n.addr == s.node.addr && n.role == s.node.role;
         let seated = known.as_ref().is_some_and(same);
-        if !seated && self.connected(now) {
+        if seated {
+            self.newcomers.remove(&s.id);
+        }
+        if !seated && self.connected(now) && self.my_turn(now, &s) {
             self.derive(now, Op::Join(s.id, s.node.clone()), out);
         }
         // A full picture would show what is not yet to be seen.
@@ -162,6 +165,16 @@
         out.push(Out::Send(from, Msg::News(Box::new(n))));
     }
 
+    /// One keeper sees to a newcomer, or many of them would propose the same; the next
+    /// ones step in if it does not.
+    fn my_turn(&mut self, now: Mono, s: &Sub) -> bool {
+        let since = *self.newcomers.entry(s.id).or_insert(now);
+        let kids: Vec<_> = self.base.members.iter().map(|m| m.kid).collect();
+        let order = wax::rank(&s.id, &kids, |k| k.0 as u64);
+        let place = order.iter().position(|k| *k == self.kid).unwrap_or(0) as u64;
+        now - since >= Span::ms(600).times(place)
+    }
+
     /// Who with a live lease from here lacks what was applied so far.
     pub(crate) fn lacking(&self, now: Mono) -> Vec<(NodeId, u64)> {
         let lacks = |f: &Feed| f.lent > now && f.behind();
--- a/crates/keeper/src/force.rs
+++ b/crates/keeper/src/force.rs
@@ -29,7 +29,7 @@
 
 impl Keeper {
     pub(crate) fn submit(&mut self, now: Mono, token: Option<Token>, change: Change, out: &mut Vec<Out>) {
-        if change.op.is_purge() {
+        if change.op.gathers() {
             self.line.push((token, change));
             self.send_line(now, out);
         } else {
@@ -43,10 +43,10 @@
         self.propose(now, p.asked, out);
     }
 
-    /// One command of purges is under way at a time; the rest gathers.
+    /// One such command is under way at a time; the rest gathers.
     pub(crate) fn send_line(&mut self, now: Mono, out: &mut Vec<Out>) {
-        let purge = |p: &Pending| p.asked.iter().any(|(_, c)| c.op.is_purge());
-        let busy = self.pending.values().any(|p| p.verdicts.is_none() && purge(p));
+        let gathered = |p: &Pending| p.asked.iter().any(|(_, c)| c.op.gathers());
+        let busy = self.pending.values().any(|p| p.verdicts.is_none() && gathered(p));
         if !busy && !self.line.is_empty() {
             // As many as stay small together, but at least one.
             let mut bytes = 0;
@@ -54,7 +54,7 @@
                 bytes += match &c.op {
                     Op::PurgeBy(s) => s.len() * 120,
                     Op::Purge(s) => s.iter().map(|(_, p)| p.len() + 40).sum::<usize>(),
-                    _ => 0,
+                    _ => 200,
                 };
                 bytes <= BYTES
             };
--- a/crates/keeper/src/keeper.rs
+++ b/crates/keeper/src/keeper.rs
@@ -27,6 +27,8 @@
     pub(crate) blanks: BTreeMap<Addr, (Member, Mono)>,
     pub(crate) feeds: BTreeMap<NodeId, Feed>,
     pub(crate) feed_no: u64,
+    /// Since when followers without a seat turn to this keeper.
+    pub(crate) newcomers: BTreeMap<NodeId, Mono>,
     pub(crate) beats: BTreeMap<Addr, (Beat, Mono)>,
     pub(crate) pulse: Pulse,
     /// Beats heard up to then were passed on.
@@ -77,6 +79,7 @@
             blanks: BTreeMap::new(),
             feeds: BTreeMap::new(),
             feed_no: life << 16,
+            newcomers: BTreeMap::new(),
             beats: BTreeMap::new(),
             pulse: Pulse::new(now),
             relayed: Mono(0),
