--- a/crates/apiary/src/sizes.rs
+++ b/crates/apiary/src/sizes.rs
@@ -103,9 +103,6 @@
 
 pub fn run(m: &ArgMatches) -> Result<()> {
     let plans = plans(m);
-    if m.get_flag("relays") {
-        return Ok(());
-    }
     if m.get_flag("one") {
         return Ok(plans
             .iter()
@@ -119,7 +116,7 @@
     let mut rows = from.map(read).transpose()?.unwrap_or_default();
     for p in &plans {
         eprintln!("{} nodes, {} of them whole, seed {}", p.nodes, p.whole_gates() + p.combs(), p.seed);
-        let new = apart(p)?;
+        let new = if m.get_flag("relays") { hollow::measure(p)? } else { apart(p)? };
         if let Some(f) = m.get_one::<PathBuf>("json") {
             let was = if f.exists() { read(f)? } else { vec![] };
             put(f, was.iter().chain(&new).map(|r| r.line() + "\n").collect())?;
--- a/crates/hollow/src/lib.rs
+++ b/crates/hollow/src/lib.rs
@@ -1,7 +1,9 @@
 //! A hollow fleet: the real keepers, gates and combs in one process and in virtual time,
 //! with every message framed, to measure what control costs at growing sizes. Requests of
 //! callers are no part of it.
+mod carry;
 mod fleet;
+mod level;
 mod meter;
 mod plan;
 mod plot;
@@ -11,10 +13,11 @@
 mod stretch;
 mod world;
 
+pub use level::measure;
 pub use meter::{resident, Meter, Tally};
 pub use plan::{HollowProblem, Plan, Result, KEEPERS};
 pub use plot::plot;
-pub use relay::{measure as measure_relay, Bundle, Relay};
+pub use relay::{Bundle, Relay, Word};
 pub use row::{table, Row};
 pub use slope::{spread, Growth, Line};
 pub use stretch::run;
--- a/crates/hollow/src/stretch.rs
+++ b/crates/hollow/src/stretch.rs
@@ -144,11 +144,13 @@
         }
     }
 
-    /// So many of them, evenly over so many seconds, through all keepers in turn.
+    /// So many of them, each somewhere in its own part of so many seconds, so that they
+    /// keep no step with the askings; through all keepers in turn.
     fn ask(&mut self, n: u64, secs: u64, one: fn(&mut Self, u64, Span)) {
+        let part = secs * 1_000_000 / n.max(1);
         for i in 0..n {
-            let jitter = self.w.rng.u64(0..20_000);
-            one(self, i, Span(i * secs * 1_000_000 / n + jitter));
+            let at = i * part + self.w.rng.u64(0..part);
+            one(self, i, Span(at));
         }
     }
 
