--- a/crates/hollow/src/lib.rs
+++ b/crates/hollow/src/lib.rs
@@ -4,6 +4,7 @@
 mod carry;
 mod fleet;
 mod level;
+mod lookup;
 mod meter;
 mod plan;
 mod plot;
@@ -14,6 +15,7 @@
 mod world;
 
 pub use level::measure;
+pub use lookup::lookups;
 pub use meter::{resident, Meter, Tally};
 pub use plan::{HollowProblem, Plan, Result, KEEPERS};
 pub use plot::plot;
--- a/crates/hollow/src/plot.rs
+++ b/crates/hollow/src/plot.rs
@@ -26,7 +26,7 @@
     let root = SVGBackend::with_string(svg, (1100, 1200)).into_drawing_area();
     root.fill(&WHITE).map_err(|e| e.to_string())?;
     let panels = root.split_evenly((3, 2));
-    for ((name, f), area) in FIGURES.iter().zip(&panels) {
+    for ((name, f, _), area) in FIGURES.iter().zip(&panels) {
         let all = series(rows, *f);
         let points = || all.iter().flat_map(|(_, p)| p.iter());
         let edge = |v: fn(&(f64, f64)) -> f64| {
--- a/crates/hollow/src/row.rs
+++ b/crates/hollow/src/row.rs
@@ -6,7 +6,7 @@
 use tinyjson::JsonValue;
 use wax::Look;
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Row {
     pub stretch: String,
     pub role: String,
@@ -111,15 +111,18 @@
     }
 }
 
-type Figure = (&'static str, fn(&Row) -> f64);
+/// A name, how it is read, and what a node may have of it, and a keeper.
+type Figure = (&'static str, fn(&Row) -> f64, Option<(f64, f64)>);
 
-/// The figures that are fitted over the size.
+/// The figures that are fitted over the size. A node has 2.4 % of a core, 128 MB and
+/// 6 KB/s; a keeper has one core, for it is one actor, and of its machine, by assumption,
+/// a network of 10 Gbit/s and 16 GB.
 pub(crate) const FIGURES: [Figure; 5] = [
-    ("messages/s in", |r| r.msgs_in),
-    ("messages/s out", |r| r.msgs_out),
-    ("bytes/s in and out", |r| r.bytes_in + r.bytes_out),
-    ("processor us/s", |r| r.cpu_us),
-    ("memory MB", |r| r.memory / 1e6),
+    ("messages/s in", |r| r.msgs_in, None),
+    ("messages/s out", |r| r.msgs_out, None),
+    ("bytes/s in and out", |r| r.bytes_in + r.bytes_out, Some((6e3, 1.25e9))),
+    ("processor us/s", |r| r.cpu_us, Some((24e3, 1e6))),
+    ("memory MB", |r| r.memory / 1e6, Some((128.0, 16e3))),
 ];
 
 /// By stretch and role, and within by size.
@@ -137,7 +140,9 @@
     let mut s = String::new();
     for ((stretch, role), sizes) in grouped(rows) {
         s += &format!("\n{stretch}, {role}\n");
-        for (name, f) in FIGURES {
+        let told = |f: fn(&Row) -> f64| sizes.values().flatten().any(|r| f(r) > 0.0);
+        for (name, f, most) in FIGURES.iter().filter(|(_, f, _)| told(*f)) {
+            let most = most.filter(|_| rows.iter().any(|r| r.stretch == stretch && r.msgs_in > 0.0));
             let at =
                 |rs: &Vec<&Row>| spread(&rs.iter().map(|r| f(r)).collect::<Vec<_>>()).unwrap_or_default();
             let cell = |(n, rs): (&usize, &Vec<&Row>)| {
@@ -147,7 +152,14 @@
             let cells: Vec<String> = sizes.iter().map(cell).collect();
             let points: Vec<(f64, f64)> =
                 sizes.iter().flat_map(|(n, rs)| rs.iter().map(|r| (*n as f64, f(r)))).collect();
-            s += &format!("  {name:<20} {}{}\n", cells.join("   "), said(Growth::of(&points)));
+            s += &format!(
+                "  {name:<20} {}{}\n",
+                cells.join("   "),
+                said(
+                    Growth::of(&points),
+                    most.map(|(node, keeper)| if role == "keeper" { keeper } else { node })
+                )
+            );
         }
         for (n, rs) in sizes.iter().filter(|(_, rs)| rs.iter().any(|r| r.asked > 0)) {
             let most = |f: fn(&Row) -> f64| rs.iter().map(|r| f(r)).fold(0.0, f64::max);
@@ -165,8 +177,18 @@
     )
 }
 
-fn said(g: Option<Growth>) -> String {
+fn said(g: Option<Growth>, most: Option<f64>) -> String {
     let Some(g) = g else { return String::new() };
+    if g.line().fit < 0.9 {
+        return format!("\n      no clear growth (R2 {:.2})", g.line().fit);
+    }
     let (l, by) = (g.line(), if matches!(g, Growth::Square(_)) { "nodes^2" } else { "nodes" });
-    format!("   = {:.4e} * {by} + {:.4e} (R2 {:.4})", l.slope, l.intercept, l.fit)
+    let passes = |most: f64| match g.passes(most) {
+        Some(n) => format!("passes {most:.1e} at {n:.0} nodes"),
+        None if g.at(0.0) > most => format!("above {most:.1e} at any size"),
+        None => format!("never passes {most:.1e}"),
+    };
+    let line = format!("{:.4e} * {by} + {:.4e} (R2 {:.4})", l.slope, l.intercept, l.fit);
+    let at = format!("at 7100: {:.4e}", g.at(7100.0));
+    format!("\n      = {line}; {at}; {}", most.map(passes).unwrap_or_default())
 }
