--- a/crates/hollow/src/plot.rs
+++ b/crates/hollow/src/plot.rs
@@ -15,6 +15,15 @@
     grouped(rows).into_iter().map(one).filter(|(_, p)| !p.is_empty()).collect()
 }
 
+fn labels(rows: &[Row]) -> Vec<String> {
+    grouped(rows).into_keys().map(|(stretch, role)| format!("{role}, {stretch}")).collect()
+}
+
+/// The same in every panel.
+fn color(rows: &[Row], label: &str) -> RGBAColor {
+    Palette99::pick(labels(rows).iter().position(|l| l == label).unwrap_or(0)).to_rgba()
+}
+
 /// One panel for each figure, both axes by powers of ten; the middle of the runs.
 pub fn plot(rows: &[Row]) -> Result<String> {
     let mut svg = String::new();
@@ -43,18 +52,25 @@
             .y_label_area_size(70)
             .build_cartesian_2d(edge(|p| p.0).log_scale(), edge(|p| p.1).log_scale())
             .map_err(|e| e.to_string())?;
-        let axes = c.configure_mesh().x_desc("nodes").y_label_formatter(&|y| format!("{y:.0e}")).draw();
+        let axes = c
+            .configure_mesh()
+            .max_light_lines(0)
+            .x_desc("nodes")
+            .y_label_formatter(&|y| format!("{y:.0e}"))
+            .draw();
         axes.map_err(|e| e.to_string())?;
-        for (i, (label, points)) in all.iter().enumerate() {
-            let color = Palette99::pick(i).to_rgba();
-            let line = LineSeries::new(points.clone(), color.stroke_width(2)).point_size(3);
-            let line = c.draw_series(line).map_err(|e| e.to_string())?;
-            let key = move |(x, y)| PathElement::new(vec![(x, y), (x + 16, y)], color.stroke_width(2));
-            line.label(label).legend(key);
+        for (label, points) in &all {
+            let line = LineSeries::new(points.clone(), color(rows, label).stroke_width(2)).point_size(3);
+            c.draw_series(line).map_err(|e| e.to_string())?;
         }
-        let mut labels = c.configure_series_labels();
-        let labels = labels.position(SeriesLabelPosition::UpperLeft).background_style(WHITE.mix(0.8));
-        labels.border_style(BLACK).label_font(("sans-serif", 11)).draw().map_err(|e| e.to_string())?;
+    }
+    // The panel that no figure takes says which line is whose.
+    for (i, label) in labels(rows).iter().enumerate() {
+        let (y, style) = (40 + 24 * i as i32, ("sans-serif", 16).into_font());
+        let mark = Rectangle::new([(40, y), (70, y + 8)], color(rows, label).filled());
+        panels[FIGURES.len()].draw(&mark).map_err(|e| e.to_string())?;
+        let name = Text::new(label.clone(), (84, y - 4), style);
+        panels[FIGURES.len()].draw(&name).map_err(|e| e.to_string())?;
     }
     root.present().map_err(|e| e.to_string())
 }
