--- a/crates/nuc/src/run.rs
+++ b/crates/nuc/src/run.rs
@@ -2,6 +2,8 @@
 use crate::leave::leave;
 use crate::{NucEnv, Seat};
 use brood::*;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
 use skep::door::{self, Door, Limits, Visit};
 use skep::exec::{ExecEnv, Manner};
 use skep::front::Reply;
@@ -118,6 +120,8 @@
     if let Some((_, has)) = env.keeps().filter(|(_, mb)| *mb < LEAST) {
         return SmallSnafu { has: *has, need: LEAST }.fail();
     }
+    // Before anything is begun, so that a word to stop is never lost.
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).context(SignalsSnafu)?;
     let logs = LogRing::default();
     on_panic(logs.clone());
     let log = logs.logger();
@@ -130,7 +134,6 @@
     let (tx, start) = skep::exec::rounds(exec);
     let listen = |a: Option<SocketAddr>| a.map(bind).transpose();
     let (front, ready, control) = (listen(env.front)?, listen(env.ready)?, listen(env.control)?);
-    let mut signals = signal_hook::iterator::Signals::new([15, 2]).context(SignalsSnafu)?;
     let part = Box::new(env.gate(skep::life()));
     let gate = Start { part, first: vec![], ring: None, seat: Seat::Gate, rounds: Some(tx) };
     let grace = env.grace;
@@ -145,7 +148,8 @@
         let _ready = serve(ready, &fronts.ready, Arc::new(inner));
         let _control = serve(control, &fronts.control, Arc::new(inner));
         thread::spawn(move || {
-            if let Some(s) = signals.forever().next() {
+            // Settings count from the next start: a word that they changed ends nothing.
+            if let Some(s) = signals.forever().find(|s| *s != SIGHUP) {
                 info!(log, "leaving"; "signal" => s);
                 leave(&h, callers.as_deref(), grace);
                 h.stop();
