--- a/crates/brood/src/sheet.rs
+++ b/crates/brood/src/sheet.rs
@@ -155,8 +155,15 @@
 
     /// Why the edits, all together, may not be taken.
     pub fn flaw(&self, edits: &[Edit]) -> Option<Flaw> {
+        // What is overtaken has no effect: it may name what has gone since, though not
+        // what never was.
+        let gone = |e: &Edit, svc: &Svc| {
+            let was = self.items.contains_key(&Key::Entry(Section::Services, svc.0.clone()));
+            was && !self.newer(e)
+        };
         let unknown = |e: &Edit| {
-            let lost = e.lane()?.weights.iter().find(|(s, _)| !self.service_after(edits, s))?;
+            let known = |s: &Svc| self.service_after(edits, s) || gone(e, s);
+            let lost = e.lane()?.weights.iter().find(|(s, _)| !known(s))?;
             Some(Flaw::UnknownService { name: e.name.clone(), svc: lost.0.clone() })
         };
         edits.iter().find_map(Edit::flaw).or_else(|| edits.iter().find_map(unknown))
