--- a/crates/brood/src/follow.rs
+++ b/crates/brood/src/follow.rs
@@ -79,12 +79,12 @@
     }
 
     /// Until when the lease holds: so many keepers carry it that they meet every
-    /// classic quorum.
+    /// classic quorum. Of an empty roster nothing does.
     pub fn in_touch_until(&self) -> Mono {
         let need = waggle::meets_all(self.members.len());
         let mut v: Vec<Mono> = self.members.iter().filter_map(|m| self.leases.get(&m.kid)).copied().collect();
         v.sort_by(|a, b| b.cmp(a));
-        v.get(need - 1).copied().unwrap_or_default()
+        need.checked_sub(1).and_then(|i| v.get(i)).copied().unwrap_or_default()
     }
 
     pub fn leased(&self, now: Mono) -> bool {
--- a/crates/waggle/src/lib.rs
+++ b/crates/waggle/src/lib.rs
@@ -19,7 +19,7 @@
 
 /// `N - CQ + 1`: so many that every classic quorum has one of them.
 pub fn meets_all(n: usize) -> usize {
-    n - classic(n) + 1
+    n + 1 - classic(n)
 }
 
 /// `ceil(3N/4)`.
