--- a/crates/brood/src/cmd.rs
+++ b/crates/brood/src/cmd.rs
@@ -100,10 +100,11 @@
     fn asks_rows(&self) -> bool {
         matches!(self, Op::Settle { early: true, .. })
     }
-    /// Those that come together travel as one command: purges, and what a start of many
-    /// processes brings.
+    /// Those that come together travel as one command: purges, what a start of many
+    /// processes brings, and edits, which all clash and would each be weighed against all
+    /// others under way.
     pub fn gathers(&self) -> bool {
-        matches!(self, Op::Purge(_) | Op::PurgeBy(_) | Op::Join(..) | Op::Register(..))
+        matches!(self, Op::Purge(_) | Op::PurgeBy(_) | Op::Join(..) | Op::Register(..) | Op::Edit(_))
     }
     fn is_row(&self) -> bool {
         matches!(self, Op::Row { .. } | Op::Edit(_))
--- a/crates/brood/src/follow.rs
+++ b/crates/brood/src/follow.rs
@@ -23,7 +23,7 @@
     /// This process's life; renewals asked for by an earlier one lend nothing.
     pub life: u64,
     pub lease: Span,
-    /// Goes on without a lease once it holds all that some keeper had: a deployment's choice of
+    /// Goes on without a lease once it has held one: a deployment's choice of
     /// serving while out of touch over denying; see `docs/in-force.md`.
     pub serve_on: bool,
 }
@@ -43,8 +43,9 @@
     /// By keeper: its feed, and the last number held of it without a gap.
     got: BTreeMap<Addr, (u64, u64)>,
     asked: Mono,
-    /// Holds all that some keeper had when this follower turned to it.
-    synced: bool,
+    /// Held the lease at some time of this life: then it holds all that an earlier life
+    /// may have shown.
+    touched: bool,
 }
 
 const EVERY: Span = Span::ms(200);
@@ -60,7 +61,7 @@
             leases: BTreeMap::new(),
             got: BTreeMap::new(),
             asked: Mono(0),
-            synced: false,
+            touched: false,
         }
     }
 
@@ -70,7 +71,7 @@
 
     /// Whether it serves at all, lease or not.
     pub fn leased_until(&self) -> Mono {
-        let on = self.env.serve_on && self.synced;
+        let on = self.env.serve_on && self.touched;
         if on {
             Mono(u64::MAX >> 1)
         } else {
@@ -140,7 +141,10 @@
         let era = self.era;
         self.items.retain(|k, it| !old_purge(era, k, it));
         let (feed, got) = self.got.get(&from).copied().unwrap_or_default();
-        self.synced |= n.full;
+        // Whoever holds all may be lent the lease: it asks at once.
+        if n.full {
+            self.asked = Mono(0);
+        }
         if n.full || (n.feed == feed && n.from <= got) {
             let to = if n.feed == feed { n.to.max(got) } else { n.to };
             self.got.insert(from, (n.feed, to));
@@ -153,6 +157,7 @@
             self.sure = self.sure.max(n.era);
             let l = self.leases.entry(r.kid).or_default();
             *l = (*l).max(r.ask + self.env.lease);
+            self.touched |= self.in_touch_until() > Mono(0);
         }
         new
     }
--- a/crates/brood/src/sheet.rs
+++ b/crates/brood/src/sheet.rs
@@ -107,6 +107,17 @@
         Key::Entry(self.section, self.name.clone())
     }
 
+    /// Bytes, roughly.
+    pub fn size(&self) -> usize {
+        let said = match &self.body {
+            Some(Body::Lane(l)) => l.said.len() + l.weights.len() * 40,
+            Some(Body::Service(s)) => s.said.len(),
+            Some(Body::Limits(l)) => l.said.len(),
+            _ => 0,
+        };
+        120 + self.name.len() + said
+    }
+
     fn lane(&self) -> Option<&LaneEntry> {
         match &self.body {
             Some(Body::Lane(l)) => Some(l),
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -114,6 +114,11 @@
         self.follow.leased(now)
     }
 
+    /// Holds all that is in force, serving on or not.
+    pub fn in_touch(&self, now: Mono) -> bool {
+        self.follow.in_touch_until() > now
+    }
+
     pub(crate) fn leave(&mut self, now: Mono) {
         self.leaving = self.leaving.or(Some(now));
     }
@@ -125,7 +130,7 @@
     fn health(&self, now: Mono) -> Health {
         let (leaving, drained) = (self.leaving.is_some(), self.drained(now));
         // One that serves on out of touch does so for callers that have nowhere else to go.
-        let fit = self.follow.in_touch_until() > now;
+        let fit = self.in_touch(now);
         let why = match (drained, leaving, fit) {
             (true, ..) => "draining",
             (_, true, _) => "leaving: takes requests for a moment yet",
--- a/crates/gate/src/news.rs
+++ b/crates/gate/src/news.rs
@@ -16,7 +16,12 @@
     pub(crate) fn on_news(&mut self, now: Mono, from: Addr, n: News, out: &mut Vec<Out>) {
         // A lapse is seen before this news may end it.
         self.check_lapse(now);
+        let sure = self.follow.sure;
         let new = self.follow.on_news(from, &n, out);
+        // One that served on for so long may have missed purges that nobody remembers.
+        if !mark_holds(sure, self.follow.sure) {
+            self.forget();
+        }
         if !new.is_empty() {
             self.table = Arc::new(Table::build(&self.follow.items));
         }
@@ -48,9 +53,13 @@
         if held && self.lapsed {
             self.lapsed = false;
             self.count("leases");
-            self.copies.clear();
-            self.fills.clear();
-            self.jobs.values_mut().for_each(|j| j.spoiled = true);
+            self.forget();
         }
     }
+
+    fn forget(&mut self) {
+        self.copies.clear();
+        self.fills.clear();
+        self.jobs.values_mut().for_each(|j| j.spoiled = true);
+    }
 }
--- a/crates/gate/src/read.rs
+++ b/crates/gate/src/read.rs
@@ -124,10 +124,12 @@
     ) {
         let caller = Caller::Gate(from, ask);
         // Purges may not have reached a gate out of touch: others do not rely on it.
-        if self.follow.in_touch_until() <= now {
+        if !self.in_touch(now) {
             return out.push(Out::Send(from, Msg::CopyGot { ask, said: CopySaid::None }));
         }
-        let held = self.copies.get(now, &obj).cloned();
+        let rows = self.table.lanes.get(&obj.1).cloned().unwrap_or_default();
+        let ttl = rows.iter().find(|(s, _)| *s == obj.0).map_or(Span(0), |(_, r)| r.ttl);
+        let held = self.copies.get(now, &obj).filter(|c| now - c.since < ttl).cloned();
         if let Some(c) = held {
             let until = c.until.min(self.leased_until());
             let said = CopySaid::Got(Box::new(c.show(now, until)));
--- a/crates/hollow/src/fleet.rs
+++ b/crates/hollow/src/fleet.rs
@@ -93,7 +93,17 @@
 
 pub(crate) fn beat(p: &Plan, i: usize) -> Beat {
     let (svc, zone) = (svc(i % p.services()), zone(i));
-    Beat { svc, addr: addr(2, i), birth: birth(i), zone, cap: 256, occupancy: 7, mood: Mood::Serving }
+    Beat {
+        svc,
+        addr: addr(2, i),
+        birth: birth(i),
+        zone,
+        cap: 256,
+        occupancy: 7,
+        mood: Mood::Serving,
+        seq: 0,
+        tag: String::new(),
+    }
 }
 
 /// The state that the keepers' disks hold.
@@ -110,14 +120,21 @@
     let node = |i: usize| {
         let (a, z, birth) = (node_addr(i), zone(i), birth(i));
         let n = Node { role: role(p, i), addr: a, http: a, zone: z, birth, standing: Standing::Serving };
-        put(Key::Node(NodeId(i as u16)), Body::Node(n))
+        put(Key::Node(NodeId(i as u64)), Body::Node(n))
     };
     let origin = |i: usize| {
         let b = beat(p, i);
-        let o = Origin { svc: b.svc, birth: b.birth, zone: b.zone, cap: b.cap, standing: Standing::Serving };
+        let o = Origin {
+            svc: b.svc,
+            birth: b.birth,
+            zone: b.zone,
+            cap: b.cap,
+            tag: b.tag,
+            standing: Standing::Serving,
+        };
         put(Key::Origin(b.addr), Body::Origin(o))
     };
-    let seat = |i: usize| Seat { id: NodeId(i as u16), addr: node_addr(i), zone: zone(i), birth: birth(i) };
+    let seat = |i: usize| Seat { id: NodeId(i as u64), addr: node_addr(i), zone: zone(i), birth: birth(i) };
     let mut seats: Vec<Seat> = (0..p.combs()).map(seat).collect();
     seats.sort();
     let rows = (0..p.services()).map(|i| put(Key::Row(lane(i), svc(i)), Body::Row(row(1_000_000))));
@@ -135,6 +152,7 @@
             zone: zone(i),
             seeds: (0..KEEPERS).filter(|k| *k != i).map(keeper_addr).collect(),
             found: true,
+            open: None,
             lease: LEASE,
             cut_at: 256,
             window: WINDOW,
@@ -154,7 +172,7 @@
 pub(crate) fn node(p: &Plan, i: usize, whole: bool, now: Mono) -> (Body3, Vec<Out>) {
     let role = role(p, i);
     let follow = FollowEnv {
-        id: NodeId(i as u16),
+        id: NodeId(i as u64),
         role,
         addr: node_addr(i),
         http: node_addr(i),
@@ -163,12 +181,23 @@
         birth: birth(i),
         life: i as u64 + 1,
         lease: LEASE,
+        serve_on: false,
     };
     let mut out = vec![];
     let body = match (role, whole) {
         (Role::Comb, _) => {
             let (base_after, room, most) = (128 << 18, 128 << 16, 20 << 20);
-            let env = CombEnv { follow, window: WINDOW, base_after, room, most, boot: 1 };
+            let env = CombEnv {
+                follow,
+                window: WINDOW,
+                base_after,
+                room,
+                most,
+                boot: 1,
+                losses: 1,
+                leave: brood::LEAVE,
+                sparing: false,
+            };
             let kept = vec![comb::Kept::Birth(birth(i))];
             Body3::Comb(Box::new(Comb::start(env, kept, i as u64 + 1, now, &mut out)))
         }
@@ -180,6 +209,10 @@
             copies: 64 << 20,
             hands: (256, 1024),
             grace: Span::secs(1),
+            losses: 1,
+            stock: true,
+            leave: brood::LEAVE,
+            policy: gate::GatePolicy::default(),
         }))),
     };
     (body, out)
--- a/crates/hollow/src/level.rs
+++ b/crates/hollow/src/level.rs
@@ -172,7 +172,7 @@
 
     /// A child's word and what it gets back.
     fn word(&mut self, now: Mono, c: usize, renew: bool) {
-        let w = Word { id: NodeId(c as u16), life: 1, got: self.got[c], ask: now, renew };
+        let w = Word { id: NodeId(c as u64), life: 1, got: self.got[c], ask: now, renew };
         let (b, cost) = self.meter.of(|| postcard::to_stdvec(&w).unwrap_or_default());
         self.down.cpu += cost;
         self.down.msgs_out += 1;
--- a/crates/keeper/src/force.rs
+++ b/crates/keeper/src/force.rs
@@ -53,6 +53,7 @@
             let fits = |(_, c): &&(Option<Token>, Change)| {
                 bytes += match &c.op {
                     Op::PurgeBy(s) => s.len() * 120,
+                    Op::Edit(es) => es.iter().map(Edit::size).sum::<usize>(),
                     Op::Purge(s) => s.iter().map(|(_, p)| p.len() + 40).sum::<usize>(),
                     _ => 200,
                 };
