--- a/crates/comb/src/comb.rs
+++ b/crates/comb/src/comb.rs
@@ -138,8 +138,9 @@
             self.save(now, grant, out);
         }
         // Too large to keep: later tries are in doubt, as if the answer were lost.
-        // Nor may outcomes take the room of grants.
-        let small = whole.size() <= self.env.most / 16 && self.ledger.bytes < self.env.most / 4 * 3;
+        // Nor may an outcome that may as well be lost take the room of grants.
+        let room = !self.env.sparing || self.ledger.bytes < self.env.most / 4 * 3;
+        let small = whole.size() <= self.env.most / 16 && room;
         if small && held.is_none_or(|(same, known)| same && !known) {
             self.count("outcomes");
             self.save(now, Kept::Outcome { key: key.clone(), round, whole }, out);
