--- a/crates/brood/src/follow.rs
+++ b/crates/brood/src/follow.rs
@@ -82,6 +82,9 @@
     /// Until when the lease holds: so many keepers carry it that they meet every
     /// classic quorum. Of an empty roster nothing does.
     pub fn in_touch_until(&self) -> Mono {
+        if self.members.is_empty() {
+            return Mono(0);
+        }
         let need = waggle::meets_all(self.members.len());
         let mut v: Vec<Mono> = self.members.iter().filter_map(|m| self.leases.get(&m.kid)).copied().collect();
         v.sort_by(|a, b| b.cmp(a));
