--- a/crates/swarm/src/field.rs
+++ b/crates/swarm/src/field.rs
@@ -25,6 +25,19 @@
     /// Content's generation by path prefix "": grows when content changes.
     pub edition: u64,
     pub keeper: usize,
+    /// Requests it runs at once, and those that may wait for it; it refuses more. With
+    /// no slots it takes all.
+    pub slots: usize,
+    pub queue: usize,
+    /// Until when each slot is taken.
+    pub taken: Vec<Mono>,
+    /// Takes nothing at all.
+    pub refuses: bool,
+    /// Names its answers by their edition, says so if a copy still is what it has, and
+    /// tags them.
+    pub tags: bool,
+    /// Its beats so far.
+    pub seq: u64,
     pub hits: BTreeMap<String, u64>,
     /// What its answers say besides. An answer that is not public is made for its
     /// caller, and says for whom.
@@ -49,6 +62,12 @@
             in_hand: 0,
             edition: 1,
             keeper,
+            slots: 0,
+            queue: 0,
+            taken: vec![],
+            refuses: false,
+            tags: false,
+            seq: 0,
             hits: BTreeMap::new(),
             heads: Heads::default(),
         };
@@ -56,32 +75,11 @@
         self.at(Span::ms(1), Ev::Beat(a, birth.0));
     }
 
-    /// Crashes without a word.
-    pub fn wither(&mut self, a: Addr) {
-        let now = self.now;
-        self.blooms.get_mut(&a).into_iter().for_each(|b| {
-            b.up = false;
-            b.left = Some(now);
-        });
-    }
-
-    /// Says it is leaving, but goes on answering.
-    pub fn take_leave(&mut self, a: Addr, mood: Mood) {
-        let now = self.now;
-        self.blooms.get_mut(&a).into_iter().for_each(|b| {
-            b.mood = mood;
-            b.left = Some(now);
-        });
-        let keepers = self.of(Role::Keeper);
-        let to = self.blooms.get(&a).map(|b| keepers[b.keeper % keepers.len()]);
-        to.into_iter().for_each(|k| self.say_beat(a, k));
-    }
-
     pub(crate) fn beat(&mut self, a: Addr, life: u64) {
-        let keepers = self.of(Role::Keeper);
+        let doors = self.doors();
         let Some(b) = self.blooms.get_mut(&a).filter(|b| b.up && b.birth.0 == life) else { return };
-        let to = keepers[b.keeper % keepers.len()];
-        // A keeper that does not take the beat is left for the next one.
+        let to = doors[b.keeper % doors.len()];
+        // Whoever does not take the beat is left for the next one.
         let deaf = self.procs[&to].frozen || self.procs[&to].part.is_none();
         if deaf {
             b.keeper += 1;
@@ -91,17 +89,19 @@
         self.at(Span::ms(200), Ev::Beat(a, life));
     }
 
-    /// One beat as things are now, on its way to a keeper.
+    /// One beat as things are now, on its way.
     pub fn say_beat(&mut self, a: Addr, to: Addr) {
-        let Some(b) = self.blooms.get(&a) else { return };
+        let named = self.plan.open.is_some();
+        let Some(b) = self.blooms.get_mut(&a) else { return };
+        b.seq += named as u64;
         let beat = Beat {
-            seq: 0,
-            tag: String::new(),
+            seq: b.seq,
+            tag: if named { b.birth.to_string() } else { String::new() },
             svc: b.svc.clone(),
             addr: a,
             birth: b.birth,
             zone: b.zone.clone(),
-            cap: 64,
+            cap: if b.slots > 0 { b.slots as u32 } else { 64 },
             occupancy: b.in_hand,
             mood: b.mood,
         };
@@ -133,8 +133,14 @@
         if b.birth != r.birth {
             // It reads for whom the request was meant, and refuses: nothing runs.
             self.count("meant for another life");
-            return self.report(g, life, r.n, Fetched::NotSent);
+            let f = if r.tag.is_empty() { Fetched::NotSent } else { Fetched::Elsewhere };
+            return self.report(g, life, r.n, f);
         }
+        let Some(wait) = self.admitted(&r) else {
+            self.count("refused");
+            let back = self.distance(r.addr, g);
+            return self.report_in(back, g, life, r.n, Fetched::Refused);
+        };
         let whole = self.rng.f64() >= b.lose;
         self.rules.ran(self.now, &b, &r);
         let path = r.req.path.clone();
@@ -142,19 +148,30 @@
             b.in_hand += 1;
             *b.hits.entry(path).or_default() += 1;
         });
-        self.at(b.work, Ev::Answer(g, life, r, (b.birth.0, b.edition), whole));
+        self.at(wait + b.work, Ev::Answer(g, life, r, (b.birth.0, b.edition), whole));
     }
 
     pub(crate) fn answer(&mut self, g: Addr, life: u64, r: Round, (birth, edition): (u64, u64), whole: bool) {
         let b = self.blooms.get_mut(&r.addr).filter(|b| b.up && b.birth.0 == birth);
         let Some(b) = b else { return self.report(g, life, r.n, Fetched::Lost) };
         b.in_hand = b.in_hand.saturating_sub(1);
+        let name = format!("\"{}-{edition}\"", r.req.path);
+        if b.tags && r.req.heads.get("if-none-match") == Some(&name) {
+            return self.unchanged(g, life, &r, edition);
+        }
         // Whose answer, to what, of which edition, made when.
         let open = b.heads.get("cache-control").is_some_and(|c| c.contains("public"));
         let who = if open { String::new() } else { who(&r.req) };
         let body = format!("{}|{}|{}|{}|{who}", b.svc, r.req.path, edition, self.now.0).into_bytes();
-        let heads = b.heads.clone().with("content-digest", digest(&body));
+        let mut heads = b.heads.clone().with("content-digest", digest(&body));
+        if b.tags {
+            // Its tag is the first word of the last part of its path.
+            let last = r.req.path.rsplit('/').next().unwrap_or_default();
+            heads.push("lanewing-tags", last.split('-').next().unwrap_or_default());
+            heads.push("etag", name);
+        }
         let (cut, wrong) = (b.cut, b.wrong);
+        self.count("whole answers");
         let mut sent = body.clone();
         if self.rng.f64() < cut {
             sent.truncate(body.len() / 2);
@@ -171,11 +188,11 @@
         self.report(g, life, r.n, f);
     }
 
-    fn report(&mut self, g: Addr, life: u64, n: u64, f: Fetched) {
+    pub(crate) fn report(&mut self, g: Addr, life: u64, n: u64, f: Fetched) {
         self.report_in(Span(300), g, life, n, f);
     }
 
-    fn report_in(&mut self, after: Span, g: Addr, life: u64, n: u64, f: Fetched) {
+    pub(crate) fn report_in(&mut self, after: Span, g: Addr, life: u64, n: u64, f: Fetched) {
         if self.procs.get(&g).is_some_and(|p| p.life == life) {
             self.next_token += 1;
             let t = Token(self.next_token);
--- a/crates/swarm/src/lib.rs
+++ b/crates/swarm/src/lib.rs
@@ -3,13 +3,17 @@
 //! every step from outside.
 mod carry;
 mod field;
+mod open;
 mod people;
 mod procs;
 mod rules;
+mod scope;
+mod slots;
 mod stage;
 mod world;
 
 pub use field::Bloom;
+pub use open::*;
 pub use people::{req, Seen, Want};
 pub use procs::{Proc, Role3};
 pub use rules::Rules;
--- /dev/null
+++ b/crates/swarm/src/open.rs
@@ -0,0 +1,141 @@
+//! The stage of a deployment that nobody counted, with an operator's sheet.
+use crate::people::{req, Want};
+use crate::stage::{addr, Fleet};
+use crate::world::{Plan, World};
+use brood::*;
+use wax::{Addr, Span, Token, Version};
+
+/// The one host of the sheet that every such stage begins with.
+pub const HOST: &str = "a.example";
+
+impl Plan {
+    /// Gates of two machines in each of three zones; four machines have disks.
+    pub fn open() -> Plan {
+        let open = Some(keeper::Open { initial: true, keeps: true, losses: 1 });
+        let policy =
+            gate::GatePolicy { earn: 0.12, saved: 5.0, near: true, by_load: true, back: Some(Span::ms(120)) };
+        let zones = ["sicilia/a", "sicilia/b", "sicilia/c", "sicilia/a"];
+        let lease = Span::ms(600);
+        Plan { open, policy, zones, lease, gates: 6, stock: false, serve_on: true, ..Plan::trinacria() }
+    }
+}
+
+/// A lane of the host, reached by its name as the path.
+pub fn lane_entry(name: &str, kind: Kind, svc: &str, ttl: Span) -> LaneEntry {
+    LaneEntry {
+        host: HOST.into(),
+        prefix: format!("/{name}/"),
+        kind,
+        timeout: Span::secs(5),
+        aim: Span::secs(1),
+        rank: 3,
+        weights: vec![(svc.into(), 1000)],
+        attempts: 3,
+        ttl,
+        said: String::new(),
+    }
+}
+
+pub fn service_entry(rate: Option<u64>) -> ServiceEntry {
+    ServiceEntry { health: "/".into(), connections: 64, dedups: false, rate, said: String::new() }
+}
+
+pub fn edit(section: Section, name: &str, ver: u64, body: Option<Body>) -> Edit {
+    Edit { section, name: name.into(), ver: Version(ver), body }
+}
+
+pub fn lane_edit(name: &str, ver: u64, l: LaneEntry) -> Edit {
+    edit(Section::Lanes, name, ver, Some(Body::Lane(l)))
+}
+
+/// A request as callers send it, to the host's lane of that name.
+pub fn hosted(method: &str, lane: &str, path: &str, key: Option<&str>) -> Req {
+    let r = req(method, lane, &format!("/{lane}/{path}"), key);
+    Req { host: Some(HOST.into()), ..r }
+}
+
+impl World {
+    pub fn call(&mut self, gate: Addr, lane: &str, path: &str) -> Token {
+        self.ask(gate, Want::Request(hosted("GET", lane, path, None)))
+    }
+
+    pub fn charge(&mut self, gate: Addr, path: &str, key: &str) -> Token {
+        self.ask(gate, Want::Request(hosted("POST", "pay", path, Some(key))))
+    }
+
+    pub fn edit(&mut self, at: Addr, edits: Vec<Edit>) -> Token {
+        self.ask(at, Want::Change(Change { id: None, op: Op::Edit(edits) }))
+    }
+
+    pub fn purge_by(&mut self, at: Addr, by: PurgeBy) -> Token {
+        self.ask(at, Want::Change(Change { id: None, op: Op::PurgeBy(vec![by]) }))
+    }
+
+    /// All origins of the service have newer content from now on.
+    pub fn revise(&mut self, svc: &str) {
+        let now = self.now;
+        let e = self.rules.editions.get(&Svc(svc.into())).map_or(1, |e| e.0) + 1;
+        self.blooms.values_mut().filter(|b| b.svc.0 == svc).for_each(|b| b.edition = e);
+        self.rules.editions.insert(svc.into(), (e, now));
+    }
+
+    /// Machines 1 to 6, of which 1 and 5 have no disk; nothing started yet.
+    pub fn plant_open(plan: Plan, seed: u64) -> (World, Fleet) {
+        let mut w = World::empty(plan, seed);
+        let seeds: Vec<Addr> = [1, 2, 3].map(|m| addr(m, 1)).to_vec();
+        let zone = |w: &World, m: u8| w.plan.zones[(m as usize - 1) % 3];
+        let (mut keepers, mut combs) = (vec![], vec![]);
+        for m in 1..=6 {
+            let z = zone(&w, m);
+            if [1, 5].contains(&m) {
+                w.add_porter(addr(m, 1), z, seeds.clone());
+            } else {
+                w.add_keeper(addr(m, 1), z, seeds.clone(), false);
+                w.add_comb(200 + m as u16, addr(m, 3), z, &seeds);
+                keepers.push(addr(m, 1));
+                combs.push(addr(m, 3));
+            }
+        }
+        let gates: Vec<Addr> = (1..=6).map(|m| addr(m, 2)).collect();
+        for (g, m) in gates.iter().zip(1..) {
+            let z = zone(&w, m);
+            w.add_gate(100 + m as u16, *g, z, &seeds);
+        }
+        let pages = (0..3).map(|i| addr(50 + i, 80)).collect();
+        let desks = (0..8).map(|i| addr(60 + i, 80)).collect();
+        (w, Fleet { keepers, gates, combs, pages, desks })
+    }
+
+    /// Founded, with origins, and lanes `read` (pages), `ask` and `pay` (desk).
+    pub fn standing_open(plan: Plan, seed: u64) -> (World, Fleet) {
+        let (mut w, f) = World::plant_open(plan, seed);
+        w.start_all();
+        let z = w.plan.zones;
+        f.pages.iter().enumerate().for_each(|(i, a)| w.bloom(*a, "pages", z[i % 3]));
+        f.desks.iter().enumerate().for_each(|(i, a)| w.bloom(*a, "desk", z[i % 3]));
+        w.blooms.values_mut().for_each(|b| b.tags = b.svc.0 == "pages");
+        let founded = |w: &World| {
+            let all = |k: &Addr| w.keeper(*k).is_some_and(|k| k.picture().members.len() == 4);
+            f.combs.iter().all(|c| w.comb(*c).is_some_and(|c| c.is_open())) && f.keepers.iter().all(all)
+        };
+        assert!(w.until(Span::secs(20), founded), "the fleet was not founded");
+        w.allow("read", "pages", u32::MAX, Span::secs(5));
+        w.allow("ask", "desk", u32::MAX, Span(0));
+        w.allow("pay", "desk", u32::MAX, Span(0));
+        let service = |n: &str| edit(Section::Services, n, 1, Some(Body::Service(service_entry(None))));
+        let sheet = vec![
+            service("pages"),
+            service("desk"),
+            lane_edit("read", 1, lane_entry("read", Kind::Read, "pages", Span::secs(5))),
+            lane_edit("ask", 1, lane_entry("ask", Kind::Plain, "desk", Span(0))),
+            lane_edit("pay", 1, lane_entry("pay", Kind::Keyed, "desk", Span(0))),
+        ];
+        let t = w.edit(f.gates[0], sheet);
+        let taken = |w: &World| !w.wants.contains_key(&t);
+        assert!(w.until(Span::secs(20), taken), "the sheet was not taken");
+        let said = w.seen.last().map(|s| s.receipt.clone());
+        assert!(matches!(said, Some(Receipt::Change(Verdict::Done(_)))), "the sheet: {said:?}");
+        w.run(Span::secs(1));
+        (w, f)
+    }
+}
--- a/crates/swarm/src/people.rs
+++ b/crates/swarm/src/people.rs
@@ -9,6 +9,10 @@
     Request(Req),
     Change(Change),
     Table,
+    /// The whole state by agreement, through a gate.
+    Read,
+    /// An origin signs off by what it calls its life.
+    SignOff(String),
     Beat(Addr),
     Probes,
     Ready,
@@ -24,6 +28,7 @@
 /// A question and its receipt, with both times.
 #[derive(Clone, Debug)]
 pub struct Seen {
+    pub token: Token,
     pub at: Addr,
     pub want: Want,
     pub asked: Mono,
@@ -47,6 +52,8 @@
             Want::Request(r) => Ask::Begin(r.clone()),
             Want::Change(c) => Ask::Change(c.clone()),
             Want::Table => Ask::Table,
+            Want::Read => Ask::Read,
+            Want::SignOff(tag) => Ask::SignOff(tag.clone()),
             Want::Drain => Ask::Drain,
             Want::Ready | Want::Beat(_) | Want::Probes => Ask::Ready,
         };
@@ -82,6 +89,7 @@
         match (&want, &r) {
             (Want::Beat(b), Receipt::NotNow(_)) => {
                 self.blooms.get_mut(b).into_iter().for_each(|b| b.keeper += 1);
+                self.count("beats not taken");
                 return;
             }
             (Want::Beat(b), Receipt::Change(Verdict::Done(_))) => {
@@ -92,7 +100,11 @@
             (Want::Probes, Receipt::Probes(all)) => return self.probe_all(a, all.clone()),
             _ => (),
         }
-        let s = Seen { at, want, asked, told: self.now, receipt: r };
+        let clock = self.procs.get(&a).map(|p| p.clock(self.now)).unwrap_or_default();
+        if self.plan.serve_on && self.gate(a).is_some_and(|g| !g.in_touch(clock)) {
+            self.rules.apart.insert(a);
+        }
+        let s = Seen { token: t, at, want, asked, told: self.now, receipt: r };
         self.rules.told(&s);
         self.seen.push(s);
     }
--- a/crates/swarm/src/rules.rs
+++ b/crates/swarm/src/rules.rs
@@ -1,6 +1,7 @@
 //! The brief's must-never list, checked from outside at every step.
 use crate::field::Bloom;
 use crate::people::{who, Seen, Want, TRY};
+use crate::scope::Scope;
 use brood::*;
 use std::collections::{BTreeMap, BTreeSet};
 use wax::{Addr, Mono, Span, Version};
@@ -22,15 +23,27 @@
     tried: BTreeSet<String>,
     /// Acknowledged: from when on each item must be in force.
     pub acked: BTreeMap<Key, (Version, Mono)>,
-    purged: Vec<(Svc, String, u64, Mono)>,
+    purged: Vec<(Svc, Scope, u64, Mono)>,
+    /// When an origin last said that this edition of this is what it has.
+    same: BTreeMap<(Svc, String, u64), Mono>,
+    /// What reached origins, run there or refused: when, and which try it was.
+    pub reached: Vec<(Mono, String)>,
+    /// Gates that serve on though out of touch: nothing new binds them.
+    pub apart: BTreeSet<Addr>,
     /// By address: a gate that starts anew is still bound by what it showed.
     shown: BTreeMap<(Addr, Key), Version>,
+    /// The same within one life of a gate.
+    lives: BTreeMap<(Addr, u64, Key), Version>,
     pub ttl: BTreeMap<Lane, Span>,
     /// The edition every origin of a service has had since then.
     pub editions: BTreeMap<Svc, (u64, Mono)>,
 }
 
 impl Rules {
+    pub(crate) fn same(&mut self, now: Mono, r: &Round, edition: u64) {
+        self.same.insert((r.svc.clone(), r.req.path.clone(), edition), now);
+    }
+
     pub fn broke(&mut self, rule: &str, what: String) {
         self.broken.insert(format!("{rule}: {what}"));
     }
@@ -42,6 +55,7 @@
     }
 
     pub fn reached(&mut self, now: Mono, b: &Bloom, r: &Round) {
+        self.reached.push((now, r.req.heads.get(TRY).unwrap_or_default().to_string()));
         if b.svc != r.svc || !self.allowed.contains(&(r.req.lane.clone(), b.svc.clone())) {
             self.broke(
                 "service never allowed",
@@ -77,7 +91,7 @@
     /// Somebody was told something.
     pub fn told(&mut self, s: &Seen) {
         match (&s.want, &s.receipt) {
-            (Want::Request(q), Receipt::Step(Step::Serve(w, from, _))) => self.served(s.told, q, w, *from),
+            (Want::Request(q), Receipt::Step(Step::Serve(w, from, _))) => self.served(s, q, w, *from),
             (Want::Request(q), Receipt::Step(Step::Deny(..))) if q.method != "GET" => {
                 let name = q.key.clone().unwrap_or(format!("{}/{}", q.lane, q.path));
                 let tag = q.heads.get(TRY).unwrap_or(&name).to_string();
@@ -86,27 +100,46 @@
                 }
                 self.denied.insert(tag);
             }
-            (Want::Change(c), Receipt::Change(Verdict::Done(ks))) => self.change(s.told, c, ks),
-            (Want::Table, Receipt::Table(p, _)) => self.read_back(s.asked, p),
+            (Want::Change(c), Receipt::Change(Verdict::Done(ks))) => self.change(s, c, ks),
+            (Want::Table | Want::Read, Receipt::Table(p, _)) => self.read_back(s.asked, p),
             _ => (),
         }
     }
 
-    fn change(&mut self, now: Mono, c: &Change, ks: &[(Key, Version)]) {
-        // Purges are checked by what is served, and gathered in time.
-        for (k, v) in ks.iter().filter(|(k, _)| !matches!(k, Key::Purge(..))) {
+    fn change(&mut self, seen: &Seen, c: &Change, ks: &[(Key, Version)]) {
+        let now = seen.told;
+        // Purges are checked by what is served, and gathered in time. Of the sheet's
+        // entries this version or a higher one stands, whoever brought it about.
+        let edits: Vec<(Key, Version)> = match &c.op {
+            Op::Edit(es) => es.iter().map(|e| (e.key(), e.ver)).collect(),
+            _ => vec![],
+        };
+        let purge = |k: &Key| matches!(k, Key::Purge(..) | Key::PurgeBy(_));
+        for (k, v) in ks.iter().chain(&edits).filter(|(k, _)| !purge(k)) {
             let was = self.acked.entry(k.clone()).or_insert((*v, now));
             if *v > was.0 {
                 *was = (*v, now);
             }
         }
-        if let Op::Purge(all) = &c.op {
-            for (svc, p) in all {
-                let (e, since) = self.editions.get(svc).copied().unwrap_or((1, Mono(0)));
-                // Only content changed before the purge was sent is bound by it.
-                if since < now {
-                    self.purged.push((svc.clone(), p.clone(), e, now));
-                }
+        let named = |all: &Vec<(Svc, String)>| {
+            all.iter().map(|(s, p)| (s.clone(), Scope::Prefix(p.clone()))).collect::<Vec<_>>()
+        };
+        let any = |by: &PurgeBy| {
+            let by = by.clone();
+            self.editions.keys().map(move |s| (s.clone(), Scope::By(by.clone())))
+        };
+        let scopes = match &c.op {
+            Op::Purge(all) => named(all),
+            Op::PurgeBy(all) => all.iter().flat_map(any).collect(),
+            _ => vec![],
+        };
+        for (svc, scope) in scopes {
+            let (e, since) = self.editions.get(&svc).copied().unwrap_or((1, Mono(0)));
+            // Only content changed before the purge was sent is bound by it; one that went
+            // through other nodes may have been long on its way.
+            let sent = if matches!(scope, Scope::By(_)) { seen.asked } else { now };
+            if since <= sent {
+                self.purged.push((svc, scope, e, now));
             }
         }
     }
@@ -118,7 +151,8 @@
         missing.into_iter().for_each(|m| self.broke("missing at read-back", m));
     }
 
-    fn served(&mut self, now: Mono, q: &Req, w: &Whole, from: Shared) {
+    fn served(&mut self, seen: &Seen, q: &Req, w: &Whole, from: Shared) {
+        let now = seen.told;
         if from == Shared::Own || q.method == "HEAD" {
             return;
         }
@@ -133,6 +167,8 @@
             return self.broke("not its origin's whole answer", format!("{} got {s}", q.path));
         }
         let (edition, made): (u64, u64) = (parts[2].parse().unwrap_or(0), parts[3].parse().unwrap_or(0));
+        let said = self.same.get(&(Svc(parts[0].to_string()), q.path.clone(), edition));
+        let made = made.max(said.map_or(0, |t| t.0));
         let ttl = self.ttl.get(&q.lane).copied().unwrap_or_default();
         if matches!(from, Shared::Copy(_)) && now - Mono(made) > ttl + Span::secs(2) {
             self.broke(
@@ -140,14 +176,28 @@
                 format!("{} by {} ms", q.path, (now - Mono(made)).as_ms()),
             );
         }
-        let stale = |(svc, p, e, at): &&(Svc, String, u64, Mono)| {
-            svc.0 == parts[0] && q.path.starts_with(p.as_str()) && edition < *e && now - *at > Span::secs(2)
+        let stale = |(svc, p, e, at): &&(Svc, Scope, u64, Mono)| {
+            svc.0 == parts[0] && edition < *e && now - *at > Span::secs(2) && p.takes(q, w)
         };
-        if from != Shared::Record && self.purged.iter().any(|x| stale(&x)) {
+        let bound = from != Shared::Record && !self.apart.contains(&seen.at);
+        if bound && self.purged.iter().any(|x| stale(&x)) {
             self.broke("purged content served", format!("{} edition {edition}", q.path));
         }
     }
 
+    /// A gate out of touch does not go back in its life.
+    pub fn no_way_back(&mut self, a: Addr, life: u64, has: impl Fn(&Key) -> Version) {
+        self.lives.retain(|(b, l, _), _| *b != a || *l == life);
+        for k in self.acked.keys() {
+            let v = has(k);
+            let was = self.lives.entry((a, life, k.clone())).or_insert(v);
+            if v < *was {
+                self.broken.insert(format!("went back: {a} {k:?} from {was} to {v}"));
+            }
+            *was = v;
+        }
+    }
+
     /// A gate serves by its table: looked at whenever it may serve.
     pub fn in_force(&mut self, now: Mono, a: Addr, has: impl Fn(&Key) -> Version) {
         let lacks = |(k, (v, at)): &(&Key, &(Version, Mono))| now - *at > Span::ms(0) && has(k) < *v;
--- a/crates/swarm/src/stage.rs
+++ b/crates/swarm/src/stage.rs
@@ -78,13 +78,13 @@
         let f = follow(id, Role::Gate, a, zone, seeds, &self.plan);
         let (hands, grace) = (self.plan.hands, self.plan.grace);
         let policy = self.plan.policy.clone();
-        let (losses, stock) = (self.plan.losses, self.plan.stock);
+        let (losses, stock, copies) = (self.plan.losses, self.plan.stock, self.plan.copies);
         let boot = move |_: Vec<Vec<u8>>, life: u64, _: Mono, _: &mut Vec<Out>| {
             let env = gate::GateEnv {
                 follow: FollowEnv { birth: Birth(life), life, ..f.clone() },
                 fresh: Span::ms(1000),
                 patience: Span::secs(5),
-                copies: 1 << 20,
+                copies,
                 hands,
                 grace,
                 policy: policy.clone(),
@@ -185,9 +185,14 @@
         let clock = p.clock(now);
         let Some(Role3::Gate(g)) = &p.part else { return };
         // Whether or not it ought to: what it serves by is what counts.
-        if g.leased(clock) || served {
-            let items = g.items();
-            let has = |k: &Key| items.get(k).map_or(wax::Version(0), |it| it.ver);
+        let items = g.items();
+        let has = |k: &Key| items.get(k).map_or(wax::Version(0), |it| it.ver);
+        let apart = self.plan.serve_on && !g.in_touch(clock);
+        if apart {
+            self.rules.apart.insert(a);
+            self.rules.no_way_back(a, p.life, has);
+        } else if g.leased(clock) || served {
+            self.rules.apart.remove(&a);
             self.rules.in_force(now, a, has);
         }
     }
--- a/crates/swarm/src/world.rs
+++ b/crates/swarm/src/world.rs
@@ -33,6 +33,8 @@
     /// How long a leaving gate still takes requests.
     pub grace: Span,
     pub policy: gate::GatePolicy,
+    /// Bytes of copies that a gate keeps.
+    pub copies: usize,
     /// Gates serve on while out of touch.
     pub serve_on: bool,
     /// Keepers are not told of one another: the first seed founds, others join.
@@ -58,6 +60,7 @@
             hands: (256, 1024),
             grace: Span::secs(1),
             policy: gate::GatePolicy::default(),
+            copies: 1 << 20,
             serve_on: false,
             open: None,
         }
--- /dev/null
+++ b/crates/swarm/tests/common/open.rs
@@ -0,0 +1,136 @@
+//! What stories of an open deployment with a sheet share.
+#![allow(dead_code)]
+use brood::*;
+use std::collections::BTreeMap;
+use swarm::*;
+use wax::{Addr, Mono, Span, Token};
+
+pub type Sheet = BTreeMap<(Section, String), Item>;
+
+pub fn told(w: &World, t: Token) -> Option<&Seen> {
+    w.seen.iter().rev().find(|s| s.token == t)
+}
+
+/// The answer, which is to come within that time.
+pub fn within(w: &mut World, t: Token, most: Span, what: &str) -> Receipt {
+    w.until(most, |w| told(w, t).is_some());
+    let s = told(w, t).unwrap_or_else(|| panic!("no answer within {} ms: {what}", most.as_ms()));
+    assert!(s.told - s.asked <= most, "late by {:?}: {what}", s.told - s.asked);
+    s.receipt.clone()
+}
+
+pub fn took(w: &World, t: Token) -> Span {
+    told(w, t).map_or(Span::secs(999), |s| s.told - s.asked)
+}
+
+pub fn is_done(r: &Receipt) -> bool {
+    matches!(r, Receipt::Change(Verdict::Done(_)))
+}
+
+/// Asked there, and taken within four seconds.
+pub fn edited(w: &mut World, at: Addr, edits: Vec<Edit>) {
+    let t = w.edit(at, edits);
+    let r = within(w, t, Span::secs(4), "an edit");
+    assert!(is_done(&r), "{r:?}");
+}
+
+pub fn purged(w: &mut World, at: Addr, by: PurgeBy) {
+    let t = w.purge_by(at, by);
+    let r = within(w, t, Span::secs(4), "a purge");
+    assert!(is_done(&r), "{r:?}");
+}
+
+/// With tombstones.
+pub fn sheet(items: &BTreeMap<Key, Item>) -> Sheet {
+    let entry = |(k, it): (&Key, &Item)| match k {
+        Key::Entry(s, n) => Some(((*s, n.clone()), it.clone())),
+        _ => None,
+    };
+    items.iter().filter_map(entry).collect()
+}
+
+/// What all keepers, all gates and all readings through gates show alike.
+pub fn common_sheet(w: &mut World, f: &Fleet, what: &str) -> Sheet {
+    let tokens: Vec<(Addr, Token)> = f.gates.iter().map(|g| (*g, w.ask(*g, Want::Read))).collect();
+    w.run(Span::secs(2));
+    let mut all: Vec<(Addr, Sheet)> =
+        f.keepers.iter().map(|k| (*k, sheet(&w.keeper(*k).expect("is up").picture().items))).collect();
+    all.extend(f.gates.iter().map(|g| (*g, sheet(w.gate(*g).expect("is up").items()))));
+    for (g, t) in tokens {
+        match told(w, t).map(|s| &s.receipt) {
+            Some(Receipt::Table(p, _)) => all.push((g, sheet(&p.items))),
+            r => panic!("no reading through {g}: {r:?}, {what}"),
+        }
+    }
+    let (_, first) = all[0].clone();
+    all.iter().for_each(|(a, s)| assert_eq!(*s, first, "{a} differs, {what}"));
+    first
+}
+
+/// The edition of what was served, and from where.
+pub fn edition(w: &World, t: Token) -> Option<(u64, Shared)> {
+    match &told(w, t)?.receipt {
+        Receipt::Step(Step::Serve(x, from, _)) => {
+            let s = String::from_utf8_lossy(&x.body).to_string();
+            Some((s.split('|').nth(2)?.parse().ok()?, *from))
+        }
+        _ => None,
+    }
+}
+
+pub fn step(w: &World, t: Token) -> Option<&Step> {
+    match &told(w, t)?.receipt {
+        Receipt::Step(s) => Some(s),
+        _ => None,
+    }
+}
+
+pub fn is_served(w: &World, t: Token) -> bool {
+    matches!(step(w, t), Some(Step::Serve(..)))
+}
+
+pub fn count(w: &World, name: &str) -> u64 {
+    w.counts.get(name).copied().unwrap_or(0)
+}
+
+/// Gates of the same zone, and which of them fills a page for the others.
+pub fn home(w: &World, gate: Addr, path: &str) -> Addr {
+    let items = w.gate(gate).expect("is up").items();
+    let nodes: Vec<(u64, Node)> = items
+        .iter()
+        .filter_map(|(k, it)| match (k, &it.body) {
+            (Key::Node(id), Some(Body::Node(n))) if n.role == Role::Gate => Some((id.0, n.clone())),
+            _ => None,
+        })
+        .collect();
+    let here = nodes.iter().find(|(_, n)| n.addr == gate).expect("has joined").1.zone.clone();
+    let near: Vec<(u64, Node)> = nodes.into_iter().filter(|(_, n)| n.zone == here).collect();
+    let object = (Svc::from("pages"), Lane::from("read"), format!("/read/{path}"));
+    wax::rank(&object, &near, |(id, _)| *id)[0].1.addr
+}
+
+/// Pages that this gate fills for its zone.
+pub fn homed(w: &World, gate: Addr, tag: &str, n: usize) -> Vec<String> {
+    let all = (0..500).map(|i| format!("{tag}-{i}"));
+    all.filter(|p| home(w, gate, p) == gate).take(n).collect()
+}
+
+/// Cuts a gate off from whoever keeps or passes on the control state, and from none else.
+pub fn out_of_touch(w: &mut World, gate: Addr) {
+    let all = w.of(Role::Keeper);
+    all.into_iter().for_each(|k| w.cut(gate, k));
+}
+
+/// Arrivals at origins beyond the first of each request: the most that any ten
+/// seconds had over a share of the requests of those ten.
+pub fn most_extra(w: &World, share: f64) -> f64 {
+    let mut seen = std::collections::BTreeSet::new();
+    let all: Vec<(Mono, bool)> = w.rules.reached.iter().map(|(t, n)| (*t, !seen.insert(n.clone()))).collect();
+    let mut worst = f64::MIN;
+    for (i, (from, _)) in all.iter().enumerate() {
+        let span = all[i..].iter().take_while(|(t, _)| *t - *from < Span::secs(10));
+        let (n, extra) = span.fold((0, 0), |(n, x), (_, again)| (n + !*again as u64, x + *again as u64));
+        worst = worst.max(extra as f64 - share * n as f64);
+    }
+    worst
+}
