--- a/crates/swarm/src/open.rs
+++ b/crates/swarm/src/open.rs
@@ -12,8 +12,14 @@
     /// Gates of two machines in each of three zones; four machines have disks.
     pub fn open() -> Plan {
         let open = Some(keeper::Open { initial: true, keeps: true, losses: 1 });
-        let policy =
-            gate::GatePolicy { earn: 0.12, saved: 5.0, near: true, by_load: true, back: Some(Span::ms(120)) };
+        let policy = gate::GatePolicy {
+            earn: 0.12,
+            saved: 5.0,
+            home: wax::Span::ms(100),
+            near: true,
+            by_load: true,
+            back: Some(Span::ms(120)),
+        };
         let zones = ["sicilia/a", "sicilia/b", "sicilia/c", "sicilia/a"];
         let lease = Span::ms(600);
         Plan { open, policy, zones, lease, gates: 6, stock: false, serve_on: true, ..Plan::trinacria() }
