--- a/crates/waggle/src/accept.rs
+++ b/crates/caesar/src/accept.rs
@@ -2,7 +2,7 @@
 //! and Fig. 2).
 use crate::machine::{Machine, Waiter};
 use crate::types::*;
-use wax::Mono;
+use primitives::Mono;
 
 /// What the wait rule says of a proposal now.
 enum Verdict {
--- a/crates/waggle/src/deliver.rs
+++ b/crates/caesar/src/deliver.rs
@@ -1,8 +1,8 @@
 //! The stable phase at an acceptor, loop breaking, delivery, and the repair of
-//! what a keeper missed.
+//! what a controller missed.
 use crate::machine::Machine;
 use crate::types::*;
-use wax::Mono;
+use primitives::Mono;
 
 impl<C: Command> Machine<C> {
     /// A decision is taken whatever its ballot: all decisions on one command agree.
--- a/crates/waggle/src/disk.rs
+++ b/crates/caesar/src/disk.rs
@@ -1,7 +1,7 @@
 //! What the disk gives back, and what it must hold.
 use crate::machine::Machine;
 use crate::types::*;
-use wax::Mono;
+use primitives::Mono;
 
 impl<C: Command> Machine<C> {
     /// Takes back one record of the disk; call for all, in order, before any input.
--- a/crates/waggle/src/lead.rs
+++ b/crates/caesar/src/lead.rs
@@ -2,11 +2,11 @@
 use crate::machine::{Lead, Machine, Step};
 use crate::types::*;
 use crate::{classic, fast};
+use primitives::{Mono, Span};
 use std::collections::BTreeMap;
-use wax::{Mono, Span};
 
 impl<C: Command> Machine<C> {
-    /// PROPOSE: this keeper becomes the command's leader.
+    /// PROPOSE: this controller becomes the command's leader.
     pub fn propose(&mut self, now: Mono, cmd: C, out: &mut Vec<Out<C>>) -> Cid {
         let stamp = self.next_stamp(out);
         let cid = Cid { kid: self.me, seq: stamp.k };
@@ -108,7 +108,7 @@
         self.send_all(Wag::Stable(offer), out);
     }
 
-    /// Timeouts and repeats for all this keeper leads.
+    /// Timeouts and repeats for all this controller leads.
     pub(crate) fn push_leads(&mut self, now: Mono, out: &mut Vec<Out<C>>) {
         let wait = self.rtt().times(2);
         let again = wait.max(Span::ms(20));
--- a/crates/waggle/src/machine.rs
+++ b/crates/caesar/src/machine.rs
@@ -1,6 +1,6 @@
 use crate::types::*;
+use primitives::{Mono, Span};
 use std::collections::{BTreeMap, BTreeSet};
-use wax::{Mono, Span};
 
 /// How patient the machine is. Free parameters of the paper's design.
 #[derive(Copy, Clone, Debug)]
@@ -40,7 +40,7 @@
     pub offer: Offer<C>,
     pub step: Step,
     pub white: bool,
-    /// First reply of each keeper in this phase.
+    /// First reply of each controller in this phase.
     pub votes: BTreeMap<Kid, (bool, Stamp, Preds)>,
     pub finds: BTreeMap<Kid, Option<Tuple<C>>>,
     pub began: Mono,
@@ -124,7 +124,7 @@
     where
         C: std::hash::Hash,
     {
-        wax::hash(&(self.clock, &self.h, &self.ballots, &self.waits, &self.leads, &self.done))
+        primitives::hash(&(self.clock, &self.h, &self.ballots, &self.waits, &self.leads, &self.done))
     }
 
     pub fn clock(&self) -> u64 {
@@ -187,7 +187,7 @@
         let was = self.h.get(&cid).is_some_and(|t| t.status == Status::Stable);
         if s == Status::Stable && !was {
             self.stables += 1;
-            self.digest ^= wax::hash(&(cid.kid.0, cid.seq));
+            self.digest ^= primitives::hash(&(cid.kid.0, cid.seq));
         }
     }
 
--- a/crates/waggle/src/recover.rs
+++ b/crates/caesar/src/recover.rs
@@ -2,8 +2,8 @@
 use crate::machine::{Lead, Machine, Step};
 use crate::types::*;
 use crate::{classic, overlap};
+use primitives::{Mono, Span};
 use std::collections::BTreeMap;
-use wax::{Mono, Span};
 
 impl<C: Command> Machine<C> {
     /// RECOVERYPHASE: a prepare under a higher ballot.
@@ -113,7 +113,7 @@
             self.start(now, o, Phase::Fast, false, out);
         } else {
             // Nobody of the quorum ever saw it: the id is filled, with the command
-            // if this keeper happens to hold it, otherwise without effect.
+            // if this controller happens to hold it, otherwise without effect.
             let cmd = self.h.get(&cid).map_or_else(C::noop, |t| t.cmd.clone());
             let stamp = self.next_stamp(out);
             let o = Offer { cid, cmd, ballot, stamp, pred: Preds::new() };
@@ -122,7 +122,7 @@
     }
 
     /// Finds the commands that stay unfinished too long and recovers them; the
-    /// keepers take turns by rank, so that they seldom compete.
+    /// controllers take turns by rank, so that they seldom compete.
     pub(crate) fn chase(&mut self, now: Mono, out: &mut Vec<Out<C>>) {
         let h = &self.h;
         let done = &self.done;
--- a/crates/waggle/src/types.rs
+++ b/crates/caesar/src/types.rs
@@ -3,12 +3,12 @@
 use std::collections::BTreeSet;
 use std::fmt::Debug;
 
-/// A keeper's id within the agreement. Invariant: one id, one disk; a keeper
+/// A controller's id within the agreement. Invariant: one id, one disk; a controller
 /// that lost its disk never speaks under its old id again.
 #[derive(Copy, Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Kid(pub u16);
 
-/// A logical timestamp `<k, i>`, ordered by `k`, then by keeper.
+/// A logical timestamp `<k, i>`, ordered by `k`, then by controller.
 #[derive(Copy, Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Stamp {
     pub k: u64,
@@ -24,7 +24,7 @@
 }
 
 /// A ballot for one command. `n` 0 belongs to the command's first leader;
-/// above that the recovering keeper's id makes ballots unique.
+/// above that the recovering controller's id makes ballots unique.
 #[derive(Copy, Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Ballot {
     pub n: u32,
@@ -49,7 +49,7 @@
     /// Whether the order of the two matters. Symmetric.
     fn clashes(&self, other: &Self) -> bool;
     /// A command without effect that clashes with nothing; it fills ids whose
-    /// command no reachable keeper ever saw.
+    /// command no reachable controller ever saw.
     fn noop() -> Self;
 }
 
--- a/crates/waggle/tests/hand/mod.rs
+++ b/crates/caesar/tests/hand/mod.rs
@@ -1,9 +1,9 @@
-//! Keepers whose messages are passed by hand.
+//! Controllers whose messages are passed by hand.
 #[path = "../sim/cmd.rs"]
 mod cmd;
+use caesar::*;
 pub use cmd::Cmd;
-use waggle::*;
-use wax::{Mono, Span};
+use primitives::{Mono, Span};
 
 pub type Letter = (usize, usize, Wag<Cmd>);
 
--- a/crates/waggle/tests/sim/cmd.rs
+++ b/crates/caesar/tests/sim/cmd.rs
@@ -1,5 +1,5 @@
 //! A command of the trials: an id and what it touches.
-use waggle::Command;
+use caesar::Command;
 
 #[derive(Clone, Debug, PartialEq, Hash)]
 pub struct Cmd {
--- a/crates/waggle/tests/sim/mod.rs
+++ b/crates/caesar/tests/sim/mod.rs
@@ -1,13 +1,13 @@
-//! Keepers over a virtual network, disk and clock, from one seed.
+//! Controllers over a virtual network, disk and clock, from one seed.
 mod check;
 mod cmd;
 
 pub use cmd::Cmd;
 
+use caesar::*;
+use primitives::{Mono, Span};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
-use waggle::*;
-use wax::{Mono, Span};
 
 pub enum Ev {
     Msg(usize, usize, Wag<Cmd>),
--- a/crates/brood/src/call.rs
+++ b/crates/control-state/src/call.rs
@@ -1,10 +1,10 @@
-//! Calls that a node passes on to a keeper, and what comes back.
+//! Calls that a node passes on to a controller, and what comes back.
 use crate::cmd::Change;
 use crate::items::Beat;
 use crate::part::Receipt;
 use crate::state::{Picture, Verdict};
+use primitives::Span;
 use serde::{Deserialize, Serialize};
-use wax::Span;
 
 /// What any node may be asked of the control state.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -36,7 +36,7 @@
         match self {
             Said::Change(v) => Receipt::Change(v),
             Said::Table(p, b) => Receipt::Table(p, b),
-            Said::NotNow(_) => Receipt::NotNow("a keeper cannot answer now"),
+            Said::NotNow(_) => Receipt::NotNow("a controller cannot answer now"),
             Said::Took => Receipt::Took,
         }
     }
--- a/crates/brood/src/cmd.rs
+++ b/crates/control-state/src/cmd.rs
@@ -1,11 +1,11 @@
-//! What keepers agree on, and which of it clashes.
+//! What controllers agree on, and which of it clashes.
 use crate::items::*;
 use crate::roll::Seat;
 use crate::sheet::{Edit, PurgeBy};
 use crate::state::Era;
+use caesar::Command;
+use primitives::{Addr, Birth, NodeId, Version};
 use serde::{Deserialize, Serialize};
-use waggle::Command;
-use wax::{Addr, Birth, NodeId, Version};
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Op {
@@ -29,7 +29,7 @@
     PurgeBy(Vec<PurgeBy>),
     /// Edits of the sheet, valid or refused as a whole.
     Edit(Vec<Edit>),
-    /// Names the ledger's combs anew, beside the set there is; the same again
+    /// Names the ledger's ledgers anew, beside the set there is; the same again
     /// only makes the version new, to count its time in force from.
     Seats {
         expect: Version,
@@ -44,7 +44,7 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Change {
-    /// None for what keepers derive from beats and joins.
+    /// None for what controllers derive from beats and joins.
     pub id: Option<ChangeId>,
     pub op: Op,
 }
--- a/crates/brood/src/follow.rs
+++ b/crates/control-state/src/follow.rs
@@ -1,13 +1,13 @@
-//! Following the keepers, as gates and combs do: numbered news, merged by
+//! Following the controllers, as edges and ledgers do: numbered news, merged by
 //! version, and the setup lease.
 use crate::items::*;
 use crate::msg::*;
 use crate::part::Out;
 use crate::purged::old_purge;
 use crate::state::Era;
+use caesar::Kid;
+use primitives::{Addr, Birth, Epoch, Mono, NodeId, Span};
 use std::collections::{BTreeMap, BTreeSet};
-use waggle::Kid;
-use wax::{Addr, Birth, Epoch, Mono, NodeId, Span};
 
 /// What a follower is told about itself.
 #[derive(Clone, Debug)]
@@ -18,7 +18,7 @@
     pub http: Addr,
     pub zone: Zone,
     pub seeds: Vec<Addr>,
-    /// A gate's life, or the life of a comb's disk.
+    /// An edge's life, or the life of a ledger's disk.
     pub birth: Birth,
     /// This process's life; renewals asked for by an earlier one lend nothing.
     pub life: u64,
@@ -32,15 +32,15 @@
 pub struct Follow {
     pub env: FollowEnv,
     pub era: Era,
-    /// Invariant: all that was decided before this era is held: a keeper in it renewed
+    /// Invariant: all that was decided before this era is held: a controller in it renewed
     /// the lease, which it does only for one who holds all that it applied.
     pub sure: Era,
     pub members: Vec<Member>,
     /// Invariant: each item's version only grows.
     pub items: BTreeMap<Key, Item>,
-    /// Until when each keeper's renewal carries the lease, counted from our asking.
+    /// Until when each controller's renewal carries the lease, counted from our asking.
     leases: BTreeMap<Kid, Mono>,
-    /// By keeper: its feed, and the last number held of it without a gap.
+    /// By controller: its feed, and the last number held of it without a gap.
     got: BTreeMap<Addr, (u64, u64)>,
     asked: Mono,
     /// Held the lease at some time of this life: then it holds all that an earlier life
@@ -79,13 +79,13 @@
         }
     }
 
-    /// Until when the lease holds: so many keepers carry it that they meet every
+    /// Until when the lease holds: so many controllers carry it that they meet every
     /// classic quorum. Of an empty roster nothing does.
     pub fn in_touch_until(&self) -> Mono {
         if self.members.is_empty() {
             return Mono(0);
         }
-        let need = waggle::meets_all(self.members.len());
+        let need = caesar::meets_all(self.members.len());
         let mut v: Vec<Mono> = self.members.iter().filter_map(|m| self.leases.get(&m.kid)).copied().collect();
         v.sort_by(|a, b| b.cmp(a));
         need.checked_sub(1).and_then(|i| v.get(i)).copied().unwrap_or_default()
@@ -103,7 +103,7 @@
         }
     }
 
-    /// Asks every keeper it knows of for news, a renewal, beats and slices.
+    /// Asks every controller it knows of for news, a renewal, beats and slices.
     pub fn subscribe(&mut self, now: Mono, wants: &[(Svc, u32)], epoch: Epoch, out: &mut Vec<Out>) {
         self.asked = now;
         // Without a lease the seeds are asked too: the roster may have moved on.
@@ -113,7 +113,7 @@
         out.extend(all.into_iter().map(|a| self.sub(now, a, wants, epoch)));
     }
 
-    /// One asking, of one keeper.
+    /// One asking, of one controller.
     pub fn sub(&self, now: Mono, to: Addr, wants: &[(Svc, u32)], epoch: Epoch) -> Out {
         let (feed, got) = self.got.get(&to).copied().unwrap_or_default();
         let e = &self.env;
@@ -167,7 +167,7 @@
 }
 
 /// Takes the newer of two versions of an item; true if `new` was newer.
-/// Invariant: the only way a gate's table changes, hence it never goes back.
+/// Invariant: the only way an edge's table changes, hence it never goes back.
 pub fn merge(items: &mut BTreeMap<Key, Item>, k: &Key, new: &Item) -> bool {
     let newer = items.get(k).is_none_or(|was| was.ver < new.ver);
     if newer {
--- a/crates/brood/src/items.rs
+++ b/crates/control-state/src/items.rs
@@ -1,9 +1,9 @@
 //! The things the control state holds. Each is an item under a key, with its
 //! own version.
 use crate::sheet::{CallerLimits, LaneEntry, PurgeBy, Section, ServiceEntry};
+use primitives::{Addr, Birth, Mono, NodeId, Span, Version};
 use serde::{Deserialize, Serialize};
 use std::fmt;
-use wax::{Addr, Birth, Mono, NodeId, Span, Version};
 
 macro_rules! name {
     ($(#[$doc:meta])* $name:ident) => {
@@ -53,7 +53,7 @@
     Origin(Addr),
     Node(NodeId),
     Purge(Svc, String),
-    /// Which combs keep the ledger of keys.
+    /// Which ledgers keep the ledger of keys.
     Roll,
     /// One entry of the operator's sheet.
     Entry(Section, String),
@@ -109,9 +109,9 @@
 
 #[derive(Copy, Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Role {
-    Keeper,
-    Gate,
-    Comb,
+    Controller,
+    Edge,
+    Ledger,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -120,7 +120,7 @@
     pub addr: Addr,
     pub http: Addr,
     pub zone: Zone,
-    /// A gate's life, or the life of a comb's disk.
+    /// An edge's life, or the life of a ledger's disk.
     pub birth: Birth,
     pub standing: Standing,
 }
@@ -189,10 +189,10 @@
     }
 }
 
-/// A keeper as a member of the agreement.
+/// A controller as a member of the agreement.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Member {
-    pub kid: waggle::Kid,
+    pub kid: caesar::Kid,
     pub addr: Addr,
     pub http: Addr,
     pub zone: Zone,
--- a/crates/brood/src/lib.rs
+++ b/crates/control-state/src/lib.rs
@@ -1,4 +1,4 @@
-//! The control state that keepers decide and gates obey, and every message
+//! The control state that controllers decide and edges obey, and every message
 //! between lanewing's processes.
 mod call;
 mod cmd;
--- a/crates/brood/src/msg.rs
+++ b/crates/control-state/src/msg.rs
@@ -5,9 +5,9 @@
 use crate::items::*;
 use crate::state::{Era, Picture};
 use crate::whole::Whole;
+use caesar::{Cid, Kid, Wag};
+use primitives::{Birth, Epoch, Mono, NodeId, Span, Version};
 use serde::{Deserialize, Serialize};
-use waggle::{Cid, Kid, Wag};
-use wax::{Birth, Epoch, Mono, NodeId, Span, Version};
 
 /// One try at a keyed request: who tries, in which life, and its count.
 #[derive(Copy, Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -18,11 +18,11 @@
 }
 
 impl RoundId {
-    /// No round: what a comb notes that cannot know which of several has the key.
+    /// No round: what a ledger notes that cannot know which of several has the key.
     pub const NONE: RoundId = RoundId { node: NodeId(0), birth: Birth(0), n: 0 };
 }
 
-/// What a comb says to a claim.
+/// What a ledger says to a claim.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Claimed {
     Granted,
@@ -30,11 +30,11 @@
     Held(Option<Whole>),
     /// The key came with another body before.
     OtherBody,
-    /// This comb may not grant yet, or its disk will not take it.
+    /// This ledger may not grant yet, or its disk will not take it.
     Unable,
 }
 
-/// What a subscriber says to each keeper it knows, several times a second.
+/// What a subscriber says to each controller it knows, several times a second.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Sub {
     pub id: NodeId,
@@ -53,7 +53,7 @@
     pub epoch: Epoch,
 }
 
-/// A keeper's numbered news to one subscriber, or its reply to a `Sub`.
+/// A controller's numbered news to one subscriber, or its reply to a `Sub`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct News {
     pub feed: u64,
@@ -82,15 +82,15 @@
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Msg {
-    // between keepers
+    // between controllers
     Wag(Era, Kid, Box<Wag<Cmd>>),
-    /// A keeper without a roster shows itself.
+    /// A controller without a roster shows itself.
     Blank(Member),
     Picture(Box<Picture>),
     WantPicture(Era, Birth),
     /// Who has a seat, for processes that have none to pass on.
     Roster(Era, Vec<Member>),
-    /// The one blank keeper that is to found the deployment.
+    /// The one blank controller that is to found the deployment.
     Found(Birth),
     /// A node passes on what it was asked, under a number of its own.
     Call(u64, Box<Call>),
@@ -103,11 +103,11 @@
     /// The sender has applied it from a synced decision.
     Applied(Era, Cid, Kid),
     AskApplied(Era, Cid),
-    /// By the era that followed a roster: members of it that are past it, see `keeper`.
+    /// By the era that followed a roster: members of it that are past it, see `controller`.
     Landed(Vec<(Era, Kid)>),
     DutyAsk(Kid, Epoch, Mono),
     DutySaid(Kid, Epoch, Option<Mono>),
-    // subscribers and keepers
+    // subscribers and controllers
     Sub(Box<Sub>),
     News(Box<News>),
     /// A subscriber holds this feed up to this number.
@@ -116,7 +116,7 @@
         feed: u64,
         got: u64,
     },
-    // between gates
+    // between edges
     CopyAsk {
         ask: u64,
         svc: Svc,
@@ -125,13 +125,13 @@
         /// As the first caller sent them, less what is its own.
         heads: Heads,
     },
-    /// The home gate is at it.
+    /// The home edge is at it.
     CopyWait(u64),
     CopyGot {
         ask: u64,
         said: CopySaid,
     },
-    // gates and combs
+    // edges and ledgers
     StockOffer(u64),
     StockWant {
         ask: u64,
@@ -163,10 +163,10 @@
         key: String,
         round: RoundId,
     },
-    /// Repair between combs: digests over ranges, then what differs.
+    /// Repair between ledgers: digests over ranges, then what differs.
     Digests(Vec<u64>),
     Ranges(Vec<(u16, Vec<Held>)>),
-    /// A comb with a new disk asks a seat for all it holds of the asker's keys, by
+    /// A ledger with a new disk asks a seat for all it holds of the asker's keys, by
     /// this version of the roll.
     Recall {
         ask: u64,
@@ -203,7 +203,7 @@
     Personal,
 }
 
-/// A copy on its way to a comb.
+/// A copy on its way to a ledger.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StockPut {
     pub object: (Svc, Lane, String),
@@ -213,7 +213,7 @@
     pub sure: Era,
 }
 
-/// A comb's record of one key, as shown to another comb.
+/// A ledger's record of one key, as shown to another ledger.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Held {
     pub key: String,
--- a/crates/brood/src/pair.rs
+++ b/crates/control-state/src/pair.rs
@@ -2,15 +2,15 @@
 use crate::items::*;
 use crate::show::{list, obj, text};
 use crate::state::Picture;
+use primitives::Addr;
 use tinyjson::JsonValue;
-use wax::Addr;
 
 /// The understudy of an origin: ranked by hash, another zone preferred. The
-/// same at every gate.
+/// same at every edge.
 pub fn understudy(of: &Addr, all: &[(Addr, Origin)]) -> Option<(Addr, Origin)> {
     let zone = all.iter().find(|(a, _)| a == of).map(|(_, o)| o.zone.clone());
     let others: Vec<_> = all.iter().filter(|(a, _)| a != of).cloned().collect();
-    let ranked = wax::rank(&("understudy", of), &others, |(a, _)| wax::hash(a));
+    let ranked = primitives::rank(&("understudy", of), &others, |(a, _)| primitives::hash(a));
     let far = ranked.iter().find(|(_, o)| Some(&o.zone) != zone.as_ref()).cloned();
     far.or_else(|| ranked.into_iter().next())
 }
--- a/crates/brood/src/part.rs
+++ b/crates/control-state/src/part.rs
@@ -7,10 +7,10 @@
 use crate::sheet::CallerLimits;
 use crate::state::{Picture, Verdict};
 use crate::whole::Whole;
+use primitives::{Addr, Birth, Mono, Span, Token};
 use std::sync::Arc;
-use wax::{Addr, Birth, Mono, Span, Token};
 
-/// A caller's request as a gate sees it.
+/// A caller's request as an edge sees it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Req {
     pub method: String,
@@ -104,14 +104,14 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Ask {
-    // at keepers
+    // at controllers
     Change(Change),
-    /// A beat, and if its origin gives it back, the keeper's clock as of the last
+    /// A beat, and if its origin gives it back, the controller's clock as of the last
     /// reply it had: the beat is no older.
     Beat(Beat, Option<Mono>),
     /// An origin signs off, by what it calls its life itself.
     SignOff(String),
-    /// Swap a lost keeper for the one now at an address.
+    /// Swap a lost controller for the one now at an address.
     Replace {
         old: Addr,
         new: Addr,
@@ -119,7 +119,7 @@
     Table,
     /// The whole state by agreement, whoever is asked.
     Read,
-    // at gates
+    // at edges
     Begin(Req),
     Done(u64, Fetched),
     /// What a probe that was begun then found: service, life, whether it serves.
--- a/crates/brood/src/purged.rs
+++ b/crates/control-state/src/purged.rs
@@ -25,5 +25,5 @@
         Key::Purge(s, p) if *s == o.0 => Some((p, it.ver.0)),
         _ => None,
     });
-    all.filter(|(p, _)| o.2.starts_with(p.as_str())).fold(0, |m, (p, v)| m ^ wax::hash(&(p, v)))
+    all.filter(|(p, _)| o.2.starts_with(p.as_str())).fold(0, |m, (p, v)| m ^ primitives::hash(&(p, v)))
 }
--- a/crates/brood/src/read.rs
+++ b/crates/control-state/src/read.rs
@@ -1,7 +1,7 @@
 //! Reading operators' changes and origins' beats.
 use crate::cmd::*;
 use crate::items::*;
-use wax::{Birth, Look, LookProblem, Mono, NodeId, Reason, Span, Version};
+use primitives::{Birth, Look, LookProblem, Mono, NodeId, Reason, Span, Version};
 
 type Result<T> = std::result::Result<T, LookProblem>;
 
--- a/crates/brood/src/roll.rs
+++ b/crates/control-state/src/roll.rs
@@ -1,26 +1,26 @@
-//! The roll: which combs a key is claimed from, and how that set changes.
+//! The roll: which ledgers a key is claimed from, and how that set changes.
 use crate::items::*;
 use crate::state::{Picture, Verdict, Void};
+use primitives::{Addr, Birth, NodeId, Span, Version};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
-use wax::{Addr, Birth, NodeId, Span, Version};
 
 /// A granted round must leave within this of its claim, or it never does: so it never
 /// runs late into the next grant of its key.
 pub const LEAVE: Span = Span::secs(5);
 
-/// The combs a key is named to, for so many lost disks to be borne at once.
+/// The ledgers a key is named to, for so many lost disks to be borne at once.
 pub fn replicas(losses: usize) -> usize {
     2 * losses + 1
 }
 
-/// The grants a round needs. Invariant: any two quorums of a key's combs meet, also
-/// where there are fewer combs than replicas.
+/// The grants a round needs. Invariant: any two quorums of a key's ledgers meet, also
+/// where there are fewer ledgers than replicas.
 pub fn quorum(losses: usize) -> usize {
     losses + 1
 }
 
-/// One comb's place in the ledger: where it sits, and the life of the disk that
+/// One ledger's place in the ledger: where it sits, and the life of the disk that
 /// it came with. Invariant: a disk of another life at the same place has lost
 /// grants, and must recall them or wait for their window before it grants.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -32,9 +32,9 @@
 }
 
 /// Invariant: one set, or two while the set changes; a round needs a quorum of a key's
-/// combs in every set. The older one goes only a window after the newer was
-/// in force at every gate, so any two rounds of a key that could run within the
-/// window of one another meet in some comb's memory.
+/// ledgers in every set. The older one goes only a window after the newer was
+/// in force at every edge, so any two rounds of a key that could run within the
+/// window of one another meet in some ledger's memory.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Roll {
     pub sets: Vec<Vec<Seat>>,
@@ -48,22 +48,22 @@
         }
     }
 
-    /// A key's combs, for each set.
+    /// A key's ledgers, for each set.
     pub fn named(&self, key: &str, losses: usize) -> Vec<Vec<Addr>> {
-        self.sets.iter().map(|s| name_combs(key, s, losses)).collect()
+        self.sets.iter().map(|s| name_ledgers(key, s, losses)).collect()
     }
 
     pub fn seats(&self) -> impl Iterator<Item = &Seat> {
         self.sets.iter().flatten()
     }
 
-    /// The set as it should be with these combs: a place once taken keeps the life
+    /// The set as it should be with these ledgers: a place once taken keeps the life
     /// that it was taken with.
-    pub fn wanted(&self, combs: impl Iterator<Item = Seat>) -> Vec<Seat> {
+    pub fn wanted(&self, ledgers: impl Iterator<Item = Seat>) -> Vec<Seat> {
         let was = self.sets.last().cloned().unwrap_or_default();
         let same = |a: &Seat, b: &Seat| (a.id, a.addr, &a.zone) == (b.id, b.addr, &b.zone);
         let mut v: Vec<Seat> =
-            combs.map(|c| was.iter().find(|w| same(w, &c)).cloned().unwrap_or(c)).collect();
+            ledgers.map(|c| was.iter().find(|w| same(w, &c)).cloned().unwrap_or(c)).collect();
         v.sort();
         v
     }
@@ -102,9 +102,9 @@
 }
 
 /// Ranked by hash, zones first spread out.
-fn name_combs(key: &str, all: &[Seat], losses: usize) -> Vec<Addr> {
+fn name_ledgers(key: &str, all: &[Seat], losses: usize) -> Vec<Addr> {
     let most = replicas(losses);
-    let ranked = wax::rank(&key, all, |c| c.id.0);
+    let ranked = primitives::rank(&key, all, |c| c.id.0);
     let mut picked: Vec<&Seat> = vec![];
     for c in &ranked {
         if picked.len() < most && picked.iter().all(|p| p.zone != c.zone) {
--- a/crates/brood/src/share.rs
+++ b/crates/control-state/src/share.rs
@@ -1,14 +1,14 @@
-//! How a service's ceiling is split between the gates' own shares and what the
+//! How a service's ceiling is split between the edges' own shares and what the
 //! duty holder lends.
 use crate::items::*;
 use crate::sheet::Section;
+use primitives::Span;
 use std::collections::BTreeMap;
-use wax::Span;
 
 /// How long a lent request may be used, by the borrower's clock from its asking.
 pub const LENT: Span = Span::ms(400);
 
-/// Requests a second. Invariant: `own` times the gates plus `lent` stays below
+/// Requests a second. Invariant: `own` times the edges plus `lent` stays below
 /// the ceiling.
 #[derive(Copy, Clone, Debug, PartialEq)]
 pub struct Share {
@@ -23,24 +23,24 @@
         self.ceiling.is_infinite()
     }
 
-    fn of(c: f64, gates: f64) -> Share {
-        // Each gate may burst by one request; where that would already be more
+    fn of(c: f64, edges: f64) -> Share {
+        // Each edge may burst by one request; where that would already be more
         // than a twentieth of the ceiling in five seconds, all of it is lent.
-        let own = if gates <= 0.25 * c { 0.4 * c / gates } else { 0.0 };
+        let own = if edges <= 0.25 * c { 0.4 * c / edges } else { 0.0 };
         let lent = if own > 0.0 { 0.55 * c } else { 0.95 * c };
         Share { ceiling: c, own, lent }
     }
 }
 
-fn gates(items: &BTreeMap<Key, Item>) -> f64 {
-    let gate = |it: &&Item| matches!(&it.body, Some(Body::Node(n)) if n.role == Role::Gate);
-    items.values().filter(gate).count().max(1) as f64
+fn edges(items: &BTreeMap<Key, Item>) -> f64 {
+    let edge = |it: &&Item| matches!(&it.body, Some(Body::Node(n)) if n.role == Role::Edge);
+    items.values().filter(edge).count().max(1) as f64
 }
 
 /// The share of a service with so many thousandths of a request a second.
 pub fn rate_share(items: &BTreeMap<Key, Item>, rate: Option<u64>) -> Share {
     let free = Share { ceiling: f64::INFINITY, own: f64::INFINITY, lent: 0.0 };
-    rate.map_or(free, |r| Share::of(r as f64 / 1000.0, gates(items)))
+    rate.map_or(free, |r| Share::of(r as f64 / 1000.0, edges(items)))
 }
 
 /// The ceiling of a service: the lowest of its rows.
@@ -56,6 +56,6 @@
     let entry = items.get(&Key::Entry(Section::Services, svc.0.clone())).and_then(|it| it.body.as_ref());
     match entry {
         Some(Body::Service(s)) => Some(rate_share(items, s.rate)),
-        _ => ceiling(items, svc).map(|c| Share::of(c as f64, gates(items))),
+        _ => ceiling(items, svc).map(|c| Share::of(c as f64, edges(items))),
     }
 }
--- a/crates/brood/src/sheet.rs
+++ b/crates/control-state/src/sheet.rs
@@ -2,9 +2,9 @@
 //! as named entries whose versions the operator chooses.
 use crate::items::*;
 use crate::state::{Picture, Verdict};
+use primitives::{Span, Version};
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
-use wax::{Span, Version};
 
 /// A part of the sheet.
 #[derive(Copy, Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
--- a/crates/brood/src/shelf.rs
+++ b/crates/control-state/src/shelf.rs
@@ -1,6 +1,6 @@
 //! A bounded shelf of things that live until a point in time.
+use primitives::Mono;
 use std::collections::BTreeMap;
-use wax::Mono;
 
 pub trait Shelved {
     fn until(&self) -> Mono;
--- a/crates/brood/src/show.rs
+++ b/crates/control-state/src/show.rs
@@ -3,9 +3,9 @@
 use crate::roll::Seat;
 use crate::sheet::PurgeBy;
 use crate::state::*;
+use primitives::Span;
 use std::collections::HashMap;
 use tinyjson::JsonValue;
-use wax::Span;
 
 pub fn obj(fields: Vec<(&str, JsonValue)>) -> JsonValue {
     let m: HashMap<String, JsonValue> = fields.into_iter().map(|(k, v)| (k.to_string(), v)).collect();
@@ -95,7 +95,7 @@
 pub fn show_members(p: &Picture) -> JsonValue {
     let one = |m: &Member| {
         obj(vec![
-            ("keeper", num(m.kid.0 as u64)),
+            ("controller", num(m.kid.0 as u64)),
             ("cohort", text(m.addr)),
             ("http", text(m.http)),
             ("zone", text(&m.zone)),
@@ -122,7 +122,9 @@
 pub fn show_verdict(v: &Verdict) -> JsonValue {
     match v {
         Verdict::Done(ks) => {
-            let one = |(k, v): &(Key, wax::Version)| show_item(k, &Item { ver: *v, body: Some(Body::Purge) });
+            let one = |(k, v): &(Key, primitives::Version)| {
+                show_item(k, &Item { ver: *v, body: Some(Body::Purge) })
+            };
             obj(vec![("done", list(ks.iter().map(one).collect()))])
         }
         Verdict::Stale(k, it) => obj(vec![("problem", text("stale")), ("current", show_item(k, it))]),
--- a/crates/brood/src/state.rs
+++ b/crates/control-state/src/state.rs
@@ -3,9 +3,9 @@
 use crate::items::*;
 use crate::purged::old_purge;
 use crate::sheet::{Flaw, PurgeBy};
+use primitives::Version;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
-use wax::Version;
 
 /// Eras count the cuts; each is an agreement of its own.
 #[derive(Copy, Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -41,20 +41,20 @@
 pub struct Picture {
     pub era: Era,
     pub members: Vec<Member>,
-    /// Earlier rosters that some gate may still go by, with the era that followed.
+    /// Earlier rosters that some edge may still go by, with the era that followed.
     pub past: Vec<(Era, Vec<Member>)>,
-    /// Invariant: above every keeper id ever given out.
+    /// Invariant: above every controller id ever given out.
     pub next_kid: u16,
     /// Stamps of the era are above this.
     pub clock: u64,
     /// Invariant: nothing is ever taken out; deletions leave tombstones. Only
     /// purges of long past eras go: their versions start with the era, so a new
-    /// purge of the same scope is still the larger, and a gate that was away so
+    /// purge of the same scope is still the larger, and an edge that was away so
     /// long has dropped its copies.
     pub items: BTreeMap<Key, Item>,
     pub receipts: BTreeMap<ChangeId, (Era, u64, Verdict)>,
     /// By address: the last life that signed off there.
-    pub gone: BTreeMap<wax::Addr, wax::Birth>,
+    pub gone: BTreeMap<primitives::Addr, primitives::Birth>,
 }
 
 impl Picture {
@@ -72,7 +72,7 @@
 
     /// Applies one change; returns its verdict and whether this was the first time.
     pub fn apply(&mut self, c: &Change) -> (Verdict, bool) {
-        let print = wax::hash(&format!("{:?}", c.op));
+        let print = primitives::hash(&format!("{:?}", c.op));
         let before = c.id.as_ref().and_then(|id| self.receipts.get(id));
         if let Some((_, p, v)) = before {
             let v = if *p == print { v.clone() } else { Verdict::Void(Void::IdTaken) };
@@ -168,7 +168,7 @@
         }
     }
 
-    fn join(&mut self, id: wax::NodeId, n: &Node) -> Verdict {
+    fn join(&mut self, id: primitives::NodeId, n: &Node) -> Verdict {
         if self.node(&id) == Some(n) {
             return Verdict::Void(Void::NothingNew);
         }
@@ -180,21 +180,21 @@
         self.items.keys().any(|k| matches!(k, Key::Row(..) | Key::Entry(..)))
     }
 
-    pub fn origin(&self, a: &wax::Addr) -> Option<&Origin> {
+    pub fn origin(&self, a: &primitives::Addr) -> Option<&Origin> {
         match self.items.get(&Key::Origin(*a))?.body.as_ref()? {
             Body::Origin(o) => Some(o),
             _ => None,
         }
     }
 
-    pub fn node(&self, id: &wax::NodeId) -> Option<&Node> {
+    pub fn node(&self, id: &primitives::NodeId) -> Option<&Node> {
         match self.items.get(&Key::Node(*id))?.body.as_ref()? {
             Body::Node(n) => Some(n),
             _ => None,
         }
     }
 
-    pub fn member(&self, kid: waggle::Kid) -> Option<&Member> {
+    pub fn member(&self, kid: caesar::Kid) -> Option<&Member> {
         self.members.iter().find(|m| m.kid == kid)
     }
 
@@ -213,7 +213,7 @@
         }
     }
 
-    /// Ends the era. Pure, and the same on every keeper: the cut clashes with
+    /// Ends the era. Pure, and the same on every controller: the cut clashes with
     /// all, so the state at it is the same everywhere.
     pub fn cut(&self, members: &[Member], landed: Era, clock: u64) -> Picture {
         let mut p = self.clone();
--- a/crates/keeper/src/apply.rs
+++ b/crates/controller/src/apply.rs
@@ -1,13 +1,13 @@
 //! Runs the agreement and applies what it delivers.
-use crate::keeper::Keeper;
+use crate::controller::Controller;
 use crate::recs::Kept;
-use brood::*;
-use waggle::{Cid, Machine};
-use wax::Mono;
+use caesar::{Cid, Machine};
+use control_state::*;
+use primitives::Mono;
 
-type Outs = Vec<waggle::Out<Cmd>>;
+type Outs = Vec<caesar::Out<Cmd>>;
 
-impl Keeper {
+impl Controller {
     /// Lets the machine work and carries its outputs out, in their order.
     pub(crate) fn with_machine(
         &mut self,
@@ -26,16 +26,16 @@
         let era = self.base.era;
         for x in o {
             match x {
-                waggle::Out::Save(r) => {
+                caesar::Out::Save(r) => {
                     let b = Kept::Wag(era, r).encode();
                     self.written += b.len();
                     out.push(Out::Save(b));
                 }
-                waggle::Out::Send(to, w) => {
+                caesar::Out::Send(to, w) => {
                     let at = self.base.member(to).map(|m| m.addr);
                     out.extend(at.map(|a| Out::Send(a, Msg::wag(era, self.kid, w))));
                 }
-                waggle::Out::Deliver(cid, cmd) => {
+                caesar::Out::Deliver(cid, cmd) => {
                     self.deliver(now, cid, cmd, out);
                     if self.base.era != era {
                         // The cut was the era's last command; the rest is void.
--- a/crates/keeper/src/beats.rs
+++ b/crates/controller/src/beats.rs
@@ -1,22 +1,22 @@
 //! Origins' beats: soft, passed around; only register, drain and removal are
 //! commands.
-use crate::keeper::Keeper;
-use brood::*;
+use crate::controller::Controller;
+use control_state::*;
+use primitives::{Addr, Mono, Span, Token};
 use std::collections::BTreeMap;
-use wax::{Addr, Mono, Span, Token};
 
 /// Beats older than this are forgotten.
 const OLD: Span = Span::secs(10);
 /// By how much what is told overlaps with what was told before.
 const OVERLAP: Span = Span::ms(300);
 
-/// What this keeper knows of pauses, its own and the links'.
+/// What this controller knows of pauses, its own and the links'.
 #[derive(Debug)]
 pub(crate) struct Pulse {
     last: Mono,
     /// The last long pause: from when to when.
     pause: (Mono, Mono),
-    /// The clocks of other keepers, as last heard.
+    /// The clocks of other controllers, as last heard.
     clocks: BTreeMap<Addr, Mono>,
 }
 
@@ -46,10 +46,10 @@
     }
 }
 
-impl Keeper {
+impl Controller {
     /// A beat from its origin. It counts from the moment before which it cannot have
     /// been said: one that waited is as old as its wait.
-    /// A word of leaving is answered once it is in force: then no gate asks it any more.
+    /// A word of leaving is answered once it is in force: then no edge asks it any more.
     pub(crate) fn first_hand(
         &mut self,
         now: Mono,
@@ -108,7 +108,7 @@
         }
     }
 
-    /// Beats passed on by another keeper, no older than `echo`, this one's own clock.
+    /// Beats passed on by another controller, no older than `echo`, this one's own clock.
     pub(crate) fn on_relay(
         &mut self,
         now: Mono,
--- a/crates/keeper/src/calls.rs
+++ b/crates/controller/src/calls.rs
@@ -1,14 +1,14 @@
 //! Calls that other nodes pass on: answered to the node, not to a local asker.
-use crate::keeper::Keeper;
-use brood::*;
-use wax::{Addr, Mono, Token};
+use crate::controller::Controller;
+use control_state::*;
+use primitives::{Addr, Mono, Token};
 
 /// Tokens of the shell stay below.
 const OURS: u64 = 1 << 62;
 /// Calls that may be open; older ones are forgotten, for their nodes ask again.
 const MOST: usize = 4096;
 
-impl Keeper {
+impl Controller {
     pub(crate) fn on_call(&mut self, now: Mono, from: Addr, n: u64, c: Call, out: &mut Vec<Out>) {
         self.next_call += 1;
         let t = Token(OURS + self.next_call);
--- a/crates/keeper/src/keeper.rs
+++ b/crates/controller/src/controller.rs
@@ -5,15 +5,15 @@
 use crate::landing::Landed;
 use crate::recs::Kept;
 use crate::roll::RollWatch;
-pub use crate::settings::{KeeperEnv, Open};
+pub use crate::settings::{ControllerEnv, Open};
 use crate::show::Hidden;
-use brood::*;
+use caesar::{classic, Cid, Kid, Machine};
+use control_state::*;
+use primitives::{Addr, Birth, Mono, NodeId, Span, Token};
 use std::collections::{BTreeMap, BTreeSet};
-use waggle::{classic, Cid, Kid, Machine};
-use wax::{Addr, Birth, Mono, NodeId, Span, Token};
 
-pub struct Keeper {
-    pub(crate) env: KeeperEnv,
+pub struct Controller {
+    pub(crate) env: ControllerEnv,
     /// Invariant: the life of the disk; a new disk draws a new one.
     pub(crate) birth: Birth,
     /// The state the era started from, and the state now.
@@ -27,7 +27,7 @@
     pub(crate) blanks: BTreeMap<Addr, (Member, Mono)>,
     pub(crate) feeds: BTreeMap<NodeId, Feed>,
     pub(crate) feed_no: u64,
-    /// Since when followers without a seat turn to this keeper.
+    /// Since when followers without a seat turn to this controller.
     pub(crate) newcomers: BTreeMap<NodeId, Mono>,
     pub(crate) beats: BTreeMap<Addr, (Beat, Mono)>,
     pub(crate) pulse: Pulse,
@@ -38,7 +38,7 @@
     pub(crate) pending: BTreeMap<Cid, Pending>,
     /// Purges that wait for the one under way, to travel together.
     pub(crate) line: Vec<(Option<Token>, Change)>,
-    /// Delivered changes that some gate with a live lease from here still lacks.
+    /// Delivered changes that some edge with a live lease from here still lacks.
     pub(crate) owed: BTreeMap<Cid, Vec<(NodeId, u64)>>,
     /// Applied here, but not yet known to be applied by a classic quorum.
     pub(crate) hidden: BTreeMap<Cid, Hidden>,
@@ -58,7 +58,7 @@
     /// Callers through other nodes, by the tokens given to their calls.
     pub(crate) calls: BTreeMap<Token, (Addr, u64)>,
     pub(crate) next_call: u64,
-    /// The blank keeper named to found, and since when blanks are heard.
+    /// The blank controller named to found, and since when blanks are heard.
     pub(crate) named: Option<(Birth, Mono)>,
     pub(crate) gathers: Option<Mono>,
     pub(crate) written: usize,
@@ -66,10 +66,16 @@
     last: BTreeMap<&'static str, Mono>,
 }
 
-impl Keeper {
+impl Controller {
     /// Starts on what the disk holds; `life` is a fresh random number.
-    pub fn start(env: KeeperEnv, kept: Vec<Kept>, life: u64, now: Mono, out: &mut Vec<Out>) -> Keeper {
-        let mut k = Keeper {
+    pub fn start(
+        env: ControllerEnv,
+        kept: Vec<Kept>,
+        life: u64,
+        now: Mono,
+        out: &mut Vec<Out>,
+    ) -> Controller {
+        let mut k = Controller {
             birth: Birth(life),
             base: Picture::default(),
             pic: Picture::default(),
@@ -134,7 +140,7 @@
     pub fn known(&self) -> usize {
         self.mach.as_ref().map_or(0, |m| m.size())
     }
-    pub fn tally(&self) -> waggle::Tally {
+    pub fn tally(&self) -> caesar::Tally {
         self.mach.as_ref().map(|m| m.tally).unwrap_or_default()
     }
     pub fn kid(&self) -> Option<Kid> {
@@ -168,13 +174,13 @@
         let ready = self.connected(now);
         let r = match ask {
             Ask::Change(c) if ready && self.gathered(now, &c) => return self.submit(now, Some(t), c, out),
-            Ask::Change(_) => Receipt::NotNow("no quorum of keepers in reach"),
+            Ask::Change(_) => Receipt::NotNow("no quorum of controllers in reach"),
             Ask::Beat(b, mark) if ready => return self.first_hand(now, t, b, mark, out),
             Ask::SignOff(tag) if ready => return self.sign_off(now, t, &tag, out),
-            Ask::Beat(..) | Ask::SignOff(_) => Receipt::NotNow("no quorum of keepers in reach"),
+            Ask::Beat(..) | Ask::SignOff(_) => Receipt::NotNow("no quorum of controllers in reach"),
             Ask::Replace { old, new } => self.replace(now, old, new, out),
             Ask::Table if ready => return self.look(now, t, out),
-            Ask::Table => Receipt::NotNow("no quorum of keepers in reach"),
+            Ask::Table => Receipt::NotNow("no quorum of controllers in reach"),
             Ask::Ready => Receipt::Health(self.health(now)),
             _ => Receipt::Took,
         };
@@ -189,7 +195,7 @@
         self.with_machine(now, out, |m, o| m.tick(now, o));
         let near = self.connected(now);
         if self.near && !near {
-            out.push(Out::Alarm("too few other keepers are heard: nothing can be decided"));
+            out.push(Out::Alarm("too few other controllers are heard: nothing can be decided"));
         }
         self.near = near;
         self.send_line(now, out);
@@ -205,7 +211,7 @@
     }
 }
 
-impl Part for Keeper {
+impl Part for Controller {
     fn step(&mut self, now: Mono, inp: In, out: &mut Vec<Out>) {
         self.pulse.step(now);
         let first = out.len();
--- a/crates/keeper/src/duty.rs
+++ b/crates/controller/src/duty.rs
@@ -1,21 +1,21 @@
-//! The single duty: the first live keeper in the agreed order lends slices of
+//! The single duty: the first live controller in the agreed order lends slices of
 //! the ceilings, removes vanished origins and cuts eras.
-use crate::keeper::Keeper;
-use brood::*;
+use crate::controller::Controller;
+use caesar::{classic, Kid};
+use control_state::*;
+use primitives::{Addr, Epoch, Mono, Span};
 use std::collections::{BTreeMap, BTreeSet};
-use waggle::{classic, Kid};
-use wax::{Addr, Epoch, Mono, Span};
 
-/// How long a keeper's word for a holder stands.
+/// How long a controller's word for a holder stands.
 pub(crate) const TERM: Span = Span::ms(1500);
 
 pub(crate) struct Duty {
     /// Invariant: never goes down; nobody below it is served.
     seen: Epoch,
-    /// Whom this keeper gave its word, until when.
+    /// Whom this controller gave its word, until when.
     word: Option<(Kid, Epoch)>,
     until: Mono,
-    /// As holder: since when, and until when each keeper's word carries it.
+    /// As holder: since when, and until when each controller's word carries it.
     mine: Option<Epoch>,
     since: Mono,
     words: BTreeMap<Kid, Mono>,
@@ -61,7 +61,7 @@
     }
 }
 
-impl Keeper {
+impl Controller {
     fn first_live(&self, now: Mono) -> bool {
         let heard = |k: &Kid| self.mach.as_ref().and_then(|m| m.heard_of(*k));
         let live = |k: &Kid| *k == self.kid || heard(k).is_some_and(|t| now - t < self.env.pace.suspect);
@@ -146,7 +146,7 @@
             // A new holder starts with nothing: the last one may have lent it all.
             let p = d.purses.entry(svc.clone()).or_insert(Purse { tokens: 0.0, at: now });
             // A quarter second's worth: with what is lent out for `LENT` and the
-            // gates' own bursts, five seconds stay within the ceiling's tenth.
+            // edges' own bursts, five seconds stay within the ceiling's tenth.
             let cap = (share.lent * 0.25).max(1.0);
             p.tokens = (p.tokens + share.lent * (now - p.at).0 as f64 / 1e6).min(cap);
             p.at = now;
--- a/crates/keeper/src/era.rs
+++ b/crates/controller/src/era.rs
@@ -1,11 +1,11 @@
 //! Waking on the disk's records, eras, and catching up by picture.
-use crate::keeper::Keeper;
+use crate::controller::Controller;
 use crate::recs::Kept;
-use brood::*;
-use waggle::{Kid, Machine, Rec, Wag};
-use wax::{Addr, Birth, Mono, Span};
+use caesar::{Kid, Machine, Rec, Wag};
+use control_state::*;
+use primitives::{Addr, Birth, Mono, Span};
 
-impl Keeper {
+impl Controller {
     pub(crate) fn wake(&mut self, kept: Vec<Kept>, now: Mono, out: &mut Vec<Out>) {
         let mut recs: Vec<Rec<Cmd>> = vec![];
         for k in kept {
@@ -71,7 +71,7 @@
         self.count("eras");
         out.push(Out::Note("an era began"));
         if self.mach.is_none() {
-            out.push(Out::Alarm("the new roster has no seat for this keeper"));
+            out.push(Out::Alarm("the new roster has no seat for this controller"));
         }
         let open = std::mem::take(&mut self.pending);
         open.into_values().for_each(|p| self.again(now, p, out));
@@ -83,7 +83,7 @@
         p.items.iter().filter(other).map(|(k, _)| k.clone()).collect()
     }
 
-    /// A picture of a later era replaces what this keeper has.
+    /// A picture of a later era replaces what this controller has.
     pub(crate) fn adopt(&mut self, now: Mono, p: Picture, out: &mut Vec<Out>) {
         let mine = p.members.iter().any(|m| m.addr == self.env.addr && m.birth == self.birth);
         if p.era <= self.base.era || !(mine || self.mach.is_some()) {
--- a/crates/keeper/src/feeds.rs
+++ b/crates/controller/src/feeds.rs
@@ -1,11 +1,11 @@
-//! Numbered news to gates and combs, and the setup leases that hang on them.
-use crate::keeper::Keeper;
-use brood::*;
+//! Numbered news to edges and ledgers, and the setup leases that hang on them.
+use crate::controller::Controller;
+use caesar::Cid;
+use control_state::*;
+use primitives::{Addr, Mono, NodeId, Span};
 use std::collections::VecDeque;
-use waggle::Cid;
-use wax::{Addr, Mono, NodeId, Span};
 
-/// One subscriber. Numbers are of this feed alone: two keepers may apply
+/// One subscriber. Numbers are of this feed alone: two controllers may apply
 /// commuting commands in different orders.
 #[derive(Clone, Debug)]
 pub(crate) struct Feed {
@@ -17,7 +17,7 @@
     pub line: VecDeque<(u64, Key, Option<Cid>)>,
     /// The last number that went out.
     pub out: u64,
-    /// Until when a lease from here may be alive, by this keeper's clock.
+    /// Until when a lease from here may be alive, by this controller's clock.
     pub lent: Mono,
     pub pushed: Mono,
     /// Which life of the subscriber it is for: what an earlier one acknowledged,
@@ -62,7 +62,7 @@
 /// A feed with more unacknowledged news than this starts anew.
 pub(crate) const LONGEST: usize = 2000;
 
-impl Keeper {
+impl Controller {
     pub(crate) fn assume_lent(&mut self, until: Mono) {
         let ids = self.pic.items.keys().filter_map(|k| match k {
             Key::Node(n) => Some(*n),
@@ -117,7 +117,7 @@
         if anew || again {
             f.pushed = now;
         }
-        // A lease goes only to a subscriber that holds all this keeper applied, and
+        // A lease goes only to a subscriber that holds all this controller applied, and
         // goes by no earlier roster; see `landing`.
         let lent = seated && !other && !f.behind() && s.era >= self.base.era && company;
         if lent {
@@ -148,7 +148,7 @@
             life: s.life,
             kid: self.kid,
             lent,
-            beats: self.beats_since(now, told).filter(|_| s.node.role == Role::Gate).collect(),
+            beats: self.beats_since(now, told).filter(|_| s.node.role == Role::Edge).collect(),
             slices: self.lend(now, &s),
             epoch: self.duty.epoch(),
         };
@@ -165,12 +165,12 @@
         out.push(Out::Send(from, Msg::News(Box::new(n))));
     }
 
-    /// One keeper sees to a newcomer, or many of them would propose the same; the next
+    /// One controller sees to a newcomer, or many of them would propose the same; the next
     /// ones step in if it does not.
     fn my_turn(&mut self, now: Mono, s: &Sub) -> bool {
         let since = *self.newcomers.entry(s.id).or_insert(now);
         let kids: Vec<_> = self.base.members.iter().map(|m| m.kid).collect();
-        let order = wax::rank(&s.id, &kids, |k| k.0 as u64);
+        let order = primitives::rank(&s.id, &kids, |k| k.0 as u64);
         let place = order.iter().position(|k| *k == self.kid).unwrap_or(0) as u64;
         now - since >= Span::ms(600).times(place)
     }
--- a/crates/keeper/src/force.rs
+++ b/crates/controller/src/force.rs
@@ -1,15 +1,15 @@
 //! From submission to "decided, durable and in force".
 //!
-//! Invariant: a change is acknowledged only when a classic quorum of keepers
+//! Invariant: a change is acknowledged only when a classic quorum of controllers
 //! has applied it from a synced decision and none of them has a live lease
 //! out to a subscriber that lacks it. A subscriber's lease needs renewals from
-//! a classic quorum, so some keeper is in both: no subscriber without the
+//! a classic quorum, so some controller is in both: no subscriber without the
 //! change can be serving.
-use crate::keeper::Keeper;
-use brood::*;
+use crate::controller::Controller;
+use caesar::{classic, Cid, Kid};
+use control_state::*;
+use primitives::{Addr, Mono, Span, Token};
 use std::collections::BTreeSet;
-use waggle::{classic, Cid, Kid};
-use wax::{Addr, Mono, Span, Token};
 
 /// Changes that travel as one command.
 pub(crate) struct Pending {
@@ -27,7 +27,7 @@
 const BATCH: usize = 100;
 const BYTES: usize = 32 << 10;
 
-impl Keeper {
+impl Controller {
     pub(crate) fn submit(&mut self, now: Mono, token: Option<Token>, change: Change, out: &mut Vec<Out>) {
         if change.op.gathers() {
             self.line.push((token, change));
@@ -99,7 +99,7 @@
 
     /// Whether the same was not proposed a moment ago.
     fn newly(&mut self, now: Mono, op: &Op) -> bool {
-        let print = wax::hash(&format!("{op:?}"));
+        let print = primitives::hash(&format!("{op:?}"));
         let lately = self.derived.get(&print).is_some_and(|t| now - *t < Span::ms(1500));
         if !lately {
             self.derived.retain(|_, t| now - *t < Span::secs(10));
--- a/crates/keeper/src/found.rs
+++ b/crates/controller/src/found.rs
@@ -1,10 +1,10 @@
-//! Founding a deployment, and letting a replaced keeper in.
-use crate::keeper::Keeper;
-use brood::*;
-use waggle::Kid;
-use wax::{Addr, Mono, Span};
+//! Founding a deployment, and letting a replaced controller in.
+use crate::controller::Controller;
+use caesar::Kid;
+use control_state::*;
+use primitives::{Addr, Mono, Span};
 
-impl Keeper {
+impl Controller {
     /// Without a seat: shows itself to the seeds.
     pub(crate) fn show_blank(&mut self, out: &mut Vec<Out>) {
         if self.mach.is_none() && !self.passes_on() {
@@ -30,7 +30,7 @@
         }
     }
 
-    /// The first keepers of all: every one of them must be there, each with the
+    /// The first controllers of all: every one of them must be there, each with the
     /// life its disk was given, before any of them decides anything.
     fn maybe_found(&mut self, now: Mono, out: &mut Vec<Out>) {
         let all = self.env.seeds.iter().all(|s| self.blanks.contains_key(s));
@@ -58,9 +58,9 @@
         let there = self.base.members.iter().any(|m| m.addr == old);
         let heard = self.blanks.get(&new).filter(|(_, t)| now - *t < Span::secs(5)).map(|(m, _)| m.clone());
         match (there, heard) {
-            _ if !self.connected(now) => Receipt::NotNow("no quorum of keepers in reach"),
-            (false, _) => Receipt::NotNow("no keeper of the roster is at the old address"),
-            (_, None) => Receipt::NotNow("no blank keeper was heard from the new address"),
+            _ if !self.connected(now) => Receipt::NotNow("no quorum of controllers in reach"),
+            (false, _) => Receipt::NotNow("no controller of the roster is at the old address"),
+            (_, None) => Receipt::NotNow("no blank controller was heard from the new address"),
             (true, Some(m)) => {
                 self.swap_in(now, old, m, out);
                 Receipt::Took
@@ -74,7 +74,7 @@
         }
         self.cutting = Some(now);
         self.count("swaps");
-        out.push(Out::Note("proposing a new keeper in an old one's seat"));
+        out.push(Out::Note("proposing a new controller in an old one's seat"));
         let kid = Kid(self.pic.next_kid);
         let swap = |m: &Member| if m.addr == old { Member { kid, ..new.clone() } } else { m.clone() };
         let members: Vec<Member> = self.pic.members.iter().map(swap).collect();
--- a/crates/keeper/src/landing.rs
+++ b/crates/controller/src/landing.rs
@@ -1,19 +1,19 @@
-//! Rosters that some gate may still go by.
+//! Rosters that some edge may still go by.
 //!
 //! Invariant: nothing of an era is in force, nor shown, before every earlier roster
 //! has *landed*: a classic quorum of its members is past it and has no live lease out
-//! to a gate that does not know the newer one. A gate that goes by the old roster
+//! to an edge that does not know the newer one. An edge that goes by the old roster
 //! needs a renewal from each of its classic quorums, so there is then none that serves.
-use crate::keeper::Keeper;
-use brood::*;
+use crate::controller::Controller;
+use caesar::{classic, Kid, Machine};
+use control_state::*;
+use primitives::{Mono, Span};
 use std::collections::{BTreeMap, BTreeSet};
-use waggle::{classic, Kid, Machine};
-use wax::{Mono, Span};
 
 /// By the era that a roster was followed by: which of its members are past it.
 pub(crate) type Landed = BTreeMap<Era, BTreeSet<Kid>>;
 
-impl Keeper {
+impl Controller {
     fn down(&self, at: Era, roster: &[Member]) -> bool {
         let by = self.landed.get(&at);
         let past = |m: &&Member| by.is_some_and(|b| b.contains(&m.kid));
@@ -30,9 +30,9 @@
         open.map_or(self.base.era, |(e, _)| Era(e.0 - 1))
     }
 
-    /// For whom of a roster this keeper can speak: for itself; and for whoever had its
+    /// For whom of a roster this controller can speak: for itself; and for whoever had its
     /// seat before, once every lease that one gave has run out. For that one's disk was
-    /// lost, or an operator's word is that it is gone; and a keeper that hears nobody
+    /// lost, or an operator's word is that it is gone; and a controller that hears nobody
     /// of its era renews nothing.
     fn speaks_for(&self, now: Mono, seat: usize, m: &Member) -> bool {
         let mine = |m: &Member| m.addr == self.env.addr && m.birth == self.birth;
@@ -40,7 +40,7 @@
         mine(m) || (outlived && self.base.members.get(seat).is_some_and(mine))
     }
 
-    /// Another member was lately heard in this era: without, this keeper may have been
+    /// Another member was lately heard in this era: without, this controller may have been
     /// replaced and not know it.
     pub(crate) fn in_company(&self, now: Mono) -> bool {
         let near = |m: &Machine<Cmd>, k: &Kid| {
--- a/crates/keeper/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -1,13 +1,13 @@
-//! The keeper, a pure part: agreement, control state, feeds and leases, duty.
+//! The controller, a pure part: agreement, control state, feeds and leases, duty.
 mod apply;
 mod beats;
 mod calls;
+mod controller;
 mod duty;
 mod era;
 mod feeds;
 mod force;
 mod found;
-mod keeper;
 mod landing;
 mod open;
 mod recs;
@@ -15,5 +15,5 @@
 mod settings;
 mod show;
 
-pub use keeper::{Keeper, KeeperEnv, Open};
+pub use controller::{Controller, ControllerEnv, Open};
 pub use recs::Kept;
--- a/crates/keeper/src/open.rs
+++ b/crates/controller/src/open.rs
@@ -1,25 +1,25 @@
 //! A deployment nobody counted: who founds it, who joins, who passes on.
 //!
-//! Invariant: only one keeper ever founds. All processes of the first start hold
+//! Invariant: only one controller ever founds. All processes of the first start hold
 //! the same seeds; the first of them by address founds alone, on a disk that
-//! began at the first start only; if it can keep nothing it names one blank keeper, and
+//! began at the first start only; if it can keep nothing it names one blank controller, and
 //! none other while that one may live. A roster then grows by cuts only.
-use crate::keeper::Keeper;
-use brood::*;
-use waggle::Kid;
-use wax::{Addr, Birth, Mono, Span};
+use crate::controller::Controller;
+use caesar::Kid;
+use control_state::*;
+use primitives::{Addr, Birth, Mono, Span};
 
 /// Blanks that come together join together.
 const GATHER: Span = Span::ms(300);
 /// How long a seat that keeps nothing listens before it names a founder.
 const LISTEN: Span = Span::ms(800);
-/// Nothing is taken from operators before there are enough keepers and combs, or
+/// Nothing is taken from operators before there are enough controllers and ledgers, or
 /// it is clear that no more will come.
 const PATIENT: Span = Span::secs(6);
 /// A member unheard for so long gives its seat to a newcomer.
 const GONE: Span = Span::secs(30);
 
-impl Keeper {
+impl Controller {
     fn first_seed(&self) -> Option<Addr> {
         self.env.seeds.iter().min().copied()
     }
@@ -115,7 +115,7 @@
         }
     }
 
-    /// Blank keepers heard lately get a seat: one that somebody left for good, or a new one.
+    /// Blank controllers heard lately get a seat: one that somebody left for good, or a new one.
     fn let_in(&mut self, now: Mono, out: &mut Vec<Out>) {
         let lately = self.cutting.is_some_and(|t| now - t < Span::secs(1));
         let has = |m: &Member| self.base.members.iter().any(|x| x.addr == m.addr);
@@ -130,7 +130,7 @@
         }
         self.cutting = Some(now);
         self.count("joins");
-        out.push(Out::Note("proposing seats for new keepers"));
+        out.push(Out::Note("proposing seats for new controllers"));
         let heard = |m: &Member| {
             m.kid == self.kid
                 || self.mach.as_ref().and_then(|x| x.heard_of(m.kid)).is_some_and(|t| now - t < GONE)
--- a/crates/keeper/src/recs.rs
+++ b/crates/controller/src/recs.rs
@@ -1,8 +1,8 @@
-//! What a keeper writes to its ring.
-use brood::{Cmd, Era, Picture};
+//! What a controller writes to its ring.
+use caesar::Rec;
+use control_state::{Cmd, Era, Picture};
+use primitives::Birth;
 use serde::{Deserialize, Serialize};
-use waggle::Rec;
-use wax::Birth;
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Kept {
--- a/crates/keeper/src/roll.rs
+++ b/crates/controller/src/roll.rs
@@ -1,18 +1,18 @@
-//! Changing the set of combs, one set at a time; the duty holder's work.
-use crate::keeper::Keeper;
-use brood::*;
-use wax::{Mono, Span, Version};
+//! Changing the set of ledgers, one set at a time; the duty holder's work.
+use crate::controller::Controller;
+use control_state::*;
+use primitives::{Mono, Span, Version};
 
 /// What the holder knows of the change under way.
 #[derive(Debug, Default)]
 pub(crate) struct RollWatch {
     /// Since when, at the latest, this version of the roll is in force.
     force: Option<(Version, Mono)>,
-    /// The combs there should be, and since when it is these.
+    /// The ledgers there should be, and since when it is these.
     wanted: (Vec<Seat>, Mono),
 }
 
-/// Combs that come together change the set together.
+/// Ledgers that come together change the set together.
 const GATHER: Span = Span::ms(900);
 
 impl RollWatch {
@@ -23,12 +23,12 @@
     }
 }
 
-impl Keeper {
+impl Controller {
     pub(crate) fn mind_roll(&mut self, now: Mono, out: &mut Vec<Out>) {
         let (expect, roll) = (self.pic.item(&Key::Roll).ver, Roll::of(&self.pic.items));
         let changing = roll.sets.len() == 2;
         if !changing {
-            let next = roll.wanted(self.combs());
+            let next = roll.wanted(self.ledgers());
             if next != self.roll.wanted.0 {
                 self.roll.wanted = (next, now);
             }
@@ -51,9 +51,9 @@
         }
     }
 
-    fn combs(&self) -> impl Iterator<Item = Seat> + '_ {
+    fn ledgers(&self) -> impl Iterator<Item = Seat> + '_ {
         let seat = |(k, it): (&Key, &Item)| match (k, &it.body) {
-            (Key::Node(id), Some(Body::Node(n))) if n.role == Role::Comb => {
+            (Key::Node(id), Some(Body::Node(n))) if n.role == Role::Ledger => {
                 Some(Seat { id: *id, addr: n.addr, zone: n.zone.clone(), birth: n.birth })
             }
             _ => None,
--- a/crates/keeper/src/settings.rs
+++ b/crates/controller/src/settings.rs
@@ -1,11 +1,11 @@
-//! What a keeper is told about itself.
-use brood::Zone;
-use waggle::Pace;
-use wax::{Addr, Span};
+//! What a controller is told about itself.
+use caesar::Pace;
+use control_state::Zone;
+use primitives::{Addr, Span};
 
-/// A deployment whose keepers are not named beforehand: the first of the seeds by
+/// A deployment whose controllers are not named beforehand: the first of the seeds by
 /// address founds it alone, or where that one can keep nothing names one that
-/// can; every other keeper joins by a cut.
+/// can; every other controller joins by a cut.
 #[derive(Copy, Clone, Debug)]
 pub struct Open {
     /// The first start of all, on empty disks.
@@ -16,18 +16,18 @@
     pub losses: usize,
 }
 
-/// What a keeper is told about itself.
+/// What a controller is told about itself.
 #[derive(Clone, Debug)]
-pub struct KeeperEnv {
+pub struct ControllerEnv {
     pub addr: Addr,
     pub http: Addr,
     pub zone: Zone,
     pub seeds: Vec<Addr>,
-    /// This keeper and its seeds are the first ones of a new deployment.
+    /// This controller and its seeds are the first ones of a new deployment.
     pub found: bool,
     /// How it finds the others where nobody tells it of them.
     pub open: Option<Open>,
-    /// How long a gate may serve without a renewal.
+    /// How long an edge may serve without a renewal.
     pub lease: Span,
     /// An era is cut once it holds this many commands.
     pub cut_at: usize,
--- a/crates/keeper/src/show.rs
+++ b/crates/controller/src/show.rs
@@ -1,15 +1,15 @@
 //! What may be seen outside, and when.
 //!
-//! Invariant: news leaves only once a classic quorum of keepers is known to
-//! have applied it. A gate's lease needs renewals from a classic quorum, each
-//! given only to a gate that holds all its keeper applied; so whatever any gate
-//! ever showed, no gate, not even one that starts anew, serves without.
+//! Invariant: news leaves only once a classic quorum of controllers is known to
+//! have applied it. An edge's lease needs renewals from a classic quorum, each
+//! given only to an edge that holds all its controller applied; so whatever any edge
+//! ever showed, no edge, not even one that starts anew, serves without.
+use crate::controller::Controller;
 use crate::feeds::LONGEST;
-use crate::keeper::Keeper;
-use brood::*;
+use caesar::{classic, Cid, Kid};
+use control_state::*;
+use primitives::{Addr, Mono, Span, Token};
 use std::collections::BTreeSet;
-use waggle::{classic, Cid, Kid};
-use wax::{Addr, Mono, Span, Token};
 
 pub(crate) struct Hidden {
     pub keys: Vec<Key>,
@@ -17,7 +17,7 @@
     pub asked: Mono,
 }
 
-impl Keeper {
+impl Controller {
     fn quorum(&self) -> usize {
         classic(self.base.members.len())
     }
@@ -45,7 +45,7 @@
         }
     }
 
-    /// A change was applied: others are told, and gates once enough have it.
+    /// A change was applied: others are told, and edges once enough have it.
     pub(crate) fn hide(&mut self, now: Mono, cid: Cid, news: &[Key], out: &mut Vec<Out>) {
         if news.is_empty() {
             return;
@@ -144,7 +144,7 @@
         let t = self.tally();
         let why = match (&self.mach, self.connected(now)) {
             (None, _) => "not a member yet",
-            (_, false) => "no quorum of keepers in reach",
+            (_, false) => "no quorum of controllers in reach",
             _ => "",
         };
         let mut counts: Vec<_> = self.counts.iter().map(|(k, v)| (*k, *v)).collect();
--- a/crates/apiary/src/fleet.rs
+++ b/crates/dev-fleet/src/fleet.rs
@@ -1,11 +1,13 @@
 //! A whole fleet as processes of this machine. The one place of the project
 //! where a process starts another, and only for development.
-use brood::Role;
-use meadow::mix::{read_mix, Mix};
+pub(crate) use crate::error::*;
+use control_state::Role;
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
-use skep::env::{role_name, Env, EnvProblem, Place};
-use snafu::{ensure, OptionExt, ResultExt, Snafu};
+use primitives::{Addr, Look};
+use runtime::env::{role_name, Env, Place};
+use snafu::{ensure, OptionExt, ResultExt};
+use stand_ins::mix::{read_mix, Mix};
 use std::collections::BTreeMap;
 use std::fs::File;
 use std::path::{Path, PathBuf};
@@ -13,34 +15,6 @@
 use std::sync::Mutex;
 use std::thread;
 use std::time::{Duration, Instant};
-use wax::{Addr, Look, LookProblem};
-
-#[derive(Debug, Snafu)]
-#[snafu(visibility(pub(crate)))]
-pub enum FleetProblem {
-    #[snafu(display("{source}"), context(false))]
-    Env { source: EnvProblem },
-    #[snafu(display("{source}"), context(false))]
-    Mix { source: LookProblem },
-    #[snafu(display("the settings file has no rehearsal part"))]
-    NoMix,
-    #[snafu(display("{what}: {source}"))]
-    Os { what: String, source: std::io::Error },
-    #[snafu(display("{what} did not happen within {secs} s"))]
-    Waited { what: String, secs: u64 },
-    #[snafu(display("no play {name}; there are {these}"))]
-    NoPlay { name: String, these: String },
-    #[snafu(display("no process {name}"))]
-    NoProcess { name: String },
-    #[snafu(display("signal to {name}: {source}"))]
-    Signal { name: String, source: nix::Error },
-    #[snafu(display("{what} was answered with {status}: {body}"))]
-    Denied { what: String, status: u16, body: String },
-    #[snafu(display("the failure was not brought about: {why}"))]
-    NoFailure { why: String },
-    #[snafu(display("{} violations: {}", all.len(), all.join("; ")))]
-    Violations { all: Vec<String> },
-}
 
 pub type Result<T> = std::result::Result<T, FleetProblem>;
 
@@ -53,7 +27,7 @@
     pub mix: Mix,
     file: PathBuf,
     pub(crate) dir: PathBuf,
-    hive: PathBuf,
+    lanewing: PathBuf,
     procs: BTreeMap<String, Child>,
 }
 
@@ -74,8 +48,9 @@
         let r = env.rehearsal.clone().context(NoMixSnafu)?;
         let mix = read_mix(&Look::at(&r, "rehearsal"))?;
         std::fs::create_dir_all(dir).context(OsSnafu { what: "the folder" })?;
-        let hive = std::env::current_exe().context(OsSnafu { what: "own path" })?.with_file_name("hive");
-        Ok(Fleet { env, mix, file: file.into(), dir: dir.into(), hive, procs: BTreeMap::new() })
+        let lanewing =
+            std::env::current_exe().context(OsSnafu { what: "own path" })?.with_file_name("lanewing");
+        Ok(Fleet { env, mix, file: file.into(), dir: dir.into(), lanewing, procs: BTreeMap::new() })
     }
 
     fn spawn(&mut self, name: String, args: Vec<String>) -> Result<()> {
@@ -85,7 +60,7 @@
             .append(true)
             .open(self.dir.join(format!("{name}.log")))
             .with_context(|_| what())?;
-        let c = Command::new(&self.hive)
+        let c = Command::new(&self.lanewing)
             .args(args)
             .stdin(Stdio::null())
             .stdout(log.try_clone().with_context(|_| what())?)
@@ -121,17 +96,18 @@
     pub fn start_origin_as(&mut self, at: Addr, svc: &str) -> Result<()> {
         let o = self.mix.origins.iter().find(|o| o.at == at).cloned();
         let o = o.with_context(|| NoProcessSnafu { name: at.to_string() })?;
-        let keepers: Vec<String> = self.nodes(Role::Keeper).iter().map(|p| p.http.to_string()).collect();
+        let controllers: Vec<String> =
+            self.nodes(Role::Controller).iter().map(|p| p.http.to_string()).collect();
         let args = [
-            "flower",
+            "stub_origin",
             "--at",
             &at.to_string(),
             "--service",
             svc,
             "--zone",
             &o.zone,
-            "--keepers",
-            &keepers.join(","),
+            "--controllers",
+            &controllers.join(","),
             "--cap",
             &o.cap.to_string(),
             "--work-ms",
@@ -222,11 +198,11 @@
 
     /// Ends every process: politely first, all at once.
     pub fn stop_all(&mut self) -> Result<()> {
-        let names: Vec<String> = self.procs.keys().cloned().collect();
+        let names = self.names();
         // One that has ended already needs no telling.
-        names.iter().for_each(|n| {
-            let _ = self.signal(n, Signal::SIGTERM);
-        });
+        for name in &names {
+            let _ = self.signal(name, Signal::SIGTERM);
+        }
         names.iter().try_for_each(|n| self.reap(n, 25))
     }
 
--- a/crates/apiary/src/main.rs
+++ b/crates/dev-fleet/src/main.rs
@@ -1,6 +1,6 @@
 //! Development only: a fleet on one machine.
+mod error;
 mod fleet;
-
 mod plays;
 mod rehearse;
 mod sizes;
@@ -18,10 +18,11 @@
         a.value_name("FILE").help("A deployment's settings file")
     };
     let dir = || {
-        let a = Arg::new("dir").long("dir").default_value("data/apiary").value_parser(value_parser!(PathBuf));
+        let a =
+            Arg::new("dir").long("dir").default_value("data/dev_fleet").value_parser(value_parser!(PathBuf));
         a.help("Folder for the fleet's data and logs")
     };
-    Command::new("apiary")
+    Command::new("dev_fleet")
         .about("Development only: starts, kills, freezes and rehearses a fleet on one machine")
         .subcommand_required(true)
         .subcommand(
@@ -50,10 +51,11 @@
 fn up(mut f: Fleet) -> Result<()> {
     f.start_whole()?;
     println!("{} is up: {} processes", f.env.deployment, f.names().len());
-    let keepers: Vec<String> = f.nodes(brood::Role::Keeper).iter().map(|p| p.http.to_string()).collect();
-    let gate = f.nodes(brood::Role::Gate)[0].http;
-    println!("operators: export LANEWING_AT={}", keepers.join(","));
-    println!("callers:   curl http://{gate}/{}/hello", f.mix.table[0].lane);
+    let controllers: Vec<String> =
+        f.nodes(control_state::Role::Controller).iter().map(|p| p.http.to_string()).collect();
+    let edge = f.nodes(control_state::Role::Edge)[0].http;
+    println!("operators: export LANEWING_AT={}", controllers.join(","));
+    println!("callers:   curl http://{edge}/{}/hello", f.mix.table[0].lane);
     let mut s = signal_hook::iterator::Signals::new([2, 15])
         .map_err(|source| fleet::FleetProblem::Os { what: "signals".into(), source })?;
     s.forever().next();
@@ -77,10 +79,10 @@
     let m = command().get_matches();
     let (name, m) = m.subcommand().expect("required");
     let failed = |p: &dyn std::fmt::Display| {
-        eprintln!("apiary: {p}");
+        eprintln!("dev_fleet: {p}");
         ExitCode::FAILURE
     };
-    if name == "hollow" {
+    if name == "scale_model" {
         return sizes::run(m).map_or_else(|p| failed(&p), |()| ExitCode::SUCCESS);
     }
     let path = |n: &str| m.get_one::<PathBuf>(n).expect("required or has a default").clone();
--- a/crates/apiary/src/sizes.rs
+++ b/crates/dev-fleet/src/sizes.rs
@@ -1,6 +1,6 @@
-//! `apiary hollow`: one process after another, each holding a hollow fleet of one size.
+//! `dev_fleet scale_model`: one process after another, each holding a scale_model fleet of one size.
 use clap::{value_parser, Arg, ArgAction, ArgMatches, Command};
-use hollow::{Plan, Row};
+use scale_model::{Plan, Row};
 use snafu::{ResultExt, Snafu};
 use std::fs::{read_to_string, write, OpenOptions};
 use std::io::{BufRead, BufReader, Write};
@@ -10,7 +10,7 @@
 #[derive(Debug, Snafu)]
 pub enum RunProblem {
     #[snafu(display("{source}"), context(false))]
-    Hollow { source: hollow::HollowProblem },
+    ScaleModel { source: scale_model::ScaleModelProblem },
     #[snafu(display("{what}: {source}"))]
     Io { what: String, source: std::io::Error },
     #[snafu(display("{nodes} nodes, seed {seed}: the run ended without its figures"))]
@@ -32,9 +32,9 @@
         let a = Arg::new(name).long(name).value_delimiter(',').default_value(default);
         a.value_parser(value_parser!(usize)).help(help)
     };
-    Command::new("hollow")
+    Command::new("scale_model")
         .about("Measure what control costs at growing sizes, in virtual time within one process a size")
-        .arg(list("nodes", "50,200,800", "Gates and combs together, by size"))
+        .arg(list("nodes", "50,200,800", "Edges and ledgers together, by size"))
         .arg(n("seconds", "5", "Virtual seconds of each stretch"))
         .arg(n("seed", "1", "The first run's seed"))
         .arg(n("runs", "1", "Runs of each size, one seed each"))
@@ -54,7 +54,7 @@
             Arg::new("lookups")
                 .long("lookups")
                 .action(ArgAction::SetTrue)
-                .help("Measure instead what naming an object's home costs a gate"),
+                .help("Measure instead what naming an object's home costs an edge"),
         )
         .arg(Arg::new("one").long("one").hide(true).action(ArgAction::SetTrue))
 }
@@ -87,7 +87,7 @@
         arg("changes", p.changes),
     ];
     let mut c = Process::new(me);
-    c.arg("hollow").arg("--one").args(args.concat()).stdout(Stdio::piped());
+    c.arg("scale_model").arg("--one").args(args.concat()).stdout(Stdio::piped());
     let mut child = c.spawn().context(IoSnafu { what: "a run" })?;
     let out = child.stdout.take().expect("piped");
     for line in BufReader::new(out).lines() {
@@ -111,7 +111,7 @@
 
 fn read(path: &PathBuf) -> Result<Vec<Row>> {
     let s = read_to_string(path).with_context(|_| IoSnafu { what: path.display().to_string() })?;
-    Ok(s.lines().map(Row::read).collect::<hollow::Result<Vec<_>>>()?)
+    Ok(s.lines().map(Row::read).collect::<scale_model::Result<Vec<_>>>()?)
 }
 
 fn put(path: &PathBuf, s: String) -> Result<()> {
@@ -123,7 +123,7 @@
     if m.get_flag("one") {
         return Ok(plans
             .iter()
-            .try_for_each(|p| hollow::run(p, &mut |r| println!("{}", r.line())).map(|_| ()))?);
+            .try_for_each(|p| scale_model::run(p, &mut |r| println!("{}", r.line())).map(|_| ()))?);
     }
     let from = m.get_one::<PathBuf>("from");
     let given = m.value_source("nodes") != Some(clap::parser::ValueSource::DefaultValue);
@@ -132,21 +132,21 @@
     plans.iter().try_for_each(|p| p.check(Plan::limit()))?;
     let mut rows = from.map(read).transpose()?.unwrap_or_default();
     for p in &plans {
-        eprintln!("{} nodes, {} of them whole, seed {}", p.nodes, p.whole_gates() + p.combs(), p.seed);
+        eprintln!("{} nodes, {} of them whole, seed {}", p.nodes, p.whole_edges() + p.ledgers(), p.seed);
         let mut tell = |r: Row| {
             add(m.get_one("json"), &r)?;
             rows.push(r);
             Ok(())
         };
         match (m.get_flag("relays"), m.get_flag("lookups")) {
-            (true, _) => hollow::measure(p)?.into_iter().try_for_each(&mut tell)?,
-            (_, true) => tell(hollow::lookups(p)?)?,
+            (true, _) => scale_model::measure(p)?.into_iter().try_for_each(&mut tell)?,
+            (_, true) => tell(scale_model::lookups(p)?)?,
             _ => apart(p, &mut tell)?,
         };
     }
-    println!("{}", hollow::table(&rows));
+    println!("{}", scale_model::table(&rows));
     match m.get_one::<PathBuf>("svg") {
-        Some(f) => put(f, hollow::plot(&rows)?),
+        Some(f) => put(f, scale_model::plot(&rows)?),
         None => Ok(()),
     }
 }
--- a/crates/apiary/src/watch.rs
+++ b/crates/dev-fleet/src/watch.rs
@@ -1,9 +1,9 @@
 //! Waiting for a fleet, and telling it what operators would.
 use crate::fleet::{DeniedSnafu, Fleet, OsSnafu, Result, WaitedSnafu};
-use brood::{obj, Role};
-use meadow::web;
-use skep::env::Place;
+use control_state::{obj, Role};
+use runtime::env::Place;
 use snafu::ResultExt;
+use stand_ins::web;
 use std::thread;
 use std::time::{Duration, Instant};
 use tinyjson::JsonValue;
@@ -40,20 +40,20 @@
     pub fn wait_origins(&self, secs: u64) -> Result<()> {
         let a = web::agent(Duration::from_secs(1));
         let want = self.mix.origins.len();
-        let gates = self.nodes(Role::Gate);
+        let edges = self.nodes(Role::Edge);
         let known = |p: &Place| {
             let v = web::get(&a, p.http, "lanewing/origins").map(|(_, v)| v);
             let m = v.and_then(|v| v.get::<std::collections::HashMap<String, JsonValue>>().cloned());
             let l = m.and_then(|m| m.get("origins").and_then(|o| o.get::<Vec<JsonValue>>().cloned()));
             l.is_some_and(|l| l.len() >= want)
         };
-        self.wait("all origins at all gates", secs, || gates.iter().all(known)).map(|_| ())
+        self.wait("all origins at all edges", secs, || edges.iter().all(known)).map(|_| ())
     }
 
     pub fn change(&self, v: &JsonValue) -> Result<JsonValue> {
         let a = web::agent(Duration::from_secs(30));
         let mut last = (0, JsonValue::Null);
-        for p in self.nodes(Role::Keeper) {
+        for p in self.nodes(Role::Controller) {
             let got = web::post(&a, p.http, "lanewing/changes", v);
             match got {
                 Some((200, v)) => return Ok(v),
@@ -67,10 +67,10 @@
 
     pub fn load_table(&self) -> Result<()> {
         for c in &self.mix.table {
-            let id = brood::text(format!("table-{}-{}", c.lane, c.svc));
+            let id = control_state::text(format!("table-{}-{}", c.lane, c.svc));
             let mut row: std::collections::HashMap<String, JsonValue> =
                 c.json.get().cloned().unwrap_or_default();
-            row.insert("expect".into(), brood::num(0));
+            row.insert("expect".into(), control_state::num(0));
             self.change(&obj(vec![("id", id), ("row", JsonValue::from(row))]))?;
         }
         Ok(())
--- a/crates/gate/src/choice.rs
+++ b/crates/edge/src/choice.rs
@@ -1,9 +1,9 @@
-//! Choosing by load: origins of few slots, pressed by many gates at once.
-use crate::gate::Gate;
+//! Choosing by load: origins of few slots, pressed by many edges at once.
+use crate::edge::Edge;
 use crate::jobs::Stage;
-use brood::*;
+use control_state::*;
+use primitives::{Addr, Birth, Mono, Span};
 use std::collections::BTreeMap;
-use wax::{Addr, Birth, Mono, Span};
 
 /// What another zone, and another region, counts as over the origin's own pace: for
 /// what may be long and is shared, and for the rest.
@@ -14,8 +14,8 @@
 /// One that is still warming up.
 const COLD: f64 = 1.5;
 
-impl Gate {
-    /// Requests this gate has out, by origin.
+impl Edge {
+    /// Requests this edge has out, by origin.
     fn out_now(&self) -> BTreeMap<(Addr, Birth), u32> {
         let mut n = BTreeMap::new();
         for j in self.jobs.values() {
@@ -42,7 +42,7 @@
     }
 
     /// Usable origins, the most promising first: of two drawn by the request the
-    /// better one, so that gates that see alike do not all press the same.
+    /// better one, so that edges that see alike do not all press the same.
     pub(crate) fn by_load(&self, now: Mono, svc: &Svc, draw: u64, shared: bool) -> Vec<(Addr, Origin, Mono)> {
         let out = self.out_now();
         let all = self.table.origins.get(svc).cloned().unwrap_or_default();
@@ -56,7 +56,7 @@
                 let bad = self.seen.is_bad(now, &a, o.birth);
                 let demerit = silent as u8 * 4 + bad as u8 * 2 + stale as u8;
                 let until = if stale && self.follow.env.serve_on { now + Span::secs(1) } else { until };
-                let noise = 0.75 + (wax::hash(&(draw, a)) % 1000) as f64 / 2000.0;
+                let noise = 0.75 + (primitives::hash(&(draw, a)) % 1000) as f64 / 2000.0;
                 (demerit, self.outlook(&a, &o, n, shared) * noise, (a, o, until))
             })
             .filter(|(.., (_, _, until))| *until > now)
--- a/crates/gate/src/copies.rs
+++ b/crates/edge/src/copies.rs
@@ -1,7 +1,7 @@
 //! Shared copies of readable content, in memory.
-use brood::{Lane, Shelf, Shelved, Shown, Svc, Whole};
+use control_state::{Lane, Shelf, Shelved, Shown, Svc, Whole};
+use primitives::{Mono, Span};
 use std::sync::Arc;
-use wax::{Mono, Span};
 
 /// How long a copy that may not be served any more is kept to ask whether it still
 /// is what the origin has.
--- a/crates/gate/src/gate.rs
+++ b/crates/edge/src/edge.rs
@@ -3,17 +3,17 @@
 use crate::jobs::Job;
 use crate::keyed::Outgoing;
 use crate::origins::Seen;
-pub use crate::policy::GatePolicy;
+pub use crate::policy::EdgePolicy;
 use crate::press::Press;
 use crate::table::Table;
-use brood::*;
+use control_state::*;
+use primitives::{Addr, Mono, Span};
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use wax::{Addr, Mono, Span};
 
-/// What a gate is told about itself.
+/// What an edge is told about itself.
 #[derive(Clone, Debug)]
-pub struct GateEnv {
+pub struct EdgeEnv {
     pub follow: FollowEnv,
     /// An origin unheard for this long is not used.
     pub fresh: Span,
@@ -25,17 +25,17 @@
     pub hands: (usize, usize),
     /// How long requests are still taken once it leaves, for callers to notice.
     pub grace: Span,
-    /// Lost disks of combs borne at once; the same at every gate and comb.
+    /// Lost disks of ledgers borne at once; the same at every edge and ledger.
     pub losses: usize,
-    /// Copies are offered to combs and asked of them.
+    /// Copies are offered to ledgers and asked of them.
     pub stock: bool,
-    /// A granted round must leave within this; the same at every gate and comb.
+    /// A granted round must leave within this; the same at every edge and ledger.
     pub leave: Span,
-    pub policy: GatePolicy,
+    pub policy: EdgePolicy,
 }
 
-pub struct Gate {
-    pub(crate) env: GateEnv,
+pub struct Edge {
+    pub(crate) env: EdgeEnv,
     pub(crate) follow: Follow,
     /// Built from what `follow` holds whenever that changes.
     pub(crate) table: Arc<Table>,
@@ -48,13 +48,13 @@
     /// The job that fills each object now.
     pub(crate) fills: BTreeMap<(Svc, Lane, String), u64>,
     pub(crate) rounds: BTreeMap<u64, u64>,
-    /// Copies offered to combs, by the job that filled them.
+    /// Copies offered to ledgers, by the job that filled them.
     pub(crate) offers: BTreeMap<u64, (Svc, Lane, String)>,
     pub(crate) outgoing: Vec<Outgoing>,
     /// Objects whose answers lately were not to be shared, and until when each
     /// caller is answered by the origin.
     pub(crate) solo: BTreeMap<(Svc, Lane, String), Mono>,
-    /// Gates that lately did not answer.
+    /// Edges that lately did not answer.
     pub(crate) mute: BTreeMap<Addr, Mono>,
     pub(crate) errands: Errands,
     /// When the copies were last looked through.
@@ -65,9 +65,9 @@
     pub(crate) counts: BTreeMap<&'static str, u64>,
 }
 
-impl Gate {
-    pub fn new(env: GateEnv) -> Gate {
-        Gate {
+impl Edge {
+    pub fn new(env: EdgeEnv) -> Edge {
+        Edge {
             table: Arc::new(Table::default()),
             follow: Follow::new(env.follow.clone()),
             lapsed: true,
@@ -105,7 +105,7 @@
         self.next
     }
 
-    /// Until when the setup lease holds: a classic quorum of keepers carries it.
+    /// Until when the setup lease holds: a classic quorum of controllers carries it.
     pub fn leased_until(&self) -> Mono {
         self.follow.leased_until()
     }
@@ -148,7 +148,7 @@
         self.subscribe(now, out);
         self.check_lapse(now);
         if self.lapsed && !before {
-            out.push(Out::Alarm("the setup lease ran out: too few keepers renew it"));
+            out.push(Out::Alarm("the setup lease ran out: too few controllers renew it"));
         }
         self.serve_line(now, out);
         self.expire_jobs(now, out);
@@ -165,7 +165,7 @@
     }
 }
 
-impl Part for Gate {
+impl Part for Edge {
     fn step(&mut self, now: Mono, inp: In, out: &mut Vec<Out>) {
         match inp {
             In::Tick => self.tick(now, out),
@@ -201,7 +201,7 @@
                 Ask::Beat(b, _) => self.run_errand(now, t, Call::Beat(b), out),
                 Ask::SignOff(tag) => self.run_errand(now, t, Call::SignOff(tag), out),
                 Ask::Read => self.run_errand(now, t, Call::Table, out),
-                _ => out.push(Out::Tell(t, Receipt::NotNow("not asked of a gate"))),
+                _ => out.push(Out::Tell(t, Receipt::NotNow("not asked of an edge"))),
             },
             In::Msg(from, m) => match m {
                 Msg::Called(n, said) => self.on_called(now, from, n, *said, out),
--- a/crates/gate/src/errand.rs
+++ b/crates/edge/src/errand.rs
@@ -1,9 +1,9 @@
-//! Errands: what any node is asked of the control state, passed on to a keeper
+//! Errands: what any node is asked of the control state, passed on to a controller
 //! that can answer, and on to the next one if it does not in time.
-use crate::gate::Gate;
-use brood::*;
+use crate::edge::Edge;
+use control_state::*;
+use primitives::{Addr, Mono, Span, Token};
 use std::collections::BTreeMap;
-use wax::{Addr, Mono, Span, Token};
 
 /// Invariant: whatever is asked may be asked twice: edits and beats carry versions,
 /// purges and readings repeat without harm.
@@ -20,11 +20,11 @@
 #[derive(Debug, Default)]
 pub(crate) struct Errands {
     open: BTreeMap<u64, Errand>,
-    /// When each keeper last answered one.
+    /// When each controller last answered one.
     heard: BTreeMap<Addr, Mono>,
 }
 
-/// How long one keeper may take before another is asked as well.
+/// How long one controller may take before another is asked as well.
 const NEXT: Span = Span::ms(350);
 
 fn patience(c: &Call) -> Span {
@@ -35,17 +35,17 @@
     }
 }
 
-impl Gate {
+impl Edge {
     pub(crate) fn run_errand(&mut self, now: Mono, token: Token, call: Call, out: &mut Vec<Out>) {
         let n = self.number();
-        let why = "no keeper is known yet";
+        let why = "no controller is known yet";
         let e = Errand { token, call, began: now, sent: Mono(0), asked: vec![], why };
         self.errands.open.insert(n, e);
         self.send_errand(now, n, out);
     }
 
-    /// The nearest keeper first, then whichever answered last.
-    fn next_keeper(&self, asked: &[Addr]) -> Option<Addr> {
+    /// The nearest controller first, then whichever answered last.
+    fn next_controller(&self, asked: &[Addr]) -> Option<Addr> {
         let me = &self.follow.env;
         let near = |m: &Member| (m.addr.0.ip() != me.addr.0.ip(), m.zone != me.zone);
         let heard = |m: &Member| std::cmp::Reverse(self.errands.heard.get(&m.addr).copied());
@@ -56,9 +56,9 @@
 
     fn send_errand(&mut self, now: Mono, n: u64, out: &mut Vec<Out>) {
         let Some(mut e) = self.errands.open.remove(&n) else { return };
-        let to = self.next_keeper(&e.asked).or_else(|| {
+        let to = self.next_controller(&e.asked).or_else(|| {
             e.asked.clear();
-            self.next_keeper(&[])
+            self.next_controller(&[])
         });
         if let Some(a) = to {
             e.asked.push(a);
@@ -72,7 +72,7 @@
         self.errands.heard.insert(from, now);
         let Some(e) = self.errands.open.get_mut(&n) else { return };
         if let Said::NotNow(_) = said {
-            e.why = "no keeper in reach can answer now";
+            e.why = "no controller in reach can answer now";
             // Everybody was asked once: the next round waits for its turn.
             let all = self.follow.members.iter().all(|m| e.asked.contains(&m.addr));
             if !all {
--- a/crates/gate/src/jobs.rs
+++ b/crates/edge/src/jobs.rs
@@ -1,24 +1,24 @@
 //! Requests in hand, from the first look to the last word.
-use crate::gate::Gate;
+use crate::edge::Edge;
 use crate::keyed::Claim;
-use brood::*;
+use control_state::*;
+use primitives::{Addr, Birth, Mono, Span, Token};
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use wax::{Addr, Birth, Mono, Span, Token};
 
 /// Who waits for a job's end.
 #[derive(Clone, Debug)]
 pub(crate) enum Caller {
     Local(Token, Arc<Req>),
-    /// Another gate, and its number for the asking.
-    Gate(Addr, u64),
+    /// Another edge, and its number for the asking.
+    Edge(Addr, u64),
 }
 
 #[derive(Debug)]
 pub(crate) enum Stage {
-    /// Waits for the object's home gate, asked then; true once it said it is at it.
+    /// Waits for the object's home edge, asked then; true once it said it is at it.
     Home(Addr, Mono, bool),
-    /// Waits for the combs' words.
+    /// Waits for the ledgers' words.
     Claim(BTreeMap<Addr, Claimed>),
     /// Waits in line for leave to press the service.
     Line,
@@ -47,9 +47,9 @@
     pub solo: bool,
     /// The whole is asked for, whatever copy there was.
     pub plain: bool,
-    /// The object's comb was asked.
+    /// The object's ledger was asked.
     pub stocked: bool,
-    /// Keyed only: what was claimed of which combs.
+    /// Keyed only: what was claimed of which ledgers.
     pub claim: Option<Claim>,
     /// Keyed only. Invariant: nothing leaves after this, however long we froze.
     pub must_leave: Mono,
@@ -88,7 +88,7 @@
 pub(crate) const LINE: Span = Span::ms(700);
 pub(crate) const HOME: Span = Span::ms(400);
 
-impl Gate {
+impl Edge {
     pub(crate) fn begin(&mut self, now: Mono, t: Token, req: Req, out: &mut Vec<Out>) {
         self.count("requests");
         self.enter(now, t, Arc::new(req), out);
@@ -127,8 +127,8 @@
         yes(kind != Kind::Keyed || req.key.is_some(), Denied::NoKey)?;
         // One object, and one key, always meets the same service.
         let spin = match kind {
-            Kind::Read => wax::hash(&req.path),
-            Kind::Keyed => wax::hash(&req.key),
+            Kind::Read => primitives::hash(&req.path),
+            Kind::Keyed => primitives::hash(&req.key),
             Kind::Plain | Kind::Once => self.number().wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 16,
         };
         let (svc, row) = self.table.pick(&req.lane, spin).ok_or(Denied::NoOrigin)?;
@@ -174,7 +174,7 @@
                 self.count(name);
                 out.push(Out::Tell(*t, Receipt::Step(s)));
             }
-            (Caller::Gate(a, ask), s) => {
+            (Caller::Edge(a, ask), s) => {
                 let shown = |w: &Arc<Whole>, until, aged| {
                     let whole = w.kept();
                     CopySaid::Got(Box::new(Shown { whole, left: until - now, aged, public: false }))
--- a/crates/gate/src/keyed.rs
+++ b/crates/edge/src/keyed.rs
@@ -1,10 +1,10 @@
-//! Keyed requests: a quorum of the key's combs must grant it, synced, before
+//! Keyed requests: a quorum of the key's ledgers must grant it, synced, before
 //! anything leaves.
-use crate::gate::Gate;
+use crate::edge::Edge;
 use crate::jobs::*;
-use brood::*;
+use control_state::*;
+use primitives::{Addr, Mono, Span};
 use std::collections::{BTreeMap, BTreeSet};
-use wax::{Addr, Mono, Span};
 
 /// A key claimed for one round.
 #[derive(Clone, Debug)]
@@ -12,19 +12,19 @@
     pub round: RoundId,
     pub key: String,
     pub print: Print,
-    /// The key's combs, for each set of the roll as it was when it was claimed.
+    /// The key's ledgers, for each set of the roll as it was when it was claimed.
     pub named: Vec<Vec<Addr>>,
     /// When it was last sent.
     pub asked: Mono,
 }
 
 impl Claim {
-    pub fn combs(&self) -> BTreeSet<Addr> {
+    pub fn ledgers(&self) -> BTreeSet<Addr> {
         self.named.iter().flatten().copied().collect()
     }
-    pub fn ask(&self, comb: Addr) -> Out {
+    pub fn ask(&self, ledger: Addr) -> Out {
         let (key, print, round) = (self.key.clone(), self.print, self.round);
-        Out::Send(comb, Msg::Claim { key, print, round })
+        Out::Send(ledger, Msg::Claim { key, print, round })
     }
     /// A quorum granted it, in every set.
     pub fn won(&self, votes: &BTreeMap<Addr, Claimed>, losses: usize) -> bool {
@@ -33,7 +33,7 @@
     }
 }
 
-/// An outcome on its way to the key's combs.
+/// An outcome on its way to the key's ledgers.
 #[derive(Debug)]
 pub(crate) struct Outgoing {
     key: String,
@@ -45,13 +45,13 @@
     sent: Mono,
 }
 
-/// How long after a lease keys are claimed, where a gate serves on without one.
+/// How long after a lease keys are claimed, where an edge serves on without one.
 const CLAIMS_ON: Span = Span::secs(5);
-/// How long a comb may keep silent before it is asked again.
+/// How long a ledger may keep silent before it is asked again.
 const AGAIN: Span = Span::ms(120);
 
-impl Gate {
-    /// Only under a lease that holds or lapsed a moment ago: a set of combs loses its
+impl Edge {
+    /// Only under a lease that holds or lapsed a moment ago: a set of ledgers loses its
     /// force a window after every lease that knew no newer one, and claims of before
     /// must have lost theirs by then.
     pub(crate) fn claim(&mut self, now: Mono, mut j: Job, out: &mut Vec<Out>) {
@@ -66,7 +66,7 @@
         let round = RoundId { node: self.follow.env.id, birth: self.follow.env.birth, n };
         let named = self.table.roll.named(&key, self.env.losses);
         let c = Claim { round, key, print, named, asked: now };
-        out.extend(c.combs().into_iter().map(|a| c.ask(a)));
+        out.extend(c.ledgers().into_iter().map(|a| c.ask(a)));
         j.claim = Some(c);
         j.must_leave = now + self.env.leave;
         j.stage = Stage::Claim(BTreeMap::new());
@@ -82,7 +82,7 @@
         let (Stage::Claim(votes), Some(c)) = (&j.stage, &mut j.claim) else { return };
         if now - c.asked >= AGAIN {
             c.asked = now;
-            let silent = c.combs().into_iter().filter(|a| !votes.contains_key(a));
+            let silent = c.ledgers().into_iter().filter(|a| !votes.contains_key(a));
             out.extend(silent.map(|a| c.ask(a)));
         }
     }
@@ -114,7 +114,7 @@
         });
         let reused = votes.values().any(|v| *v == Claimed::OtherBody);
         let held = votes.values().any(|v| matches!(v, Claimed::Held(None)));
-        let all = votes.len() >= claim.combs().len();
+        let all = votes.len() >= claim.ledgers().len();
         if reused {
             self.deny(now, id, Denied::KeyReused, out);
         } else if let Some(w) = known {
@@ -147,11 +147,11 @@
     pub(crate) fn release(&mut self, j: &Job, out: &mut Vec<Out>) {
         if let Some(c) = j.claim.as_ref().filter(|_| j.tries == 0) {
             let free = |a| Out::Send(a, Msg::Release { key: c.key.clone(), round: c.round });
-            out.extend(c.combs().into_iter().map(free));
+            out.extend(c.ledgers().into_iter().map(free));
         }
     }
 
-    /// It ran: the outcome goes to the key's combs and to the caller.
+    /// It ran: the outcome goes to the key's ledgers and to the caller.
     pub(crate) fn ran(&mut self, now: Mono, id: u64, w: Whole, s: Step, out: &mut Vec<Out>) {
         let claim = self.jobs.get(&id).and_then(|j| j.claim.clone());
         if let Some(c) = claim {
@@ -163,12 +163,12 @@
         self.finish(now, id, s, out);
     }
 
-    /// Who is to keep the outcome: all of the key's combs, or where bytes are dear the
+    /// Who is to keep the outcome: all of the key's ledgers, or where bytes are dear the
     /// nearest one.
     fn recorders(&self, c: &Claim) -> BTreeSet<Addr> {
-        let mut all: Vec<Addr> = c.combs().into_iter().collect();
+        let mut all: Vec<Addr> = c.ledgers().into_iter().collect();
         let here = &self.follow.env.zone;
-        let zone = |a: &Addr| self.table.combs.iter().find(|x| x.1 == *a).map(|x| x.2.clone());
+        let zone = |a: &Addr| self.table.ledgers.iter().find(|x| x.1 == *a).map(|x| x.2.clone());
         all.sort_by_key(|a| zone(a).is_none_or(|z| z != *here));
         let most = if self.env.policy.near { 1 } else { all.len() };
         all.into_iter().take(most).collect()
--- a/crates/gate/src/lanes.rs
+++ b/crates/edge/src/lanes.rs
@@ -1,5 +1,5 @@
 //! Lanes by host and path: found in time that grows with the path, not the table.
-use brood::*;
+use control_state::*;
 use std::collections::BTreeMap;
 
 /// Invariant: a prefix begins and ends with a slash; one lane has each.
--- a/crates/gate/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -1,8 +1,8 @@
-//! The gate, a pure part: the decision object that executors ask and obey.
+//! The edge, a pure part: the decision object that executors ask and obey.
 mod choice;
 mod copies;
+mod edge;
 mod errand;
-mod gate;
 mod jobs;
 mod keyed;
 mod lanes;
@@ -17,4 +17,4 @@
 mod sharing;
 mod table;
 
-pub use gate::{Gate, GateEnv, GatePolicy};
+pub use edge::{Edge, EdgeEnv, EdgePolicy};
--- a/crates/gate/src/news.rs
+++ b/crates/edge/src/news.rs
@@ -1,11 +1,11 @@
-//! What news from the keepers changes in a gate.
-use crate::gate::Gate;
+//! What news from the controllers changes in an edge.
+use crate::edge::Edge;
 use crate::table::Table;
-use brood::*;
+use control_state::*;
+use primitives::{Addr, Mono};
 use std::sync::Arc;
-use wax::{Addr, Mono};
 
-impl Gate {
+impl Edge {
     pub(crate) fn subscribe(&mut self, now: Mono, out: &mut Vec<Out>) {
         if self.follow.due(now) {
             let wants = self.wants(now);
--- a/crates/gate/src/origins.rs
+++ b/crates/edge/src/origins.rs
@@ -1,12 +1,12 @@
 //! Which origins may be used now, and in which order.
-use crate::gate::Gate;
-use brood::*;
+use crate::edge::Edge;
+use control_state::*;
+use primitives::{Addr, Birth, Mono, Span};
 use std::collections::BTreeMap;
-use wax::{Addr, Birth, Mono, Span};
 
 #[derive(Debug, Default)]
 pub(crate) struct Seen {
-    /// When each beat was heard, at the latest, by this gate's clock: counted
+    /// When each beat was heard, at the latest, by this edge's clock: counted
     /// back from when it asked, so that a message read late is not fresh.
     pub beats: BTreeMap<Addr, (Beat, Mono)>,
     probes: BTreeMap<Addr, (Svc, Birth, Mono)>,
@@ -39,7 +39,7 @@
 const SLOW_BY: u64 = 4;
 const SLOW: Span = Span::ms(150);
 
-impl Gate {
+impl Edge {
     pub(crate) fn take_beats(&mut self, r: &Reply) {
         for (b, age) in &r.beats {
             let heard = r.ask - *age;
@@ -69,7 +69,7 @@
     /// that one's understudy, then the rest; slow and failing ones last.
     pub(crate) fn candidates(&self, now: Mono, svc: &Svc, on: u64) -> Vec<(Addr, Origin, Mono)> {
         let all = self.table.origins.get(svc).cloned().unwrap_or_default();
-        let ranked = wax::rank(&on, &all, |(a, _)| wax::hash(a));
+        let ranked = primitives::rank(&on, &all, |(a, _)| primitives::hash(a));
         let Some(first) = ranked.first().cloned() else { return vec![] };
         let under = understudy(&first.0, &all);
         let mut order = vec![first];
@@ -118,7 +118,7 @@
         self.seen.bad.insert((a, b), now + PASS_OVER);
     }
 
-    /// Origins whose beats no longer come through: the gate asks them itself.
+    /// Origins whose beats no longer come through: the edge asks them itself.
     pub(crate) fn to_probe(&self, now: Mono) -> Vec<Addr> {
         let stale =
             |a: &Addr| self.seen.beats.get(a).is_none_or(|(_, t)| now - *t > Span(self.env.fresh.0 / 2));
--- a/crates/gate/src/policy.rs
+++ b/crates/edge/src/policy.rs
@@ -1,17 +1,17 @@
-//! What a deployment may choose of a gate's ways.
-use crate::gate::Gate;
-use brood::Denied;
-use wax::Span;
+//! What a deployment may choose of an edge's ways.
+use crate::edge::Edge;
+use control_state::Denied;
+use primitives::Span;
 
 /// What a deployment may choose; the default is the product's own.
 #[derive(Clone, Debug)]
-pub struct GatePolicy {
+pub struct EdgePolicy {
     /// What each first try earns of an extra one.
     pub earn: f64,
-    /// Extra tries that all gates of the deployment together may have saved up; each
+    /// Extra tries that all edges of the deployment together may have saved up; each
     /// may have one at least.
     pub saved: f64,
-    /// An object's homes are gates of the asking gate's own zone, and only they keep it.
+    /// An object's homes are edges of the asking edge's own zone, and only they keep it.
     pub near: bool,
     /// Origins are chosen by load and nearness, not by rendezvous.
     pub by_load: bool,
@@ -21,14 +21,14 @@
     pub back: Option<Span>,
 }
 
-impl Default for GatePolicy {
+impl Default for EdgePolicy {
     /// A tenth: well under a fifth.
-    fn default() -> GatePolicy {
-        GatePolicy { earn: 0.1, saved: 0.0, home: Span::ms(400), near: false, by_load: false, back: None }
+    fn default() -> EdgePolicy {
+        EdgePolicy { earn: 0.1, saved: 0.0, home: Span::ms(400), near: false, by_load: false, back: None }
     }
 }
 
-impl Gate {
+impl Edge {
     /// When a denied client should ask again.
     pub(crate) fn come_back(&self, d: Denied) -> Span {
         self.env.policy.back.unwrap_or(match d {
--- a/crates/gate/src/press.rs
+++ b/crates/edge/src/press.rs
@@ -1,8 +1,8 @@
 //! How hard a service may be pressed: its ceiling, and the budget of extra tries.
-use crate::gate::Gate;
-use brood::*;
+use crate::edge::Edge;
+use control_state::*;
+use primitives::{Addr, Epoch, Mono, Span};
 use std::collections::BTreeMap;
-use wax::{Addr, Epoch, Mono, Span};
 
 #[derive(Debug, Default)]
 pub(crate) struct Press {
@@ -16,7 +16,7 @@
 
 #[derive(Debug, Default)]
 struct Purse {
-    /// Of the gate's own share. Starts empty.
+    /// Of the edge's own share. Starts empty.
     own: f64,
     at: Option<Mono>,
     /// Lent requests and until when each may be used.
@@ -47,7 +47,7 @@
     }
 }
 
-impl Gate {
+impl Edge {
     fn purse(&mut self, now: Mono, svc: &Svc) -> Option<&mut Purse> {
         let s = *self.table.shares.get(svc)?;
         let p = self.press.purses.entry(svc.clone()).or_default();
@@ -86,7 +86,7 @@
 
     pub(crate) fn first_try(&mut self, now: Mono, svc: &Svc) {
         let e = &self.env.policy;
-        let most = (e.saved / self.table.gates.len().max(1) as f64).max(EXTRA_MOST);
+        let most = (e.saved / self.table.edges.len().max(1) as f64).max(EXTRA_MOST);
         let earn = e.earn;
         self.purse(now, svc).into_iter().for_each(|p| {
             p.recent += 1;
--- a/crates/gate/src/purge.rs
+++ b/crates/edge/src/purge.rs
@@ -1,16 +1,16 @@
 //! Purges: copies go, and what is being fetched is not used.
 use crate::copies::Copy;
-use crate::gate::Gate;
+use crate::edge::Edge;
 use crate::jobs::Stage;
-use brood::*;
-use wax::Mono;
+use control_state::*;
+use primitives::Mono;
 
 /// The field in which an origin's answer names its tags, parted by spaces.
 const TAGS: &str = "lanewing-tags";
 
 type Object = (Svc, Lane, String);
 
-impl Gate {
+impl Edge {
     /// A purge of all whose path begins so.
     pub(crate) fn purge(&mut self, now: Mono, svc: &Svc, prefix: &str, out: &mut Vec<Out>) {
         self.copies.drop_where(|k, _| k.0 == *svc && k.2.starts_with(prefix));
--- a/crates/gate/src/read.rs
+++ b/crates/edge/src/read.rs
@@ -1,16 +1,16 @@
-//! Readable content: each object has a home gate that fills it once for all.
+//! Readable content: each object has a home edge that fills it once for all.
 use crate::copies::Copy;
-use crate::gate::Gate;
+use crate::edge::Edge;
 use crate::jobs::*;
 use crate::sharing::sharing;
-use brood::*;
+use control_state::*;
+use primitives::{Addr, Mono, Span};
 use std::sync::Arc;
-use wax::{Addr, Mono, Span};
 
 /// A copy good when it was decided on may still leave for so long, half of what a
 /// copy may outlive its life by.
 const WAY_OUT: Span = Span::secs(1);
-/// Copies that live shorter are not worth a comb's disk.
+/// Copies that live shorter are not worth a ledger's disk.
 const WORTH: Span = Span::secs(1);
 
 fn copy_ask(to: Addr, ask: u64, obj: &(Svc, Lane, String), heads: Heads) -> Out {
@@ -18,7 +18,7 @@
     Out::Send(to, Msg::CopyAsk { ask, svc, lane, path, heads })
 }
 
-impl Gate {
+impl Edge {
     pub(crate) fn read(&mut self, now: Mono, mut j: Job, out: &mut Vec<Out>) {
         let obj = j.object();
         let own = j.req.heads.personal();
@@ -61,13 +61,13 @@
         open.map(|j| j.callers.extend(callers.iter().cloned())).is_some()
     }
 
-    /// The first two gates by rendezvous know the object; one that lately kept
+    /// The first two edges by rendezvous know the object; one that lately kept
     /// silent is passed over.
     fn home(&self, now: Mono, obj: &(Svc, Lane, String)) -> Option<Addr> {
         let here = &self.follow.env.zone;
-        let near = |g: &&(wax::NodeId, Addr, Zone)| !self.env.policy.near || g.2 == *here;
-        let gates: Vec<_> = self.table.gates.iter().filter(near).cloned().collect();
-        let ranked = wax::rank(obj, &gates, |(n, ..)| n.0);
+        let near = |g: &&(primitives::NodeId, Addr, Zone)| !self.env.policy.near || g.2 == *here;
+        let edges: Vec<_> = self.table.edges.iter().filter(near).cloned().collect();
+        let ranked = primitives::rank(obj, &edges, |(n, ..)| n.0);
         let speaks = |a: &Addr| self.mute.get(a).is_none_or(|t| *t <= now);
         ranked.into_iter().map(|(_, a, _)| a).take(2).find(speaks)
     }
@@ -88,19 +88,19 @@
         }
     }
 
-    /// The comb that stocks an object, of this gate's region, if combs stock any.
+    /// The ledger that stocks an object, of this edge's region, if ledgers stock any.
     fn stock_of(&self, now: Mono, obj: &(Svc, Lane, String)) -> Option<Addr> {
         if !self.env.stock {
             return None;
         }
         let here = self.follow.env.zone.region();
-        let near: Vec<_> = self.table.combs.iter().filter(|c| c.2.region() == here).cloned().collect();
-        let ranked = wax::rank(obj, &near, |c| c.0 .0);
+        let near: Vec<_> = self.table.ledgers.iter().filter(|c| c.2.region() == here).cloned().collect();
+        let ranked = primitives::rank(obj, &near, |c| c.0 .0);
         let speaks = |a: &Addr| self.mute.get(a).is_none_or(|t| *t <= now);
         ranked.into_iter().map(|c| c.1).next().filter(speaks)
     }
 
-    /// A comb takes the copy: with what is left of its life at this moment.
+    /// A ledger takes the copy: with what is left of its life at this moment.
     pub(crate) fn on_stock_want(&mut self, now: Mono, from: Addr, ask: u64, at: Mono, out: &mut Vec<Out>) {
         let Some(object) = self.offers.remove(&ask) else { return };
         let copy = self.copies.get(now, &object).filter(|_| self.leased(now));
@@ -122,8 +122,8 @@
         heads: Heads,
         out: &mut Vec<Out>,
     ) {
-        let caller = Caller::Gate(from, ask);
-        // Purges may not have reached a gate out of touch: others do not rely on it.
+        let caller = Caller::Edge(from, ask);
+        // Purges may not have reached an edge out of touch: others do not rely on it.
         if !self.in_touch(now) {
             return out.push(Out::Send(from, Msg::CopyGot { ask, said: CopySaid::None }));
         }
@@ -183,7 +183,7 @@
             CopySaid::Got(c) if good && asked + c.left > now => {
                 let (obj, stocked, since) = (j.object(), j.stocked, asked - c.aged);
                 let until = (asked + c.left).min(self.leased_until());
-                self.count(if stocked { "filled from combs" } else { "filled from homes" });
+                self.count(if stocked { "filled from ledgers" } else { "filled from homes" });
                 let whole = Arc::new(c.whole);
                 if !self.env.policy.near {
                     self.keep(now, obj, Copy { whole: whole.clone(), public: c.public, since, until });
--- a/crates/gate/src/renew.rs
+++ b/crates/edge/src/renew.rs
@@ -1,15 +1,15 @@
 //! Renewing copies: an origin that still has what a copy shows says so in a few bytes.
 use crate::copies::Copy;
-use crate::gate::Gate;
+use crate::edge::Edge;
 use crate::sharing::sharing;
-use brood::*;
-use wax::{Mono, Span};
+use control_state::*;
+use primitives::{Mono, Span};
 
 pub(crate) const ASK_IF: &str = "if-none-match";
 /// As for any copy, see `read`.
 const WAY_OUT: Span = Span::secs(1);
 
-impl Gate {
+impl Edge {
     /// A fill of something that was had before asks only for what is newer.
     pub(crate) fn conditional(&self, id: u64, req: Req) -> Req {
         let j = self.jobs.get(&id).filter(|j| j.kind == Kind::Read && !j.solo && !j.plain);
--- a/crates/gate/src/rounds.rs
+++ b/crates/edge/src/rounds.rs
@@ -1,10 +1,10 @@
 //! Rounds: one try of a job at one origin.
-use crate::gate::Gate;
+use crate::edge::Edge;
 use crate::jobs::*;
 use crate::renew::ASK_IF;
-use brood::*;
+use control_state::*;
+use primitives::{Mono, Span};
 use std::sync::Arc;
-use wax::{Mono, Span};
 
 /// The last word on an answer that is larger than this deployment serves.
 fn too_large() -> Whole {
@@ -13,7 +13,7 @@
     Whole::new(502, "application/json", v.stringify().unwrap_or_default().into_bytes())
 }
 
-impl Gate {
+impl Edge {
     pub(crate) fn stage(&mut self, now: Mono, id: u64, s: Stage) {
         self.jobs.entry(id).and_modify(|j| {
             j.stage = s;
@@ -60,11 +60,11 @@
         let Some(j) = self.jobs.get(&id) else { return };
         let (svc, leave, req) = (j.svc.clone(), j.must_leave, j.req.clone());
         let on = match j.kind {
-            Kind::Read => wax::hash(&j.req.path),
-            Kind::Keyed => wax::hash(&j.req.key),
+            Kind::Read => primitives::hash(&j.req.path),
+            Kind::Keyed => primitives::hash(&j.req.key),
             Kind::Plain | Kind::Once => id,
         };
-        let fresh_first = |(a, o, _): &(wax::Addr, Origin, Mono)| j.tried.contains(&(*a, o.birth));
+        let fresh_first = |(a, o, _): &(primitives::Addr, Origin, Mono)| j.tried.contains(&(*a, o.birth));
         let mut all = if self.env.policy.by_load {
             self.by_load(now, &svc, id, j.kind == Kind::Read)
         } else {
--- a/crates/gate/src/sharing.rs
+++ b/crates/edge/src/sharing.rs
@@ -1,12 +1,12 @@
 //! Whether an answer may be shared, and for how long: by RFC 9111, through a
 //! library, and stricter where a copy's name lacks what an answer depends on.
-use crate::gate::Gate;
+use crate::edge::Edge;
 use crate::jobs::Caller;
-use brood::*;
+use control_state::*;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response};
 use http_cache_semantics::{CacheOptions, CachePolicy};
+use primitives::{Mono, Span};
 use std::time::UNIX_EPOCH;
-use wax::{Mono, Span};
 
 /// What an origin's answer says of itself.
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
@@ -21,7 +21,7 @@
     pub aged: Span,
 }
 
-fn map(heads: &brood::Heads) -> HeaderMap {
+fn map(heads: &control_state::Heads) -> HeaderMap {
     let one = |(n, v): (&str, &[u8])| {
         Some((HeaderName::from_bytes(n.as_bytes()).ok()?, HeaderValue::from_bytes(v).ok()?))
     };
@@ -81,7 +81,7 @@
 /// How long an object counts as not for sharing.
 const ALONE: Span = Span::secs(10);
 
-impl Gate {
+impl Edge {
     /// The answer is not for sharing: the first caller has it, if it was fetched
     /// here for that one; all others are answered by the origin, each by itself.
     pub(crate) fn part_ways(&mut self, now: Mono, id: u64, own: Option<Step>, out: &mut Vec<Out>) {
@@ -97,7 +97,7 @@
         self.finish(now, id, last, out);
         for c in rest {
             match c {
-                Caller::Gate(a, ask) => {
+                Caller::Edge(a, ask) => {
                     out.push(Out::Send(a, Msg::CopyGot { ask, said: CopySaid::Personal }));
                 }
                 Caller::Local(t, req) => self.enter(now, t, req, out),
--- a/crates/gate/src/table.rs
+++ b/crates/edge/src/table.rs
@@ -1,9 +1,9 @@
-//! What a gate routes by: an immutable snapshot, built anew and swapped whole.
+//! What an edge routes by: an immutable snapshot, built anew and swapped whole.
 use crate::lanes::Lanes;
-use brood::*;
+use control_state::*;
+use primitives::{Addr, NodeId};
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use wax::{Addr, NodeId};
 
 #[derive(Clone, Debug, Default)]
 pub struct Table {
@@ -11,8 +11,8 @@
     pub lanes: BTreeMap<Lane, Vec<(Svc, Row)>>,
     /// Only origins that serve.
     pub origins: BTreeMap<Svc, Vec<(Addr, Origin)>>,
-    pub gates: Vec<(NodeId, Addr, Zone)>,
-    pub combs: Vec<(NodeId, Addr, Zone)>,
+    pub edges: Vec<(NodeId, Addr, Zone)>,
+    pub ledgers: Vec<(NodeId, Addr, Zone)>,
     pub roll: Roll,
     pub shares: BTreeMap<Svc, Share>,
     /// By host and path.
@@ -39,10 +39,10 @@
                     t.origins.entry(o.svc.clone()).or_default().push((*a, o.clone()));
                 }
                 (Key::Node(id), Some(Body::Node(n))) => match n.role {
-                    Role::Gate if n.standing == Standing::Serving => {
-                        t.gates.push((*id, n.addr, n.zone.clone()))
+                    Role::Edge if n.standing == Standing::Serving => {
+                        t.edges.push((*id, n.addr, n.zone.clone()))
                     }
-                    Role::Comb => t.combs.push((*id, n.addr, n.zone.clone())),
+                    Role::Ledger => t.ledgers.push((*id, n.addr, n.zone.clone())),
                     _ => (),
                 },
                 _ => (),
--- a/crates/hive/src/args.rs
+++ b/crates/lanewing/src/args.rs
@@ -1,7 +1,7 @@
 //! Arguments that several plug-ins share.
 use clap::{value_parser, Arg, Command};
+use primitives::Addr;
 use std::path::PathBuf;
-use wax::Addr;
 
 pub fn env_arg() -> Arg {
     Arg::new("env")
@@ -25,7 +25,7 @@
             .value_delimiter(',')
             .required(true)
             .value_parser(value_parser!(Addr))
-            .help("HTTP address of a keeper; several, separated by commas, are tried in turn"),
+            .help("HTTP address of a controller; several, separated by commas, are tried in turn"),
     )
 }
 
--- a/crates/hive/src/books.rs
+++ b/crates/lanewing/src/books.rs
@@ -1,16 +1,16 @@
 //! Runbooks at the command line.
 use crate::args::{id, op};
 use crate::kernel::{Plugin, PLUGINS};
-use crate::ops::{change_id, keepers, OpsProblem};
+use crate::ops::{change_id, controllers, OpsProblem};
 use clap::{Arg, ArgAction, ArgMatches, Command};
 use linkme::distributed_slice;
-use meadow::web;
-use scout::{page, read_book, Book, Hands};
+use primitives::{parse, Addr, Look};
+use runbooks::{page, read_book, Book, Hands};
+use stand_ins::web;
 use std::collections::BTreeMap;
 use std::io::{BufRead, IsTerminal};
 use std::time::{Duration, Instant};
 use tinyjson::JsonValue;
-use wax::{parse, Addr, Look};
 
 #[distributed_slice(PLUGINS)]
 static BOOKS: Plugin = Plugin { place: 2, commands: || vec![command()], run: |_, m| Ok(run(m)?) };
@@ -33,7 +33,7 @@
 }
 
 fn load(name: &str) -> Result<Book, OpsProblem> {
-    let shipped = scout::SHIPPED.iter().find(|(n, _)| *n == name).map(|(_, s)| s.to_string());
+    let shipped = runbooks::SHIPPED.iter().find(|(n, _)| *n == name).map(|(_, s)| s.to_string());
     let file = |source| OpsProblem::File { path: name.to_string(), source };
     let s = shipped.map(Ok).unwrap_or_else(|| std::fs::read_to_string(name).map_err(file))?;
     Ok(read_book(&Look::at(&parse(&s)?, ""))?)
@@ -81,7 +81,7 @@
 fn run(m: &ArgMatches) -> Result<(), OpsProblem> {
     let (sub, m) = m.subcommand().expect("required");
     if sub == "list" {
-        scout::SHIPPED.iter().for_each(|(n, _)| println!("{n}"));
+        runbooks::SHIPPED.iter().for_each(|(n, _)| println!("{n}"));
         return Ok(());
     }
     let name = m.get_one::<String>("name").expect("required");
@@ -96,10 +96,10 @@
         told.insert(pair.0.to_string(), pair.1.to_string());
     }
     let mut h = Real {
-        at: keepers(m),
+        at: controllers(m),
         agent: web::agent(Duration::from_secs(30)),
         yes: m.get_flag("yes"),
         began: Instant::now(),
     };
-    Ok(scout::run(&b, &change_id(m), &told, &mut h)?)
+    Ok(runbooks::run(&b, &change_id(m), &told, &mut h)?)
 }
--- a/crates/hive/src/commands.rs
+++ b/crates/lanewing/src/commands.rs
@@ -4,8 +4,8 @@
 use crate::ops;
 use clap::{value_parser, Arg, ArgAction, Command};
 use linkme::distributed_slice;
+use primitives::Addr;
 use std::path::PathBuf;
-use wax::Addr;
 
 #[distributed_slice(PLUGINS)]
 static OPERATORS: Plugin = Plugin { place: 1, commands, run: |name, m| Ok(ops::run(name, m)?) };
@@ -42,12 +42,12 @@
                 .arg(id()),
         )
         .subcommand(op("origins", "Show origins, their beats and understudies").arg(json()))
-        .subcommand(op("nodes", "Show keepers, gates and combs").arg(json()))
+        .subcommand(op("nodes", "Show controllers, edges and ledgers").arg(json()))
         .subcommand(op("health", "Ask a node whether it is ready, and for its counters"))
         .subcommand(op("drain", "Let a node take no new work").arg(node()).arg(id()))
         .subcommand(op("remove", "Take a node out of the list for good").arg(node()).arg(id()))
         .subcommand(
-            op("replace", "Give a lost keeper's seat to the blank keeper at another address")
+            op("replace", "Give a lost controller's seat to the blank controller at another address")
                 .arg(text("old", "The lost one's cohort address").value_parser(value_parser!(Addr)))
                 .arg(text("new", "The new one's cohort address").value_parser(value_parser!(Addr))),
         )
--- a/crates/hive/src/daemons.rs
+++ b/crates/lanewing/src/daemons.rs
@@ -2,28 +2,28 @@
 use crate::args::{addr, env_arg};
 use crate::kernel::{Plugin, PLUGINS};
 use crate::roles;
-use brood::{Role, Zone};
 use clap::{value_parser, Arg, ArgAction, ArgMatches, Command};
+use control_state::{Role, Zone};
 use linkme::distributed_slice;
-use skep::env::Env;
+use primitives::Addr;
+use runtime::env::Env;
 use std::path::PathBuf;
-use wax::Addr;
 
 #[distributed_slice(PLUGINS)]
 static DAEMONS: Plugin = Plugin {
     place: 0,
     commands: || {
         vec![
-            role("keeper", "Run a keeper: decides and keeps the control state"),
-            role("gate", "Run a gate: routes, caches and shields"),
-            role("comb", "Run a comb: keeps copies and the ledger of keys"),
+            role("controller", "Run a controller: decides and keeps the control state"),
+            role("edge", "Run an edge: routes, caches and shields"),
+            role("ledger", "Run a ledger: keeps copies and the ledger of keys"),
         ]
     },
     run: |name, m| {
         let done = match name {
-            "keeper" => start(m, Role::Keeper).and_then(roles::keeper),
-            "gate" => start(m, Role::Gate).and_then(roles::gate),
-            _ => start(m, Role::Comb).and_then(roles::comb),
+            "controller" => start(m, Role::Controller).and_then(roles::controller),
+            "edge" => start(m, Role::Edge).and_then(roles::edge),
+            _ => start(m, Role::Ledger).and_then(roles::ledger),
         };
         Ok(done?)
     },
--- a/crates/hive/src/desk.rs
+++ b/crates/lanewing/src/desk.rs
@@ -1,21 +1,21 @@
 //! What each role answers over HTTP.
-use brood::*;
-use skep::cond::fit;
-use skep::front::{common, Reply};
-use skep::intake::Call;
-use skep::net::Counts;
-use skep::shell::Handle;
+use control_state::*;
+use primitives::{Addr, Look, LookProblem, Mono};
+use runtime::cond::fit;
+use runtime::front::{common, Reply};
+use runtime::intake::Call;
+use runtime::net::Counts;
+use runtime::shell::Handle;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering::Relaxed;
 use std::sync::Arc;
 use std::time::Duration;
 use tinyjson::JsonValue;
-use wax::{Addr, Look, LookProblem, Mono};
 
-/// A change may have to wait for a lost gate's lease.
+/// A change may have to wait for a lost edge's lease.
 const CHANGE: Duration = Duration::from_secs(25);
 const SHORT: Duration = Duration::from_secs(2);
-/// Longer than any job of a gate lives.
+/// Longer than any job of an edge lives.
 const REQUEST: Duration = Duration::from_secs(30);
 
 pub fn answer(h: &Handle, role: &str, counts: &Counts, c: Call) -> Reply {
@@ -23,10 +23,10 @@
     common(h, &c).unwrap_or_else(|| match (c.method.as_str(), c.path.as_str()) {
         ("GET", "lanewing/links") => links(counts),
         ("GET", "lanewing/table" | "lanewing/origins" | "lanewing/nodes") => show(h, &c),
-        ("POST", "lanewing/changes") if role == "keeper" => change(h, &c),
-        ("POST", "lanewing/beats") if role == "keeper" => beat(h, &c),
-        ("POST", "lanewing/replace") if role == "keeper" => replace(h, &c),
-        _ if role == "gate" && !own => request(h, c),
+        ("POST", "lanewing/changes") if role == "controller" => change(h, &c),
+        ("POST", "lanewing/beats") if role == "controller" => beat(h, &c),
+        ("POST", "lanewing/replace") if role == "controller" => replace(h, &c),
+        _ if role == "edge" && !own => request(h, c),
         _ => Reply::problem(404, "not found", "nothing is served here under this path"),
     })
 }
@@ -57,7 +57,7 @@
         _ => {
             let nodes = show_items(&p, false, |k| matches!(k, Key::Node(_)));
             let ledger = show_items(&p, false, |k| matches!(k, Key::Roll));
-            vec![("keepers", show_members(&p)), ("nodes", nodes), ("ledger", ledger), era]
+            vec![("controllers", show_members(&p)), ("nodes", nodes), ("ledger", ledger), era]
         }
     };
     Reply::json(200, obj(v))
@@ -98,11 +98,14 @@
     let wait = |b: &Beat| if b.mood.ends() { CHANGE } else { SHORT };
     match c.json(read_beat).map(|(b, mark)| h.ask(Ask::Beat(b.clone(), mark), wait(&b))) {
         Ok(Some(r @ (Receipt::Took | Receipt::Change(_)))) => {
-            // Said of a word of leaving: from now on no gate asks this origin.
+            // Said of a word of leaving: from now on no edge asks this origin.
             let force = ("in_force", JsonValue::from(matches!(r, Receipt::Change(Verdict::Done(_)))));
-            Reply::json(200, obj(vec![("heard", JsonValue::from(true)), force, ("mark", num(skep::now().0))]))
+            Reply::json(
+                200,
+                obj(vec![("heard", JsonValue::from(true)), force, ("mark", num(runtime::now().0))]),
+            )
         }
-        Ok(_) => Reply::problem(503, "not now", "this keeper reaches too few others").after(1),
+        Ok(_) => Reply::problem(503, "not now", "this controller reaches too few others").after(1),
         Err(r) => r,
     }
 }
@@ -127,7 +130,7 @@
         Denied::NoKey => (400, "this lane needs an Idempotency-Key"),
         Denied::KeyReused => (422, "the key was used with another request"),
         Denied::BadMethod => (405, "not a method of this lane"),
-        Denied::NoLease => (503, "this node may not serve: out of touch with the keepers"),
+        Denied::NoLease => (503, "this node may not serve: out of touch with the controllers"),
         Denied::NoOrigin => (503, "no usable origin"),
         Denied::Ceiling => (503, "the service is at its ceiling"),
         Denied::SplitVote => (503, "the key could not be secured"),
@@ -138,7 +141,7 @@
     }
 }
 
-/// A caller's request: the gate decides, this obeys.
+/// A caller's request: the edge decides, this obeys.
 fn request(h: &Handle, c: Call) -> Reply {
     let (lane, path) = c.path.split_once('/').unwrap_or((&c.path, ""));
     let req = Req {
--- a/crates/hive/src/kernel.rs
+++ b/crates/lanewing/src/kernel.rs
@@ -1,5 +1,5 @@
 //! The kernel: knows no role and no command; plug-ins register themselves.
-use crate::HiveProblem;
+use crate::LanewingProblem;
 use clap::{ArgMatches, Command};
 use linkme::distributed_slice;
 
@@ -7,7 +7,7 @@
     /// Where its commands stand in the help.
     pub place: u8,
     pub commands: fn() -> Vec<Command>,
-    pub run: fn(&str, &ArgMatches) -> Result<(), HiveProblem>,
+    pub run: fn(&str, &ArgMatches) -> Result<(), LanewingProblem>,
 }
 
 /// Invariant: no two plug-ins name the same command; clap refuses that.
@@ -21,15 +21,15 @@
 }
 
 pub fn command() -> Command {
-    let hive = Command::new("hive")
+    let lanewing = Command::new("lanewing")
         .about("lanewing: a content delivery network that shields a few huge, fragile origins")
         .version(env!("CARGO_PKG_VERSION"))
         .subcommand_required(true)
         .arg_required_else_help(true);
-    sorted().into_iter().fold(hive, |h, p| h.subcommands((p.commands)()))
+    sorted().into_iter().fold(lanewing, |h, p| h.subcommands((p.commands)()))
 }
 
-pub fn run(m: &ArgMatches) -> Result<(), HiveProblem> {
+pub fn run(m: &ArgMatches) -> Result<(), LanewingProblem> {
     let (name, m) = m.subcommand().expect("required");
     let has = |p: &&Plugin| (p.commands)().iter().any(|c| c.get_name() == name);
     sorted().into_iter().find(has).map_or(Ok(()), |p| (p.run)(name, m))
@@ -42,7 +42,18 @@
         super::command().debug_assert();
         let names: Vec<String> =
             super::command().get_subcommands().map(|c| c.get_name().to_string()).collect();
-        for n in ["keeper", "gate", "comb", "table", "set", "purge", "runbook", "plan", "flower", "forager"] {
+        for n in [
+            "controller",
+            "edge",
+            "ledger",
+            "table",
+            "set",
+            "purge",
+            "runbook",
+            "plan",
+            "stub_origin",
+            "load_client",
+        ] {
             assert!(names.iter().any(|m| m == n), "{n} is missing from {names:?}");
         }
     }
--- a/crates/hive/src/main.rs
+++ b/crates/lanewing/src/main.rs
@@ -1,4 +1,4 @@
-//! lanewing: `hive` runs every role and speaks for operators.
+//! lanewing: `lanewing` runs every role and speaks for operators.
 mod args;
 mod books;
 mod commands;
@@ -17,7 +17,7 @@
 
 /// Whatever ends a command badly.
 #[derive(Debug, Snafu)]
-enum HiveProblem {
+enum LanewingProblem {
     #[snafu(display("{source}"), context(false))]
     Start { source: roles::StartProblem },
     #[snafu(display("{source}"), context(false))]
@@ -28,14 +28,14 @@
     Play { source: play::PlayProblem },
 }
 
-impl HiveProblem {
+impl LanewingProblem {
     /// 1: it was denied or went wrong; 2: what was asked makes no sense;
     /// 3: not known whether it took effect.
     fn code(&self) -> u8 {
         match self {
-            HiveProblem::Start { source: roles::StartProblem::Env { .. } } => 2,
-            HiveProblem::Platform { source } => source.code(),
-            HiveProblem::Ops { source } => source.code(),
+            LanewingProblem::Start { source: roles::StartProblem::Env { .. } } => 2,
+            LanewingProblem::Platform { source } => source.code(),
+            LanewingProblem::Ops { source } => source.code(),
             _ => 1,
         }
     }
@@ -44,7 +44,7 @@
 fn main() -> ExitCode {
     let m = kernel::command().get_matches();
     kernel::run(&m).map(|()| ExitCode::SUCCESS).unwrap_or_else(|p| {
-        eprintln!("hive: {p}");
+        eprintln!("lanewing: {p}");
         ExitCode::from(p.code())
     })
 }
--- a/crates/hive/src/ops.rs
+++ b/crates/lanewing/src/ops.rs
@@ -1,13 +1,13 @@
 //! What operators ask of a running deployment.
-use brood::{num, obj, text};
 use clap::ArgMatches;
-use meadow::web;
-use skep::env::{Env, EnvProblem};
+use control_state::{num, obj, text};
+use primitives::{parse, Addr, Look, LookProblem};
+use runtime::env::{Env, EnvProblem};
 use snafu::Snafu;
+use stand_ins::web;
 use std::path::PathBuf;
 use std::time::Duration;
 use tinyjson::JsonValue;
-use wax::{parse, Addr, Look, LookProblem};
 
 #[derive(Debug, Snafu)]
 pub enum OpsProblem {
@@ -20,7 +20,7 @@
     #[snafu(display("{path}, line {line}: {source}"))]
     Line { path: String, line: usize, source: LookProblem },
     #[snafu(display("{source}"), context(false))]
-    Book { source: scout::RunProblem },
+    Book { source: runbooks::RunProblem },
     #[snafu(display("patch: {reason}"))]
     Patch { reason: String },
     #[snafu(display("--set {set} should be NAME=VALUE"))]
@@ -51,7 +51,7 @@
     println!("{}", v.format().unwrap_or_default());
 }
 
-pub fn keepers(m: &ArgMatches) -> Vec<Addr> {
+pub fn controllers(m: &ArgMatches) -> Vec<Addr> {
     m.get_many("at").map(|a| a.copied().collect()).unwrap_or_default()
 }
 
@@ -62,7 +62,7 @@
 ) -> Result<(u16, JsonValue)> {
     let a = web::agent(Duration::from_secs(30));
     let mut last = None;
-    for at in keepers(m) {
+    for at in controllers(m) {
         let got = f(&a, at);
         if got.as_ref().is_some_and(|(s, _)| *s != 503) {
             return got.ok_or(OpsProblem::Silent);
@@ -101,7 +101,7 @@
 }
 
 pub fn change_id(m: &ArgMatches) -> String {
-    m.get_one::<String>("id").cloned().unwrap_or_else(|| format!("c-{:x}", skep::life()))
+    m.get_one::<String>("id").cloned().unwrap_or_else(|| format!("c-{:x}", runtime::life()))
 }
 
 /// Sends one change; the same id again is safe.
@@ -118,7 +118,7 @@
     let id = change_id(m);
     let v = obj(vec![("id", text(&id)), (name, op)]);
     // What is plainly invalid need not travel.
-    brood::read_change(&Look::at(&v, ""))?;
+    control_state::read_change(&Look::at(&v, ""))?;
     send(m, &id, &v)
 }
 
@@ -142,7 +142,7 @@
         std::fs::read_to_string(&path).map_err(|source| OpsProblem::File { path: path.clone(), source })?;
     let mut all = vec![];
     for (i, l) in s.lines().enumerate().filter(|(_, l)| !l.trim().is_empty()) {
-        let v = parse(l).and_then(|v| brood::read_change(&Look::at(&v, "")).map(|c| (c, v)));
+        let v = parse(l).and_then(|v| control_state::read_change(&Look::at(&v, "")).map(|c| (c, v)));
         all.push(v.map_err(|source| OpsProblem::Line { path: path.clone(), line: i + 1, source })?);
     }
     for (c, v) in &all {
@@ -155,7 +155,7 @@
     let path = m.get_one::<PathBuf>("file").expect("required");
     let env = Env::load(path)?;
     if let Some(r) = &env.rehearsal {
-        meadow::mix::read_mix(&Look::at(r, "rehearsal"))?;
+        stand_ins::mix::read_mix(&Look::at(r, "rehearsal"))?;
     }
     println!("{}: {} nodes, in order", env.deployment, env.nodes.len());
     Ok(())
--- a/crates/hive/src/plan.rs
+++ b/crates/lanewing/src/plan.rs
@@ -4,10 +4,10 @@
 use crate::ops::{change_id, fetch, send, OpsProblem};
 use clap::{Arg, ArgAction, ArgMatches, Command};
 use linkme::distributed_slice;
+use primitives::{parse, Look};
 use serde_json::{Map, Value};
 use std::collections::{BTreeMap, BTreeSet};
 use tinyjson::JsonValue;
-use wax::{parse, Look};
 
 /// Lane and service.
 type Cell = (String, String);
@@ -85,7 +85,7 @@
     for c in changes(&before, &after, &versions, &change_id(m)) {
         let v = parse(&c.to_string())?;
         // All rows are checked before any is sent.
-        let read = brood::read_change(&Look::at(&v, ""))?;
+        let read = control_state::read_change(&Look::at(&v, ""))?;
         plan.push((read.id.map_or(String::new(), |i| i.0), v));
     }
     plan.iter().for_each(|(_, v)| println!("{}", v.stringify().unwrap_or_default()));
@@ -123,7 +123,7 @@
         assert_eq!(all[1]["delete"]["expect"], 7);
         assert_eq!((&all[2]["row"]["lane"], &all[2]["row"]["expect"]), (&Value::from("c"), &Value::from(0)));
         for c in said {
-            brood::read_change(&Look::at(&parse(&c).unwrap(), "")).unwrap();
+            control_state::read_change(&Look::at(&parse(&c).unwrap(), "")).unwrap();
         }
     }
 }
--- a/crates/hive/src/roles.rs
+++ b/crates/lanewing/src/roles.rs
@@ -1,14 +1,15 @@
 //! Starting the daemons.
 use crate::desk;
-use brood::*;
-use skep::env::{Env, EnvProblem, Place};
-use skep::exec::ExecEnv;
-use skep::front::{self, FrontEnv, Open};
-use skep::logs::{on_panic, LogRing};
-use skep::net::{Counts, Net};
-use skep::ring::{Ring, RingProblem};
-use skep::room::Room;
-use skep::shell::{self, Frame, Handle};
+use control_state::*;
+use primitives::{Addr, Birth, Span};
+use runtime::env::{Env, EnvProblem, Place};
+use runtime::exec::ExecEnv;
+use runtime::front::{self, FrontEnv, Open};
+use runtime::logs::{on_panic, LogRing};
+use runtime::net::{Counts, Net};
+use runtime::ring::{Ring, RingProblem};
+use runtime::room::Room;
+use runtime::shell::{self, Frame, Handle};
 use slog::info;
 use snafu::{ResultExt, Snafu};
 use std::net::TcpListener;
@@ -16,7 +17,6 @@
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
-use wax::{Addr, Birth, Span};
 
 #[derive(Debug, Snafu)]
 pub enum StartProblem {
@@ -56,7 +56,7 @@
             zone: p.zone,
             seeds: p.seeds,
             birth: Birth(birth),
-            life: skep::life(),
+            life: runtime::life(),
             lease: self.env.limits.lease,
             serve_on: false,
         }
@@ -78,16 +78,16 @@
     fn run(self, part: Box<dyn Part>, first: Vec<Out>, ring: Option<Ring>) -> Result<()> {
         let logs = LogRing::default();
         on_panic(logs.clone());
-        let role = skep::env::role_name(self.place.role);
+        let role = runtime::env::role_name(self.place.role);
         let log = logs.logger().new(slog::o!("role" => role, "node" => self.place.node.0));
         let counts = Arc::new(Counts::default());
         let net = self.net(&counts);
         let cohort = bind(self.place.cohort)?;
         let http = bind(self.place.http)?;
-        let gate = self.place.role == Role::Gate;
+        let edge = self.place.role == Role::Edge;
         let l = self.env.limits.clone();
         let room = Room::new(l.memory_mb << 20);
-        let (tx, start) = skep::exec::rounds(ExecEnv {
+        let (tx, start) = runtime::exec::rounds(ExecEnv {
             answer: l.answer_kb << 10,
             room: room.clone(),
             manner: Default::default(),
@@ -101,9 +101,9 @@
         shell::run(frame, cohort, counts, move |h| {
             let hh = h.clone();
             let open = front::serve(http, front, move |call| desk::answer(&hh, role, &c, call));
-            if gate {
+            if edge {
                 start(h.clone());
-                skep::exec::probe(h.clone());
+                runtime::exec::probe(h.clone());
             }
             thread::spawn(move || {
                 if let Some(s) = signals.forever().next() {
@@ -137,12 +137,12 @@
     }
 }
 
-pub fn keeper(s: Start) -> Result<()> {
+pub fn controller(s: Start) -> Result<()> {
     let (ring, recs) = s.disk()?;
-    let kept = recs.iter().map(|r| keeper::Kept::decode(r)).collect::<Option<Vec<_>>>();
+    let kept = recs.iter().map(|r| controller::Kept::decode(r)).collect::<Option<Vec<_>>>();
     let kept = kept.ok_or(StartProblem::Undecodable)?;
     let (l, p) = (s.env.limits.clone(), s.place.clone());
-    let env = keeper::KeeperEnv {
+    let env = controller::ControllerEnv {
         addr: p.cohort,
         http: p.http,
         zone: p.zone,
@@ -154,50 +154,50 @@
         window: l.window,
         vanish: l.vanish,
         base_after: l.ring_mb << 18,
-        pace: waggle::Pace::default(),
+        pace: caesar::Pace::default(),
     };
     let mut out = vec![];
-    let k = keeper::Keeper::start(env, kept, skep::life(), skep::now(), &mut out);
+    let k = controller::Controller::start(env, kept, runtime::life(), runtime::now(), &mut out);
     s.run(Box::new(k), out, Some(ring))
 }
 
-pub fn gate(s: Start) -> Result<()> {
+pub fn edge(s: Start) -> Result<()> {
     let l = s.env.limits.clone();
-    let env = gate::GateEnv {
-        follow: s.follow(skep::life()),
+    let env = edge::EdgeEnv {
+        follow: s.follow(runtime::life()),
         fresh: l.fresh,
         patience: l.patience,
         copies: l.copies_mb << 20,
         // A quarter for one service: two that hang leave half to the others.
         hands: (l.callers / 4, l.callers),
         grace: l.grace,
-        policy: gate::GatePolicy::default(),
+        policy: edge::EdgePolicy::default(),
         losses: 1,
         stock: true,
         leave: LEAVE,
     };
-    s.run(Box::new(gate::Gate::new(env)), vec![], None)
+    s.run(Box::new(edge::Edge::new(env)), vec![], None)
 }
 
-pub fn comb(s: Start) -> Result<()> {
+pub fn ledger(s: Start) -> Result<()> {
     let (ring, recs) = s.disk()?;
-    let kept = recs.iter().map(|r| comb::Kept::decode(r)).collect::<Option<Vec<_>>>();
+    let kept = recs.iter().map(|r| ledger::Kept::decode(r)).collect::<Option<Vec<_>>>();
     let kept = kept.ok_or(StartProblem::Undecodable)?;
     let base_after = s.env.limits.ring_mb << 18;
     let room = s.env.limits.ring_mb << 16;
-    let env = comb::CombEnv {
+    let env = ledger::LedgerEnv {
         follow: s.follow(0),
         window: s.env.limits.window,
         base_after,
         room,
         // One file of the ring, less the copies and an eighth to spare.
         most: base_after - room - base_after / 8,
-        boot: skep::boot(),
+        boot: runtime::boot(),
         losses: 1,
         leave: LEAVE,
         sparing: false,
     };
     let mut out = vec![];
-    let c = comb::Comb::start(env, kept, skep::life(), skep::now(), &mut out);
+    let c = ledger::Ledger::start(env, kept, runtime::life(), runtime::now(), &mut out);
     s.run(Box::new(c), out, Some(ring))
 }
--- a/crates/hive/src/sheet.rs
+++ b/crates/lanewing/src/sheet.rs
@@ -10,7 +10,7 @@
     ("origins", &["service", "address", "zone", "standing", "cap", "version"]),
     ("beats", &["service", "address", "zone", "mood", "occupancy", "cap", "age_ms"]),
     ("pairs", &["service", "origin", "understudy"]),
-    ("keepers", &["keeper", "cohort", "http", "zone"]),
+    ("controllers", &["controller", "cohort", "http", "zone"]),
     ("nodes", &["node", "role", "cohort", "http", "zone", "standing"]),
 ];
 
--- a/crates/comb/src/ledger.rs
+++ b/crates/ledger/src/grants.rs
@@ -1,9 +1,9 @@
-//! The ledger of keys and what of it reaches the disk.
+//! The grants of keys and what of it reaches the disk.
 use crate::stock::Stocked;
-use brood::{Claimed, Held, Print, RoundId, Whole};
+use control_state::{Claimed, Held, Print, RoundId, Whole};
+use primitives::{Birth, Mono, Span};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
-use wax::{Birth, Mono, Span};
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Kept {
@@ -59,13 +59,13 @@
 /// Invariant: a key is granted to one round until its window is over or that
 /// round gave it back unsent.
 #[derive(Debug, Default)]
-pub(crate) struct Ledger {
+pub(crate) struct Grants {
     pub keys: BTreeMap<String, Grant>,
     /// What they come to, as of the last look at their ages.
     pub bytes: usize,
 }
 
-impl Ledger {
+impl Grants {
     /// What to say to a claim; `Granted` to a new round must be saved first.
     pub fn look(&self, key: &str, print: Print, round: RoundId) -> Claimed {
         let held = self.keys.get(key);
--- a/crates/comb/src/comb.rs
+++ b/crates/ledger/src/ledger.rs
@@ -1,12 +1,12 @@
-use crate::ledger::*;
+use crate::grants::*;
 use crate::recall::Recall;
 use crate::stock::Stock;
-use brood::*;
+use control_state::*;
+use primitives::{Addr, Birth, Epoch, Mono, NodeId, Span};
 use std::collections::BTreeMap;
-use wax::{Addr, Birth, Epoch, Mono, NodeId, Span};
 
 #[derive(Clone, Debug)]
-pub struct CombEnv {
+pub struct LedgerEnv {
     pub follow: FollowEnv,
     /// How long a key stays with its round: the brief's minute, and over it the
     /// time a granted round may take to leave and to run.
@@ -21,11 +21,11 @@
     pub most: usize,
     /// Which boot of the machine this is.
     pub boot: u64,
-    /// Lost disks borne at once; the same at every gate and comb.
+    /// Lost disks borne at once; the same at every edge and ledger.
     pub losses: usize,
-    /// A granted round must leave within this; the same at every gate and comb.
+    /// A granted round must leave within this; the same at every edge and ledger.
     pub leave: Span,
-    /// Outcomes stay where they were given: a key is known at all of its combs, its
+    /// Outcomes stay where they were given: a key is known at all of its ledgers, its
     /// outcome at one.
     pub sparing: bool,
 }
@@ -33,10 +33,10 @@
 /// How often what is over is looked for.
 const SWEEP: Span = Span::ms(250);
 
-pub struct Comb {
-    pub(crate) env: CombEnv,
+pub struct Ledger {
+    pub(crate) env: LedgerEnv,
     pub(crate) follow: Follow,
-    pub(crate) ledger: Ledger,
+    pub(crate) grants: Grants,
     pub(crate) stock: Stock,
     pub(crate) swept: Mono,
     /// Invariant: true only if this disk has missed no grant that still counts.
@@ -48,10 +48,10 @@
     pub(crate) counts: BTreeMap<&'static str, u64>,
 }
 
-impl Comb {
+impl Ledger {
     /// Starts on what the disk holds; `life` is a fresh random number.
-    pub fn start(mut env: CombEnv, kept: Vec<Kept>, life: u64, now: Mono, out: &mut Vec<Out>) -> Comb {
-        let mut ledger = Ledger::default();
+    pub fn start(mut env: LedgerEnv, kept: Vec<Kept>, life: u64, now: Mono, out: &mut Vec<Out>) -> Ledger {
+        let mut grants = Grants::default();
         let mut stock = Stock::new(env.room);
         let mut birth = None;
         let mut open = false;
@@ -67,7 +67,7 @@
                 Kept::Copy(s) => stock.put(s.object.clone(), s.clone()),
                 _ => (),
             }
-            ledger.apply(k, now);
+            grants.apply(k, now);
         }
         // Another boot's clock says nothing here.
         stock.drop_where(|_, s| s.boot != env.boot || s.until <= now);
@@ -77,10 +77,10 @@
             out.push(Out::Base(Kept::Birth(env.follow.birth).encode()));
             out.push(Out::Note("the disk is new"));
         }
-        Comb {
+        Ledger {
             follow: Follow::new(env.follow.clone()),
             env,
-            ledger,
+            grants,
             stock,
             swept: now,
             open,
@@ -103,7 +103,7 @@
         if let Kept::Copy(s) = &k {
             self.stock.put(s.object.clone(), s.clone());
         }
-        self.ledger.apply(k, now);
+        self.grants.apply(k, now);
     }
 
     fn on_claim(
@@ -115,15 +115,15 @@
         round: RoundId,
         out: &mut Vec<Out>,
     ) {
-        self.ledger.drop_old(now, self.env.window);
-        let said = match self.ledger.look(&key, print, round) {
-            Claimed::Granted if !self.open || self.ledger.bytes > self.env.most => Claimed::Unable,
+        self.grants.drop_old(now, self.env.window);
+        let said = match self.grants.look(&key, print, round) {
+            Claimed::Granted if !self.open || self.grants.bytes > self.env.most => Claimed::Unable,
             s => s,
         };
         if said == Claimed::Unable && self.open {
             self.count("no room for keys");
         }
-        if said == Claimed::Granted && !self.ledger.keys.contains_key(&key) {
+        if said == Claimed::Granted && !self.grants.keys.contains_key(&key) {
             self.count("granted");
             self.save(now, Kept::Grant { key: key.clone(), print, round }, out);
         }
@@ -133,13 +133,13 @@
     /// The outcome of a round; the grant itself may have been missed.
     fn on_outcome(&mut self, now: Mono, from: Addr, grant: Kept, whole: Whole, out: &mut Vec<Out>) {
         let Kept::Grant { key, round, .. } = grant.clone() else { return };
-        let held = self.ledger.keys.get(&key).map(|g| (g.round == round, g.whole.is_some()));
+        let held = self.grants.keys.get(&key).map(|g| (g.round == round, g.whole.is_some()));
         if held.is_none() {
             self.save(now, grant, out);
         }
         // Too large to keep: later tries are in doubt, as if the answer were lost.
         // Nor may an outcome that may as well be lost take the room of grants.
-        let room = !self.env.sparing || self.ledger.bytes < self.env.most / 4 * 3;
+        let room = !self.env.sparing || self.grants.bytes < self.env.most / 4 * 3;
         let small = whole.size() <= self.env.most / 16 && room;
         if small && held.is_none_or(|(same, known)| same && !known) {
             self.count("outcomes");
@@ -155,8 +155,8 @@
             _ => "",
         };
         let mut counts: Vec<_> = self.counts.iter().map(|(k, v)| (*k, *v)).collect();
-        counts.push(("keys", self.ledger.keys.len() as u64));
-        counts.push(("key bytes", self.ledger.bytes as u64));
+        counts.push(("keys", self.grants.keys.len() as u64));
+        counts.push(("key bytes", self.grants.bytes as u64));
         counts.push(("copies", self.stock.len() as u64));
         Health { ready: why.is_empty(), why, counts, ..Health::default() }
     }
@@ -167,14 +167,14 @@
         }
         if now - self.swept >= SWEEP {
             self.swept = now;
-            self.ledger.drop_old(now, self.env.window);
+            self.grants.drop_old(now, self.env.window);
         }
         if self.written > self.env.base_after {
             self.written = 0;
             let b = Kept::Base(
                 self.follow.env.birth,
                 self.open,
-                self.ledger.dump(),
+                self.grants.dump(),
                 self.stock.values().cloned().collect(),
             );
             out.push(Out::Base(b.encode()));
@@ -189,21 +189,21 @@
     }
     /// Keys held now.
     pub fn held(&self) -> usize {
-        self.ledger.keys.len()
+        self.grants.keys.len()
     }
     pub fn is_open(&self) -> bool {
         self.open
     }
 }
 
-impl Part for Comb {
+impl Part for Ledger {
     fn step(&mut self, now: Mono, inp: In, out: &mut Vec<Out>) {
         match inp {
             In::Tick => self.tick(now, out),
             In::Ask(t, Ask::Ready | Ask::Drain) => {
                 out.push(Out::Tell(t, Receipt::Health(self.health(now))));
             }
-            In::Ask(t, _) => out.push(Out::Tell(t, Receipt::NotNow("not asked of a comb"))),
+            In::Ask(t, _) => out.push(Out::Tell(t, Receipt::NotNow("not asked of a ledger"))),
             In::Msg(from, m) => match m {
                 Msg::News(n) => {
                     self.follow.on_news(from, &n, out);
@@ -211,7 +211,7 @@
                 }
                 Msg::Claim { key, print, round } => self.on_claim(now, from, key, print, round, out),
                 Msg::Release { key, round } => {
-                    if self.ledger.keys.get(&key).is_some_and(|g| g.round == round && g.whole.is_none()) {
+                    if self.grants.keys.get(&key).is_some_and(|g| g.round == round && g.whole.is_none()) {
                         self.save(now, Kept::Release { key, round }, out);
                     }
                 }
--- /dev/null
+++ b/crates/ledger/src/lib.rs
@@ -0,0 +1,10 @@
+//! The ledger, a pure part: grants each key to one round and keeps its outcome.
+mod grants;
+mod ledger;
+mod mend;
+mod recall;
+mod stock;
+
+pub use grants::Kept;
+pub use ledger::{Ledger, LedgerEnv};
+pub use stock::Stocked;
--- a/crates/comb/src/mend.rs
+++ b/crates/ledger/src/mend.rs
@@ -1,25 +1,25 @@
-//! Repair: combs compare digests over ranges of keys and take over what they lack.
-use crate::comb::Comb;
-use crate::ledger::*;
-use brood::*;
+//! Repair: ledgers compare digests over ranges of keys and take over what they lack.
+use crate::grants::*;
+use crate::ledger::Ledger;
+use control_state::*;
+use primitives::{Addr, Mono, Span};
 use std::collections::BTreeSet;
-use wax::{Addr, Mono, Span};
 
 /// Ranges by the top bits of a key's hash.
 const RANGES: usize = 64;
 const EVERY: Span = Span::secs(2);
 
 fn range(key: &str) -> usize {
-    wax::hash(&key) as usize % RANGES
+    primitives::hash(&key) as usize % RANGES
 }
 
-impl Comb {
+impl Ledger {
     pub(crate) fn others(&self) -> BTreeSet<Addr> {
         let me = self.follow.env.addr;
         Roll::of(&self.follow.items).seats().map(|s| s.addr).filter(|a| *a != me).collect()
     }
 
-    /// Only keys that both combs are named for count between the two, and only
+    /// Only keys that both ledgers are named for count between the two, and only
     /// grants that are no longer in the making, of a round that is known.
     fn shared(&self, now: Mono, other: Addr) -> impl Iterator<Item = (&String, &Grant)> {
         let roll = Roll::of(&self.follow.items);
@@ -27,7 +27,7 @@
         // Where outcomes stay where they are, they do not tell when a grant is made.
         let known = |g: &Grant| g.whole.is_some() && !self.env.sparing;
         let settled = move |g: &Grant| known(g) || (now - g.at > Span::secs(8) && g.round != RoundId::NONE);
-        self.ledger.keys.iter().filter(move |(_, g)| settled(g)).filter(move |(k, _)| {
+        self.grants.keys.iter().filter(move |(_, g)| settled(g)).filter(move |(k, _)| {
             let named = roll.named(k, self.env.losses);
             named.iter().any(|n| n.contains(&me)) && named.iter().any(|n| n.contains(&other))
         })
@@ -36,7 +36,7 @@
     fn digests(&self, now: Mono, other: Addr) -> Vec<u64> {
         let mut d = vec![0u64; RANGES];
         for (k, g) in self.shared(now, other) {
-            d[range(k)] ^= wax::hash(&(k, g.round, g.whole.is_some() && !self.env.sparing));
+            d[range(k)] ^= primitives::hash(&(k, g.round, g.whole.is_some() && !self.env.sparing));
         }
         d
     }
@@ -51,7 +51,7 @@
         }
     }
 
-    /// A record as other combs are to see it.
+    /// A record as other ledgers are to see it.
     pub(crate) fn show(&self, now: Mono, key: &str, g: &Grant) -> Held {
         let h = g.show(now, key);
         if self.env.sparing {
@@ -83,14 +83,14 @@
             if h.age >= self.env.window {
                 continue;
             }
-            if !self.ledger.keys.contains_key(&h.key) {
+            if !self.grants.keys.contains_key(&h.key) {
                 self.count("mended");
                 self.save(now, Kept::Grant { key: h.key.clone(), print: h.print, round: h.round }, out);
                 // As old as it was there, so that it is not passed round for ever.
-                self.ledger.keys.entry(h.key.clone()).and_modify(|g| g.at = now - h.age);
+                self.grants.keys.entry(h.key.clone()).and_modify(|g| g.at = now - h.age);
             }
             let lacks = |g: &Grant| g.round == h.round && g.whole.is_none();
-            if let (Some(whole), true) = (h.whole, self.ledger.keys.get(&h.key).is_some_and(lacks)) {
+            if let (Some(whole), true) = (h.whole, self.grants.keys.get(&h.key).is_some_and(lacks)) {
                 self.save(now, Kept::Outcome { key: h.key, round: h.round, whole }, out);
             }
         }
--- a/crates/comb/src/recall.rs
+++ b/crates/ledger/src/recall.rs
@@ -1,10 +1,10 @@
-//! Recall: a comb whose disk is new asks the other seats what the lost one may have
+//! Recall: a ledger whose disk is new asks the other seats what the lost one may have
 //! granted, and grants again once it cannot have missed any of it.
-use crate::comb::Comb;
-use crate::ledger::*;
-use brood::*;
+use crate::grants::*;
+use crate::ledger::Ledger;
+use control_state::*;
+use primitives::{Addr, Mono, Span, Version};
 use std::collections::{BTreeMap, BTreeSet};
-use wax::{Addr, Mono, Span, Version};
 
 /// How long a seat may keep silent before it is asked again.
 const AGAIN: Span = Span::ms(300);
@@ -38,7 +38,7 @@
     }
 }
 
-impl Comb {
+impl Ledger {
     /// May grant: at once on the disk that its seat in the roll was taken with, else
     /// only after every grant that counts of an earlier disk was recalled, or has
     /// lost its force.
@@ -113,10 +113,10 @@
             return;
         }
         self.count("recalls answered");
-        self.ledger.drop_old(now, self.env.window);
+        self.grants.drop_old(now, self.env.window);
         let r = Roll::of(&self.follow.items);
         let theirs = |k: &str| r.named(k, self.env.losses).iter().any(|n| n.contains(&from));
-        let held = self.ledger.keys.iter().filter(|(k, _)| theirs(k)).map(|(k, g)| self.show(now, k, g));
+        let held = self.grants.keys.iter().filter(|(k, _)| theirs(k)).map(|(k, g)| self.show(now, k, g));
         let mut parts: Vec<(usize, Vec<Held>)> = vec![(0, vec![])];
         for h in held {
             let full = parts.last().is_some_and(|(n, p)| !p.is_empty() && n + h.size() > PART);
@@ -146,8 +146,8 @@
         for h in held {
             self.take_over(now, h, out);
         }
-        self.ledger.drop_old(now, self.env.window);
-        if self.ledger.bytes > self.env.most {
+        self.grants.drop_old(now, self.env.window);
+        if self.grants.bytes > self.env.most {
             // No room for what it must know: it waits for the window.
             return self.count("no room for keys");
         }
@@ -159,7 +159,7 @@
         self.maybe_open(now, out);
     }
 
-    /// While it may not grant, all it holds is other combs' word, no promise of its
+    /// While it may not grant, all it holds is other ledgers' word, no promise of its
     /// own. Of two rounds at most one runs: the one whose outcome is known, or nobody
     /// can say which, and then the key is kept from both. Invariant: held at least as
     /// long as the youngest record of the key.
@@ -167,7 +167,7 @@
         if h.age >= self.env.window {
             return;
         }
-        let was = self.ledger.keys.get(&h.key).map(|g| (g.round, g.whole.is_some(), g.at));
+        let was = self.grants.keys.get(&h.key).map(|g| (g.round, g.whole.is_some(), g.at));
         let round = match was {
             None => h.round,
             Some((r, known, _)) if known || r == h.round => r,
@@ -179,7 +179,7 @@
             self.save(now, Kept::Grant { key: h.key.clone(), print: h.print, round }, out);
         }
         let at = was.map_or(Mono(0), |(.., t)| t).max(now - h.age);
-        self.ledger.keys.entry(h.key.clone()).and_modify(|g| g.at = at);
+        self.grants.keys.entry(h.key.clone()).and_modify(|g| g.at = at);
         let known = was.is_some_and(|(_, known, _)| known);
         if let (Some(whole), true) = (h.whole, round == h.round && !known) {
             self.save(now, Kept::Outcome { key: h.key, round, whole }, out);
--- a/crates/comb/src/stock.rs
+++ b/crates/ledger/src/stock.rs
@@ -1,10 +1,10 @@
-//! Copies on disk: they outlast gates and, within one boot of the machine, the
-//! comb's own process, so that origins are spared the rush after a restart.
-use crate::comb::Comb;
-use crate::ledger::Kept;
-use brood::*;
+//! Copies on disk: they outlast edges and, within one boot of the machine, the
+//! ledger's own process, so that origins are spared the rush after a restart.
+use crate::grants::Kept;
+use crate::ledger::Ledger;
+use control_state::*;
+use primitives::{Addr, Mono, Span};
 use serde::{Deserialize, Serialize};
-use wax::{Addr, Mono, Span};
 
 pub(crate) type Object = (Svc, Lane, String);
 
@@ -15,11 +15,11 @@
     pub public: bool,
     /// Its age counts from here, and
     pub since: Mono,
-    /// invariant: it is not given out after this; counted from this comb's own asking.
+    /// invariant: it is not given out after this; counted from this ledger's own asking.
     pub until: Mono,
     /// Which boot `until` belongs to: the clock means nothing in another one.
     pub boot: u64,
-    /// The purges that the copy is known to be younger than, see `brood::mark`.
+    /// The purges that the copy is known to be younger than, see `control_state::mark`.
     pub mark: u64,
     pub sure: Era,
 }
@@ -35,8 +35,8 @@
 
 pub(crate) type Stock = Shelf<Object, Stocked>;
 
-impl Comb {
-    /// A gate has a copy to leave here. The asking's time is this comb's, so a
+impl Ledger {
+    /// An edge has a copy to leave here. The asking's time is this ledger's, so a
     /// word read late makes the copy's life shorter, never longer.
     pub(crate) fn on_stock_offer(&self, now: Mono, from: Addr, ask: u64, out: &mut Vec<Out>) {
         if self.env.room > 0 && self.follow.leased(now) {
--- a/crates/nuc/src/leave.rs
+++ b/crates/machine/src/leave.rs
@@ -1,11 +1,11 @@
 //! Leaving in order: not ready at once, serving on until callers have noticed, then
 //! no more connections, and the end once nothing is in hand.
 use crate::run::Callers;
-use brood::*;
-use skep::shell::Handle;
+use control_state::*;
+use primitives::Span;
+use runtime::shell::Handle;
 use std::thread;
 use std::time::Duration;
-use wax::Span;
 
 const LOOK: Duration = Duration::from_millis(40);
 /// What is kept back of the grace, so that the end is ours.
@@ -19,14 +19,14 @@
 }
 
 pub(crate) fn leave(h: &Handle, callers: Callers, grace: Span) {
-    let until = skep::now() + Span(grace.0.saturating_sub(BACK.0));
+    let until = runtime::now() + Span(grace.0.saturating_sub(BACK.0));
     callers.into_iter().for_each(|d| d.leave());
-    while asked(h).0 && skep::now() < until {
+    while asked(h).0 && runtime::now() < until {
         thread::sleep(LOOK);
     }
     callers.into_iter().for_each(|d| d.shut());
     let busy = |h: &Handle| asked(h).1 || callers.is_some_and(|d| d.in_hand() > 0);
-    while busy(h) && skep::now() < until {
+    while busy(h) && runtime::now() < until {
         thread::sleep(LOOK);
     }
 }
--- a/crates/nuc/src/lib.rs
+++ b/crates/machine/src/lib.rs
@@ -1,4 +1,4 @@
-//! A nucleus hive: all parts of one machine in one process, for deployments that
+//! A nucleus lanewing: all parts of one machine in one process, for deployments that
 //! place a program on each machine and tell it little about the others.
 mod leave;
 mod parts;
@@ -6,14 +6,14 @@
 
 pub use run::{run, Fronts, StartProblem};
 
-use brood::Zone;
+use control_state::Zone;
+use primitives::{Addr, NodeId, Span};
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
-use wax::{Addr, NodeId, Span};
 
 /// What the process is told of its place and of what it must keep to.
 #[derive(Clone, Debug)]
-pub struct NucEnv {
+pub struct MachineEnv {
     pub ip: IpAddr,
     /// The first of the ports that are free for the parts' own links; three are used.
     pub port: u16,
@@ -25,7 +25,7 @@
     pub initial: bool,
     /// Where files may lie, and how many megabytes.
     pub disk: Option<(PathBuf, u64)>,
-    /// The disk's loss is among those borne: keepers and the ledger may rely on it.
+    /// The disk's loss is among those borne: controllers and the ledger may rely on it.
     pub counted: bool,
     /// Losses borne at once.
     pub losses: usize,
@@ -48,12 +48,12 @@
 /// The parts, by the port they have after the first.
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Seat {
-    Keeper,
-    Gate,
-    Comb,
+    Controller,
+    Edge,
+    Ledger,
 }
 
-impl NucEnv {
+impl MachineEnv {
     pub(crate) fn addr(&self, s: Seat) -> Addr {
         Addr(SocketAddr::new(self.ip, self.port + s as u16))
     }
@@ -62,14 +62,14 @@
     pub(crate) fn id(&self, s: Seat) -> NodeId {
         let ip = match self.ip {
             IpAddr::V4(a) => u32::from(a) as u64,
-            IpAddr::V6(a) => wax::hash(&a) >> 12,
+            IpAddr::V6(a) => primitives::hash(&a) >> 12,
         };
         NodeId(ip << 2 | s as u64)
     }
 
-    /// The seeds' keepers.
+    /// The seeds' controllers.
     pub(crate) fn seats(&self) -> Vec<Addr> {
-        self.seeds.iter().map(|ip| Addr(SocketAddr::new(*ip, self.port + Seat::Keeper as u16))).collect()
+        self.seeds.iter().map(|ip| Addr(SocketAddr::new(*ip, self.port + Seat::Controller as u16))).collect()
     }
 
     pub(crate) fn keeps(&self) -> Option<&(PathBuf, u64)> {
