--- a/crates/nuc/src/run.rs
+++ b/crates/machine/src/run.rs
@@ -1,23 +1,23 @@
 //! Starting, running and stopping the parts of one machine.
 use crate::leave::leave;
-use crate::{NucEnv, Seat};
-use brood::*;
+use crate::{MachineEnv, Seat};
+use control_state::*;
+use primitives::{Addr, Mono, Span};
+use runtime::door::{self, Door, Limits, Visit};
+use runtime::exec::{ExecEnv, Manner};
+use runtime::front::Reply;
+use runtime::logs::{on_panic, LogRing};
+use runtime::net::{Counts, Net};
+use runtime::ring::{Ring, RingProblem};
+use runtime::room::Room;
+use runtime::shell::{self, Frame, Handle};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
-use skep::door::{self, Door, Limits, Visit};
-use skep::exec::{ExecEnv, Manner};
-use skep::front::Reply;
-use skep::logs::{on_panic, LogRing};
-use skep::net::{Counts, Net};
-use skep::ring::{Ring, RingProblem};
-use skep::room::Room;
-use skep::shell::{self, Frame, Handle};
 use slog::{info, Logger};
 use snafu::{ResultExt, Snafu};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use wax::{Addr, Mono, Span};
 
 #[derive(Debug, Snafu)]
 pub enum StartProblem {
@@ -36,7 +36,7 @@
 type Result<T> = std::result::Result<T, StartProblem>;
 type Answer = dyn Fn(&Handle, Visit) -> Reply + Send + Sync;
 
-/// How a deployment speaks: what comes in becomes the gate's questions, and its
+/// How a deployment speaks: what comes in becomes the edge's questions, and its
 /// receipts become answers.
 #[derive(Clone)]
 pub struct Fronts {
@@ -71,7 +71,7 @@
 }
 
 impl Start {
-    fn run(self, env: &NucEnv, log: &Logger, front: impl FnOnce(Handle)) -> Result<()> {
+    fn run(self, env: &MachineEnv, log: &Logger, front: impl FnOnce(Handle)) -> Result<()> {
         let at = env.addr(self.seat);
         let counts = Arc::new(Counts::default());
         let net = Net::new(at, Arc::new(|_: &Addr| Default::default()), counts.clone());
@@ -83,7 +83,7 @@
     }
 
     /// On a thread of its own; it ends with the process.
-    fn spawn(self, env: &NucEnv, log: &Logger) -> Result<()> {
+    fn spawn(self, env: &MachineEnv, log: &Logger) -> Result<()> {
         let (env, log) = (env.clone(), log.clone());
         thread::spawn(move || {
             if let Err(p) = self.run(&env, &log, |_| ()) {
@@ -95,28 +95,28 @@
     }
 }
 
-fn keeper(env: &NucEnv) -> Result<Start> {
+fn controller(env: &MachineEnv) -> Result<Start> {
     let (ring, kept) = match env.keeps() {
         Some((dir, _)) => {
-            let (r, k) = disk(dir.join("keeper"), env.keeper_file(), keeper::Kept::decode)?;
+            let (r, k) = disk(dir.join("controller"), env.controller_file(), controller::Kept::decode)?;
             (Some(r), k)
         }
         None => (None, vec![]),
     };
     let mut first = vec![];
-    let part = Box::new(env.keeper(kept, skep::now(), &mut first));
-    Ok(Start { part, first, ring, seat: Seat::Keeper, rounds: None })
+    let part = Box::new(env.controller(kept, runtime::now(), &mut first));
+    Ok(Start { part, first, ring, seat: Seat::Controller, rounds: None })
 }
 
-fn comb(env: &NucEnv, dir: &std::path::Path) -> Result<Start> {
-    let (ring, kept) = disk(dir.join("comb"), env.comb_file(), comb::Kept::decode)?;
+fn ledger(env: &MachineEnv, dir: &std::path::Path) -> Result<Start> {
+    let (ring, kept) = disk(dir.join("ledger"), env.ledger_file(), ledger::Kept::decode)?;
     let mut first = vec![];
-    let part = Box::new(env.comb(kept, skep::now(), &mut first));
-    Ok(Start { part, first, ring: Some(ring), seat: Seat::Comb, rounds: None })
+    let part = Box::new(env.ledger(kept, runtime::now(), &mut first));
+    Ok(Start { part, first, ring: Some(ring), seat: Seat::Ledger, rounds: None })
 }
 
 /// Runs until told to stop.
-pub fn run(env: NucEnv, fronts: Fronts) -> Result<()> {
+pub fn run(env: MachineEnv, fronts: Fronts) -> Result<()> {
     if let Some((_, has)) = env.keeps().filter(|(_, mb)| *mb < LEAST) {
         return SmallSnafu { has: *has, need: LEAST }.fail();
     }
@@ -125,19 +125,19 @@
     let logs = LogRing::default();
     on_panic(logs.clone());
     let log = logs.logger();
-    keeper(&env)?.spawn(&env, &log)?;
+    controller(&env)?.spawn(&env, &log)?;
     if let Some((dir, _)) = env.keeps() {
-        comb(&env, dir)?.spawn(&env, &log)?;
+        ledger(&env, dir)?.spawn(&env, &log)?;
     }
     let room = Room::new(env.memory / 4);
     let exec = ExecEnv { answer: 64 << 20, room, manner: fronts.manner.clone() };
-    let (tx, start) = skep::exec::rounds(exec);
+    let (tx, start) = runtime::exec::rounds(exec);
     let listen = |a: Option<SocketAddr>| a.map(bind).transpose();
     let (front, ready, control) = (listen(env.front)?, listen(env.ready)?, listen(env.control)?);
-    let part = Box::new(env.gate(skep::life()));
-    let gate = Start { part, first: vec![], ring: None, seat: Seat::Gate, rounds: Some(tx) };
+    let part = Box::new(env.edge(runtime::life()));
+    let edge = Start { part, first: vec![], ring: None, seat: Seat::Edge, rounds: Some(tx) };
     let grace = env.grace;
-    gate.run(&env, &log.clone(), move |h| {
+    edge.run(&env, &log.clone(), move |h| {
         start(h.clone());
         let serve = |l: Option<TcpListener>, f: &Arc<Answer>, lim: Arc<dyn Fn() -> Limits + Send + Sync>| {
             let (h, f) = (h.clone(), f.clone());
@@ -163,7 +163,7 @@
     let last: Mutex<Option<(Mono, Limits)>> = Mutex::default();
     Arc::new(move || {
         let mut l = last.lock().expect("no thread panics with it");
-        let now = skep::now();
+        let now = runtime::now();
         let fresh = l.filter(|(t, _)| now - *t < Span::secs(1)).map(|(_, x)| x);
         let x = fresh.unwrap_or_else(&f);
         *l = Some((fresh.map_or(now, |_| l.map_or(now, |(t, _)| t)), x));
--- a/crates/wax/src/lib.rs
+++ b/crates/primitives/src/lib.rs
@@ -1,4 +1,4 @@
-//! The comb's wax: what every other crate is built on.
+//! The ledger's primitives: what every other crate is built on.
 mod ids;
 mod look;
 
--- a/crates/scout/src/book.rs
+++ b/crates/runbooks/src/book.rs
@@ -1,7 +1,7 @@
 //! Reading and checking a runbook.
+use primitives::{Look, LookProblem, Reason};
 use std::collections::{BTreeMap, HashMap};
 use tinyjson::JsonValue;
-use wax::{Look, LookProblem, Reason};
 
 type Result<T> = std::result::Result<T, LookProblem>;
 
--- a/crates/scout/src/run.rs
+++ b/crates/runbooks/src/run.rs
@@ -1,11 +1,11 @@
 //! Executing a book. What it touches is behind `Hands`, so stories run it too.
 use crate::book::{Book, Step, Until};
 use crate::page::line;
-use brood::{obj, text};
+use control_state::{obj, text};
+use primitives::{Addr, Look, LookProblem};
 use snafu::Snafu;
 use std::collections::BTreeMap;
 use tinyjson::JsonValue;
-use wax::{Addr, Look, LookProblem};
 
 #[derive(Debug, Snafu)]
 pub enum RunProblem {
@@ -31,7 +31,7 @@
 pub trait Hands {
     fn say(&mut self, s: &str);
     fn confirm(&mut self, s: &str) -> bool;
-    /// Posts to a keeper: status and answer.
+    /// Posts to a controller: status and answer.
     fn post(&mut self, path: &str, v: &JsonValue) -> Option<(u16, JsonValue)>;
     fn get(&mut self, at: Addr, path: &str) -> Option<JsonValue>;
     /// Waits a little; false once that many seconds have gone by since `began`.
@@ -110,7 +110,7 @@
     let mut m = m.clone();
     m.insert("id".into(), text(id));
     let v = JsonValue::Object(m);
-    brood::read_change(&Look::at(&v, "")).map_err(|source| RunProblem::Invalid { step, source })?;
+    control_state::read_change(&Look::at(&v, "")).map_err(|source| RunProblem::Invalid { step, source })?;
     let got = h.post("lanewing/changes", &v);
     good(step, got)
 }
--- a/crates/scout/tests/run.rs
+++ b/crates/runbooks/tests/run.rs
@@ -1,8 +1,8 @@
 //! Stories of runs, with hands that touch nothing.
-use scout::{read_book, run, Book, Hands, RunProblem, SHIPPED};
+use primitives::{parse, Addr, Look};
+use runbooks::{read_book, run, Book, Hands, RunProblem, SHIPPED};
 use std::collections::BTreeMap;
 use tinyjson::JsonValue;
-use wax::{parse, Addr, Look};
 
 struct Fake {
     posted: Vec<String>,
--- a/crates/skep/src/cond.rs
+++ b/crates/runtime/src/cond.rs
@@ -1,7 +1,7 @@
 //! Conditional and range requests, answered from one whole answer at hand, so
 //! that bytes of two can never mix.
 use crate::front::Reply;
-use brood::Heads;
+use control_state::Heads;
 use std::sync::Arc;
 
 /// What a 304 repeats of the answer it stands for.
--- a/crates/skep/src/door.rs
+++ b/crates/runtime/src/door.rs
@@ -10,9 +10,10 @@
 mod refused;
 
 use crate::front::Reply;
-use brood::Heads;
+use control_state::Heads;
 use nix::sys::socket::sockopt::{TcpNoDelay, TcpUserTimeout};
 use nix::sys::socket::{setsockopt, shutdown, Shutdown::Both};
+use primitives::{Mono, Span};
 use refused::Refused;
 use std::collections::HashMap;
 use std::io::ErrorKind;
@@ -22,7 +23,6 @@
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
-use wax::{Mono, Span};
 
 /// What one caller, and all of them together, may ask of this node. Looked up
 /// once for each connection and each request.
--- a/crates/skep/src/door/conn.rs
+++ b/crates/runtime/src/door/conn.rs
@@ -4,10 +4,10 @@
 use super::{answer, body, Door, Guest, Hand, Limits, Serve, Visit};
 use crate::front::Reply;
 use crate::intake::Body;
+use primitives::Span;
 use std::io::{Read, Write};
 use std::net::Shutdown;
 use std::sync::atomic::Ordering::SeqCst;
-use wax::Span;
 
 /// How long, and for how many bytes, a caller that is told the last word may go
 /// on sending before it is not listened to.
--- a/crates/skep/src/door/head.rs
+++ b/crates/runtime/src/door/head.rs
@@ -2,7 +2,7 @@
 use super::Limits;
 use crate::front::Reply;
 use crate::intake::{framing, large, Body};
-use brood::Heads;
+use control_state::Heads;
 use httparse::{Error, Request, Status, EMPTY_HEADER};
 
 /// What becomes of the connection after the answer.
--- a/crates/skep/src/door/input.rs
+++ b/crates/runtime/src/door/input.rs
@@ -1,8 +1,8 @@
 //! What a connection's caller sends, through a buffer that is used over and over.
 use crate::front::Reply;
+use primitives::Span;
 use std::io::{Error, ErrorKind, Read, Result};
 use std::net::TcpStream;
-use wax::Span;
 
 /// Why a request is not read on.
 pub enum Stop {
--- a/crates/skep/src/door/refused.rs
+++ b/crates/runtime/src/door/refused.rs
@@ -2,11 +2,11 @@
 //! since closing one that sent more than was read takes its answer away.
 use super::{answer, head::Persist, Guest};
 use crate::front::Reply;
+use primitives::{Mono, Span};
 use std::collections::VecDeque;
 use std::io::Read;
 use std::net::Shutdown;
 use std::sync::Arc;
-use wax::{Mono, Span};
 
 /// Invariant: at most `MOST`, oldest first. Whoever comes next ends the old ones.
 #[derive(Default)]
--- a/crates/skep/src/env.rs
+++ b/crates/runtime/src/env.rs
@@ -1,10 +1,10 @@
 //! The settings file: read by hand, checked whole.
-use brood::{Role, Zone};
+use control_state::{Role, Zone};
+use primitives::{parse, Addr, Look, LookProblem, NodeId, Reason, Span};
 use snafu::{ResultExt, Snafu};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 use tinyjson::JsonValue;
-use wax::{parse, Addr, Look, LookProblem, NodeId, Reason, Span};
 
 #[derive(Debug, Snafu)]
 pub enum EnvProblem {
@@ -32,8 +32,8 @@
 
 #[derive(Clone, Debug)]
 pub struct Limits {
-    /// How long a gate serves without a renewal; also how long a change may
-    /// wait for a gate that is lost.
+    /// How long an edge serves without a renewal; also how long a change may
+    /// wait for an edge that is lost.
     pub lease: Span,
     /// How long an origin counts as there after its last beat.
     pub fresh: Span,
@@ -53,7 +53,7 @@
     pub memory_mb: usize,
     /// Requests in hand, in one process.
     pub callers: usize,
-    /// How long a gate told to leave goes on serving, for callers to notice.
+    /// How long an edge told to leave goes on serving, for callers to notice.
     pub grace: Span,
 }
 
@@ -69,7 +69,8 @@
     pub rehearsal: Option<JsonValue>,
 }
 
-const ROLES: [(&str, Role); 3] = [("keeper", Role::Keeper), ("gate", Role::Gate), ("comb", Role::Comb)];
+const ROLES: [(&str, Role); 3] =
+    [("controller", Role::Controller), ("edge", Role::Edge), ("ledger", Role::Ledger)];
 
 pub fn role_name(r: Role) -> &'static str {
     ROLES.iter().find(|(_, x)| *x == r).map_or("", |(n, _)| n)
--- a/crates/skep/src/exec.rs
+++ b/crates/runtime/src/exec.rs
@@ -3,14 +3,14 @@
 use crate::shell::Handle;
 use crate::whole::{whole, Came};
 use crate::wire::{agent, has_left, may_leave};
-use brood::*;
+use control_state::*;
+use primitives::{Addr, Birth, Mono, Span};
 use std::sync::mpsc::{channel, Sender};
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 use ureq::http::{Request, Response};
 use ureq::Agent;
-use wax::{Addr, Birth, Mono, Span};
 
 type Dress = dyn Fn(&Round, Span) -> Vec<(String, Vec<u8>)> + Send + Sync;
 type Judge = dyn Fn(&Round, Whole) -> Fetched + Send + Sync;
@@ -105,7 +105,7 @@
     }
 }
 
-/// Rounds sent to the sender are run, each on a thread of its own: the gate bounds
+/// Rounds sent to the sender are run, each on a thread of its own: the edge bounds
 /// how many of one service are out.
 pub fn rounds(env: ExecEnv) -> (Sender<Round>, impl FnOnce(Handle)) {
     let (tx, rx) = channel::<Round>();
--- a/crates/skep/src/front.rs
+++ b/crates/runtime/src/front.rs
@@ -3,9 +3,10 @@
 use crate::room::Room;
 use crate::shell::Handle;
 use crate::usher::{Doing, Patience, Usher};
-use brood::*;
+use control_state::*;
 use nix::sys::socket::{setsockopt, sockopt::SendTimeout};
 use nix::sys::time::{TimeVal, TimeValLike};
+use primitives::Mono;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
 use std::sync::{Arc, OnceLock};
@@ -13,7 +14,6 @@
 use std::time::Duration;
 use tiny_http::{Header, Request, Response, Server, StatusCode};
 use tinyjson::JsonValue;
-use wax::Mono;
 
 /// What goes back over HTTP.
 #[derive(Debug)]
--- a/crates/skep/src/intake.rs
+++ b/crates/runtime/src/intake.rs
@@ -1,13 +1,13 @@
 //! Taking a request apart: what is not plainly one request is denied, unsent.
 use crate::front::Reply;
 use crate::room::{Room, Taken};
-use brood::Heads;
+use control_state::Heads;
+use primitives::{parse, Look, LookProblem};
 use std::io::{Error, Read};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tiny_http::Request;
-use wax::{parse, Look, LookProblem};
 
 /// A request taken apart.
 pub struct Call {
--- a/crates/skep/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -15,7 +15,7 @@
 mod whole;
 mod wire;
 
-use wax::Mono;
+use primitives::Mono;
 
 /// The machine's monotonic clock: the same for all processes of one boot.
 pub fn now() -> Mono {
@@ -29,7 +29,7 @@
 /// so that no time of another boot is taken for one of this.
 pub fn boot() -> u64 {
     let id = std::fs::read_to_string("/proc/sys/kernel/random/boot_id");
-    id.map(|s| wax::hash(&s)).unwrap_or_else(|_| life())
+    id.map(|s| primitives::hash(&s)).unwrap_or_else(|_| life())
 }
 
 /// A fresh random number for a life of a process or disk.
--- a/crates/skep/src/net.rs
+++ b/crates/runtime/src/net.rs
@@ -1,7 +1,8 @@
 //! Held connections between lanewing's processes: one way each, framed, checked.
-use brood::Msg;
+use control_state::Msg;
 use nix::errno::Errno;
 use nix::sys::socket::{recv, MsgFlags};
+use primitives::Addr;
 use snafu::Snafu;
 use std::collections::HashMap;
 use std::io::{self, Read, Write};
@@ -12,7 +13,6 @@
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
-use wax::Addr;
 
 const MAGIC: [u8; 2] = *b"LW";
 const VERSION: u8 = 1;
--- a/crates/skep/src/ring.rs
+++ b/crates/runtime/src/ring.rs
@@ -100,8 +100,8 @@
         }
         found.sort_by_key(|f| f.seg);
         // A segment begun for a base that never got down whole does not count.
-        let hollow = |f: &Found| f.live == f.seg && f.recs.first().is_none_or(|r| r.1 != Sort::Base);
-        let torn_start = |f: &Found| hollow(f) && !f.broken;
+        let scale_model = |f: &Found| f.live == f.seg && f.recs.first().is_none_or(|r| r.1 != Sort::Base);
+        let torn_start = |f: &Found| scale_model(f) && !f.broken;
         while found.last().is_some_and(torn_start) {
             found.pop();
         }
@@ -112,7 +112,7 @@
             let f = found.iter().find(|f| f.seg == n);
             let f = f.ok_or_else(|| RingProblem::Missing { path: self.path(n) })?;
             let sealed = f.recs.last().is_some_and(|r| r.1 == Sort::Seal);
-            if f.broken || (n < top && !sealed) || (n == live && hollow(f)) {
+            if f.broken || (n < top && !sealed) || (n == live && scale_model(f)) {
                 return DamagedSnafu { path: self.path(n), at: f.end }.fail();
             }
             for (no, sort, data) in &f.recs {
--- a/crates/skep/src/shell.rs
+++ b/crates/runtime/src/shell.rs
@@ -2,7 +2,8 @@
 //! in order, none before the saves ahead of it are synced.
 use crate::net::{self, Counts, Net};
 use crate::ring::Ring;
-use brood::*;
+use control_state::*;
+use primitives::{Addr, Token};
 use slog::{error, info, Logger};
 use stakker::sync::Channel;
 use stakker::{actor, after, fwd_to, ret_shutdown, stop, Stakker, CX};
@@ -13,7 +14,6 @@
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
-use wax::{Addr, Token};
 
 pub enum Event {
     Msg(Addr, Msg),
--- a/crates/skep/src/usher.rs
+++ b/crates/runtime/src/usher.rs
@@ -3,12 +3,12 @@
 //! ask, slow to send, slow to take, or that broke the framing.
 use nix::sys::socket::{getpeername, getsockname, shutdown, Shutdown, SockaddrStorage};
 use nix::unistd::{close, dup};
+use primitives::{Mono, Span};
 use std::collections::HashMap;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
-use wax::{Mono, Span};
 
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
 pub enum Doing {
--- a/crates/skep/src/whole.rs
+++ b/crates/runtime/src/whole.rs
@@ -1,5 +1,5 @@
 //! Reading an origin's answer: whole, or not at all.
-use brood::{agrees, Heads, Whole};
+use control_state::{agrees, Heads, Whole};
 use std::io::Read;
 use std::sync::Arc;
 use ureq::http::{HeaderMap, Response};
--- a/crates/skep/src/wire.rs
+++ b/crates/runtime/src/wire.rs
@@ -1,5 +1,6 @@
 //! The HTTP client's side of a round: nothing leaves past its point in time, and no
 //! connection outlives its request.
+use primitives::Mono;
 use std::cell::Cell;
 use std::time::Duration;
 use ureq::config::Config;
@@ -8,7 +9,6 @@
     Buffers, ConnectionDetails, Connector, NextTimeout, TcpConnector, Transport,
 };
 use ureq::Agent;
-use wax::Mono;
 
 thread_local! {
     /// Until when this thread's round may leave, and whether any of it did.
--- a/crates/skep/tests/door_fuzz.rs
+++ b/crates/runtime/tests/door_fuzz.rs
@@ -4,7 +4,7 @@
 
 use doorstep::*;
 use fastrand::Rng;
-use skep::door::Visit;
+use runtime::door::Visit;
 use std::io::Write;
 use std::net::Shutdown;
 use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
--- a/crates/skep/tests/doorstep/mod.rs
+++ b/crates/runtime/tests/doorstep/mod.rs
@@ -1,13 +1,13 @@
 //! What stories about the door share: a door on loopback, and callers' side of it.
 #![allow(dead_code)]
-use brood::Heads;
-use skep::door::{open, Door, Limits, Visit};
-use skep::front::Reply;
+use control_state::Heads;
+use primitives::Span;
+use runtime::door::{open, Door, Limits, Visit};
+use runtime::front::Reply;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use wax::Span;
 
 pub const HEADS: usize = 16 << 10;
 pub const BODY: usize = 4 << 20;
--- a/crates/skep/tests/frames.rs
+++ b/crates/runtime/tests/frames.rs
@@ -1,6 +1,6 @@
 //! Stories of frames that are not right: the connection closes, a counter
 //! rises, nobody panics.
-use skep::net::{frame, listen, read_frame, Counts, FrameProblem};
+use runtime::net::{frame, listen, read_frame, Counts, FrameProblem};
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::sync::atomic::Ordering;
--- a/crates/skep/tests/front.rs
+++ b/crates/runtime/tests/front.rs
@@ -1,14 +1,14 @@
 //! The front against callers that are slow, rude or malformed: real sockets on
 //! loopback, no verdict by time.
-use brood::Heads;
-use skep::front::{serve, FrontEnv, Reply};
-use skep::room::Room;
-use skep::usher::Patience;
+use control_state::Heads;
+use primitives::Span;
+use runtime::front::{serve, FrontEnv, Reply};
+use runtime::room::Room;
+use runtime::usher::Patience;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use wax::Span;
 
 type Log = Arc<Mutex<Vec<String>>>;
 
--- a/crates/skep/tests/ring.rs
+++ b/crates/runtime/tests/ring.rs
@@ -1,5 +1,5 @@
 //! Stories of the ring on a real disk.
-use skep::ring::{Ring, RingProblem};
+use runtime::ring::{Ring, RingProblem};
 use std::fs::OpenOptions;
 use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
--- a/crates/skep/tests/settings.rs
+++ b/crates/runtime/tests/settings.rs
@@ -1,7 +1,7 @@
 //! Each settings file under `tests/env` against what should be said of it.
-use skep::env::read_env;
+use primitives::{parse, Look};
+use runtime::env::read_env;
 use std::path::Path;
-use wax::{parse, Look};
 
 fn given_a_settings_file_then_it_is_taken_or_denied_with_place_and_reason(
     p: &Path,
--- a/crates/hollow/src/level.rs
+++ b/crates/scale-model/src/level.rs
@@ -1,14 +1,14 @@
 //! What one level of relays costs: one relay with so many children, fed with purges.
-use crate::fleet::{keeper_addr, svc};
+use crate::fleet::{controller_addr, svc};
 use crate::meter::*;
 use crate::plan::*;
 use crate::relay::*;
 use crate::row::Row;
 use crate::slope::spread;
-use brood::*;
+use caesar::Kid;
+use control_state::*;
+use primitives::{Birth, Mono, NodeId, Span, Version};
 use std::collections::BTreeMap;
-use waggle::Kid;
-use wax::{Birth, Mono, NodeId, Span, Version};
 
 const STEP: Span = Span::ms(10);
 /// Batches gather for so many steps; children speak at least every so many.
@@ -42,13 +42,13 @@
     };
     let mut rng = fastrand::Rng::with_seed(p.seed);
     let total = p.purges * p.secs;
-    // When each keeper's word of each purge comes, by steps.
+    // When each controller's word of each purge comes, by steps.
     let mut due: BTreeMap<u64, Vec<(u16, u64)>> = BTreeMap::new();
     for i in 0..total {
         let at = i * p.secs * 100 / total.max(1);
-        (0..KEEPERS as u16).for_each(|k| due.entry(at + rng.u64(0..8)).or_default().push((k, i)));
+        (0..CONTROLLERS as u16).for_each(|k| due.entry(at + rng.u64(0..8)).or_default().push((k, i)));
     }
-    let mut feeds = [0u64; KEEPERS];
+    let mut feeds = [0u64; CONTROLLERS];
     let (mut came, mut reached, mut acked) = (BTreeMap::new(), vec![], vec![]);
     let mut open: Vec<u64> = vec![];
     for step in 0..p.secs * 100 {
@@ -100,14 +100,14 @@
 }
 
 impl Level {
-    /// A keeper's push of one purge, as keepers make it today.
+    /// A controller's push of one purge, as controllers make it today.
     fn hear(&mut self, k: u16, to: u64, i: u64, now: Mono) {
         let scope = format!("objects/{:02}/{:012x}", i % 100, i * 7_919);
         let item = Item { ver: Version(1 << 32), body: Some(Body::Purge) };
         let member = |m: usize| Member {
             kid: Kid(m as u16),
-            addr: keeper_addr(m),
-            http: keeper_addr(m),
+            addr: controller_addr(m),
+            http: controller_addr(m),
             zone: "region-00/zone-00".into(),
             birth: Birth(1_000_000_007),
         };
@@ -118,7 +118,7 @@
             full: false,
             items: vec![(Key::Purge(svc(i as usize % 200), scope), item)],
             era: Era(1),
-            members: (0..KEEPERS).map(member).collect(),
+            members: (0..CONTROLLERS).map(member).collect(),
             reply: None,
         };
         let b = postcard::to_stdvec(&Msg::News(Box::new(n))).unwrap_or_default();
--- a/crates/hollow/src/lib.rs
+++ b/crates/scale-model/src/lib.rs
@@ -1,4 +1,4 @@
-//! A hollow fleet: the real keepers, gates and combs in one process and in virtual time,
+//! A scale_model fleet: the real controllers, edges and ledgers in one process and in virtual time,
 //! with every message framed, to measure what control costs at growing sizes. Requests of
 //! callers are no part of it.
 mod carry;
@@ -17,7 +17,7 @@
 pub use level::measure;
 pub use lookup::lookups;
 pub use meter::{resident, Meter, Tally};
-pub use plan::{HollowProblem, Plan, Result, KEEPERS};
+pub use plan::{Plan, Result, ScaleModelProblem, CONTROLLERS};
 pub use plot::plot;
 pub use relay::{Bundle, Relay, Word};
 pub use row::{table, Row};
--- a/crates/hollow/src/plan.rs
+++ b/crates/scale-model/src/plan.rs
@@ -1,8 +1,8 @@
-//! What a hollow fleet is made of, and whether this machine holds it.
+//! What a scale_model fleet is made of, and whether this machine holds it.
 use snafu::Snafu;
 
-/// Machines set aside for keepers.
-pub const KEEPERS: usize = 6;
+/// Machines set aside for controllers.
+pub const CONTROLLERS: usize = 6;
 pub const REGIONS: usize = 11;
 pub const ZONES: usize = 24;
 /// Nodes are numbered in sixteen bits.
@@ -12,7 +12,7 @@
 
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
-pub enum HollowProblem {
+pub enum ScaleModelProblem {
     #[snafu(display("{nodes} nodes: {why}; the largest that fits is {largest}"))]
     Size { nodes: usize, why: &'static str, largest: usize },
     #[snafu(display("{nodes} nodes: {what}"))]
@@ -22,17 +22,17 @@
     #[snafu(display("plot: {what}"))]
     Plot { what: String },
     #[snafu(display("{source}"), context(false))]
-    Line { source: wax::LookProblem },
+    Line { source: primitives::LookProblem },
 }
 
-pub type Result<T> = std::result::Result<T, HollowProblem>;
+pub type Result<T> = std::result::Result<T, ScaleModelProblem>;
 
 #[derive(Clone, Debug, PartialEq)]
 pub struct Plan {
-    /// Gates and combs together.
+    /// Edges and ledgers together.
     pub nodes: usize,
     /// Nodes that run their real part; the rest say and hear the same messages and hold
-    /// nothing. Combs are always whole.
+    /// nothing. Ledgers are always whole.
     pub whole: usize,
     pub seed: u64,
     /// Virtual seconds of each stretch.
@@ -49,19 +49,19 @@
         (self.nodes * 1800).div_ceil(7100).max(4)
     }
     /// One in fifty nodes; an assumption, for the size does not name them.
-    pub fn combs(&self) -> usize {
+    pub fn ledgers(&self) -> usize {
         (self.nodes / 50).max(3)
     }
     /// One row each; nine origins a service, an assumption as well.
     pub fn services(&self) -> usize {
         self.origins().div_ceil(9)
     }
-    pub fn gates(&self) -> usize {
-        self.nodes - self.combs()
+    pub fn edges(&self) -> usize {
+        self.nodes - self.ledgers()
     }
-    /// Gates that run their real part; at least one, so that there is something to meter.
-    pub fn whole_gates(&self) -> usize {
-        self.whole.saturating_sub(self.combs()).clamp(1, self.gates())
+    /// Edges that run their real part; at least one, so that there is something to meter.
+    pub fn whole_edges(&self) -> usize {
+        self.whole.saturating_sub(self.ledgers()).clamp(1, self.edges())
     }
     fn items(&self) -> usize {
         self.nodes + self.origins() + self.services()
@@ -71,9 +71,9 @@
     pub fn needs(&self) -> u64 {
         let (items, origins) = (self.items(), self.origins());
         let one = items * 600 + origins * 400;
-        let keepers = KEEPERS * (items * 3000 + origins * 1000);
-        let held = (self.whole_gates() + self.combs()) * one + self.nodes * 8000;
-        (held + keepers + 200_000_000) as u64
+        let controllers = CONTROLLERS * (items * 3000 + origins * 1000);
+        let held = (self.whole_edges() + self.ledgers()) * one + self.nodes * 8000;
+        (held + controllers + 200_000_000) as u64
     }
 
     /// Bytes of memory it may take: half of the machine's and never above `MOST`.
--- a/crates/hollow/src/plot.rs
+++ b/crates/scale-model/src/plot.rs
@@ -1,5 +1,5 @@
 //! Cost over size, as SVG.
-use crate::plan::{HollowProblem, Result};
+use crate::plan::{Result, ScaleModelProblem};
 use crate::row::{grouped, Row, FIGURES};
 use crate::slope::spread;
 use plotters::prelude::*;
@@ -27,7 +27,7 @@
 /// One panel for each figure, both axes by powers of ten; the middle of the runs.
 pub fn plot(rows: &[Row]) -> Result<String> {
     let mut svg = String::new();
-    draw(rows, &mut svg).map_err(|what| HollowProblem::Plot { what })?;
+    draw(rows, &mut svg).map_err(|what| ScaleModelProblem::Plot { what })?;
     Ok(svg)
 }
 
--- a/crates/hollow/tests/sizes.rs
+++ b/crates/scale-model/tests/sizes.rs
@@ -1,5 +1,5 @@
-//! Stories of the hollow fleet at small sizes.
-use hollow::*;
+//! Stories of the scale_model fleet at small sizes.
+use scale_model::*;
 
 fn plan(nodes: usize, seed: u64) -> Plan {
     Plan { nodes, whole: nodes, seed, secs: 1, purges: 12, changes: 4 }
--- a/crates/swarm/src/carry.rs
+++ b/crates/simulator/src/carry.rs
@@ -1,7 +1,7 @@
 //! Steps parts and carries out what they ask for: sync, then send.
 use crate::world::{Ev, World};
-use brood::*;
-use wax::{Addr, Span};
+use control_state::*;
+use primitives::{Addr, Span};
 
 impl World {
     pub fn step(&mut self, a: Addr, i: In) {
--- a/crates/swarm/src/field.rs
+++ b/crates/simulator/src/field.rs
@@ -1,9 +1,9 @@
 //! Stand-in origins, and the rounds that reach them.
 use crate::people::who;
 use crate::world::{Ev, World};
-use brood::*;
+use control_state::*;
+use primitives::{Addr, Birth, Mono, Span, Token};
 use std::collections::BTreeMap;
-use wax::{Addr, Birth, Mono, Span, Token};
 
 #[derive(Clone, Debug)]
 pub struct Bloom {
@@ -24,7 +24,7 @@
     pub in_hand: u32,
     /// Content's generation by path prefix "": grows when content changes.
     pub edition: u64,
-    pub keeper: usize,
+    pub controller: usize,
     /// Requests it runs at once, and those that may wait for it; it refuses more. With
     /// no slots it takes all.
     pub slots: usize,
@@ -47,7 +47,7 @@
 impl World {
     pub fn bloom(&mut self, a: Addr, svc: &str, zone: &str) {
         let birth = Birth(self.rng.u64(1..1 << 40));
-        let keeper = self.rng.usize(0..4);
+        let controller = self.rng.usize(0..4);
         let b = Bloom {
             svc: svc.into(),
             zone: zone.into(),
@@ -61,7 +61,7 @@
             left: None,
             in_hand: 0,
             edition: 1,
-            keeper,
+            controller,
             slots: 0,
             queue: 0,
             taken: vec![],
@@ -78,11 +78,11 @@
     pub(crate) fn beat(&mut self, a: Addr, life: u64) {
         let doors = self.doors();
         let Some(b) = self.blooms.get_mut(&a).filter(|b| b.up && b.birth.0 == life) else { return };
-        let to = doors[b.keeper % doors.len()];
+        let to = doors[b.controller % doors.len()];
         // Whoever does not take the beat is left for the next one.
         let deaf = self.procs[&to].frozen || self.procs[&to].part.is_none();
         if deaf {
-            b.keeper += 1;
+            b.controller += 1;
         } else {
             self.say_beat(a, to);
         }
@@ -200,7 +200,7 @@
         }
     }
 
-    /// The gate's own look at origins whose beats do not come through.
+    /// The edge's own look at origins whose beats do not come through.
     pub(crate) fn probe(&mut self, g: Addr, life: u64) {
         if self.procs.get(&g).is_some_and(|p| p.life == life && p.part.is_some()) {
             self.next_token += 1;
--- a/crates/swarm/src/procs.rs
+++ b/crates/simulator/src/procs.rs
@@ -1,24 +1,24 @@
 //! Processes: parts with a disk, a clock and the power to die.
 use crate::world::{Ev, World};
-use brood::*;
-use comb::Comb;
-use gate::Gate;
-use keeper::Keeper;
+use control_state::*;
+use controller::Controller;
+use edge::Edge;
+use ledger::Ledger;
+use primitives::{Addr, Mono, Span};
 use std::collections::VecDeque;
-use wax::{Addr, Mono, Span};
 
 pub enum Role3 {
-    Keeper(Box<Keeper>),
-    Gate(Box<Gate>),
-    Comb(Box<Comb>),
+    Controller(Box<Controller>),
+    Edge(Box<Edge>),
+    Ledger(Box<Ledger>),
 }
 
 impl Role3 {
     pub fn part(&mut self) -> &mut dyn Part {
         match self {
-            Role3::Keeper(k) => &mut **k,
-            Role3::Gate(g) => &mut **g,
-            Role3::Comb(c) => &mut **c,
+            Role3::Controller(k) => &mut **k,
+            Role3::Edge(g) => &mut **g,
+            Role3::Ledger(c) => &mut **c,
         }
     }
 }
@@ -87,10 +87,10 @@
         let clock = p.clock(now);
         p.part = Some((p.boot)(p.disk.clone(), life, clock, &mut out));
         p.line.extend(out);
-        let gate = p.role == Role::Gate;
+        let edge = p.role == Role::Edge;
         self.flush(a);
         self.at(Span::ms(10), Ev::Tick(a, life));
-        if gate {
+        if edge {
             self.at(Span::ms(150), Ev::Probe(a, life));
         }
     }
@@ -178,21 +178,21 @@
         self.procs.iter().filter(|(_, p)| p.role == r).map(|(a, _)| *a).collect()
     }
 
-    pub fn keeper(&self, a: Addr) -> Option<&Keeper> {
+    pub fn controller(&self, a: Addr) -> Option<&Controller> {
         match self.procs.get(&a)?.part.as_ref()? {
-            Role3::Keeper(k) => Some(k),
+            Role3::Controller(k) => Some(k),
             _ => None,
         }
     }
-    pub fn gate(&self, a: Addr) -> Option<&Gate> {
+    pub fn edge(&self, a: Addr) -> Option<&Edge> {
         match self.procs.get(&a)?.part.as_ref()? {
-            Role3::Gate(g) => Some(g),
+            Role3::Edge(g) => Some(g),
             _ => None,
         }
     }
-    pub fn comb(&self, a: Addr) -> Option<&Comb> {
+    pub fn ledger(&self, a: Addr) -> Option<&Ledger> {
         match self.procs.get(&a)?.part.as_ref()? {
-            Role3::Comb(c) => Some(c),
+            Role3::Ledger(c) => Some(c),
             _ => None,
         }
     }
--- a/crates/swarm/src/rules.rs
+++ b/crates/simulator/src/rules.rs
@@ -2,9 +2,9 @@
 use crate::field::Bloom;
 use crate::people::{who, Seen, Want, TRY};
 use crate::scope::Scope;
-use brood::*;
+use control_state::*;
+use primitives::{Addr, Mono, Span, Version};
 use std::collections::{BTreeMap, BTreeSet};
-use wax::{Addr, Mono, Span, Version};
 
 /// How long after an origin was known to leave a request may still reach it.
 const GRACE: Span = Span::secs(2);
@@ -28,11 +28,11 @@
     same: BTreeMap<(Svc, String, u64), Mono>,
     /// What reached origins, run there or refused: when, and which try it was.
     pub reached: Vec<(Mono, String)>,
-    /// Gates that serve on though out of touch: nothing new binds them.
+    /// Edges that serve on though out of touch: nothing new binds them.
     pub apart: BTreeSet<Addr>,
-    /// By address: a gate that starts anew is still bound by what it showed.
+    /// By address: an edge that starts anew is still bound by what it showed.
     shown: BTreeMap<(Addr, Key), Version>,
-    /// The same within one life of a gate.
+    /// The same within one life of an edge.
     lives: BTreeMap<(Addr, u64, Key), Version>,
     pub ttl: BTreeMap<Lane, Span>,
     /// The edition every origin of a service has had since then.
@@ -185,7 +185,7 @@
         }
     }
 
-    /// A gate out of touch does not go back in its life.
+    /// An edge out of touch does not go back in its life.
     pub fn no_way_back(&mut self, a: Addr, life: u64, has: impl Fn(&Key) -> Version) {
         self.lives.retain(|(b, l, _), _| *b != a || *l == life);
         for k in self.acked.keys() {
@@ -198,7 +198,7 @@
         }
     }
 
-    /// A gate serves by its table: looked at whenever it may serve.
+    /// An edge serves by its table: looked at whenever it may serve.
     pub fn in_force(&mut self, now: Mono, a: Addr, has: impl Fn(&Key) -> Version) {
         let lacks = |(k, (v, at)): &(&Key, &(Version, Mono))| now - *at > Span::ms(0) && has(k) < *v;
         let missing: Vec<String> =
--- a/crates/swarm/src/scope.rs
+++ b/crates/simulator/src/scope.rs
@@ -1,5 +1,5 @@
 //! What a purge takes, by what is served.
-use brood::*;
+use control_state::*;
 
 /// What a purge takes.
 #[derive(Debug)]
--- a/crates/swarm/src/slots.rs
+++ b/crates/simulator/src/slots.rs
@@ -1,7 +1,7 @@
 //! What stand-in origins can be told to be: full, refusing, leaving, unchanged.
 use crate::world::World;
-use brood::*;
-use wax::{Addr, Span};
+use control_state::*;
+use primitives::{Addr, Span};
 
 impl World {
     /// Crashes without a word.
@@ -21,13 +21,13 @@
             b.left = Some(now);
         });
         let doors = self.doors();
-        let to = self.blooms.get(&a).map(|b| doors[b.keeper % doors.len()]);
+        let to = self.blooms.get(&a).map(|b| doors[b.controller % doors.len()]);
         to.into_iter().for_each(|k| self.say_beat(a, k));
     }
 
-    /// Who takes beats: keepers, or where nobody counts those any gate.
+    /// Who takes beats: controllers, or where nobody counts those any edge.
     pub(crate) fn doors(&self) -> Vec<Addr> {
-        self.of(if self.plan.open.is_some() { Role::Gate } else { Role::Keeper })
+        self.of(if self.plan.open.is_some() { Role::Edge } else { Role::Controller })
     }
 
     /// How long it waits for a slot; none if the origin refuses it.
--- a/crates/swarm/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -3,19 +3,19 @@
 use crate::people::{Seen, Want};
 use crate::procs::Proc;
 use crate::rules::Rules;
-use brood::*;
+use control_state::*;
+use primitives::{Addr, Mono, Span, Token};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
-use wax::{Addr, Mono, Span, Token};
 
 /// A world's temper.
 #[derive(Clone, Debug)]
 pub struct Plan {
-    pub gates: usize,
-    pub combs: usize,
-    /// Lost disks of combs borne at once.
+    pub edges: usize,
+    pub ledgers: usize,
+    /// Lost disks of ledgers borne at once.
     pub losses: usize,
-    /// Combs keep copies.
+    /// Ledgers keep copies.
     pub stock: bool,
     pub drop: f64,
     pub dup: f64,
@@ -28,24 +28,24 @@
     pub window: Span,
     /// How far monotonic clocks run apart, in parts of a thousand.
     pub drift: u64,
-    /// Requests a gate holds, of one service and in all.
+    /// Requests an edge holds, of one service and in all.
     pub hands: (usize, usize),
-    /// How long a leaving gate still takes requests.
+    /// How long a leaving edge still takes requests.
     pub grace: Span,
-    pub policy: gate::GatePolicy,
-    /// Bytes of copies that a gate keeps.
+    pub policy: edge::EdgePolicy,
+    /// Bytes of copies that an edge keeps.
     pub copies: usize,
-    /// Gates serve on while out of touch.
+    /// Edges serve on while out of touch.
     pub serve_on: bool,
-    /// Keepers are not told of one another: the first seed founds, others join.
-    pub open: Option<keeper::Open>,
+    /// Controllers are not told of one another: the first seed founds, others join.
+    pub open: Option<controller::Open>,
 }
 
 impl Plan {
     pub fn trinacria() -> Plan {
         Plan {
-            gates: 5,
-            combs: 6,
+            edges: 5,
+            ledgers: 6,
             losses: 1,
             stock: true,
             drop: 0.0,
@@ -59,7 +59,7 @@
             drift: 5,
             hands: (256, 1024),
             grace: Span::secs(1),
-            policy: gate::GatePolicy::default(),
+            policy: edge::EdgePolicy::default(),
             copies: 1 << 20,
             serve_on: false,
             open: None,
@@ -80,7 +80,7 @@
     Ask(Addr, Token, Ask),
     Synced(Addr, u64, Vec<Out>),
     Tick(Addr, u64),
-    /// A round of that gate's life leaves, arrives, is answered, comes back.
+    /// A round of that edge's life leaves, arrives, is answered, comes back.
     Leave(Addr, u64, Round),
     Arrive(Addr, u64, Round),
     /// Of which life and edition, and whether it gets through.
--- a/crates/meadow/src/audit.rs
+++ b/crates/stand-ins/src/audit.rs
@@ -1,5 +1,5 @@
 //! The look from outside: what callers saw against what origins counted.
-use crate::forager::Harvest;
+use crate::load_client::Harvest;
 use crate::mix::Mix;
 use crate::web;
 use std::collections::{BTreeMap, HashMap};
--- a/crates/meadow/src/content.rs
+++ b/crates/stand-ins/src/content.rs
@@ -3,7 +3,7 @@
 /// The whole answer to a path: it names its service and path, and its filler
 /// follows from both, so any mixing or cutting shows.
 pub fn page(svc: &str, path: &str) -> Vec<u8> {
-    let seed = wax::hash(&(svc, path));
+    let seed = primitives::hash(&(svc, path));
     let size = 512 + (seed % 4096) as usize;
     let mut b = format!("{svc}|{path}|{size}|").into_bytes();
     let mut x = seed | 1;
--- a/crates/meadow/src/got.rs
+++ b/crates/stand-ins/src/got.rs
@@ -1,11 +1,11 @@
-//! One request of a forager, and what is odd about its answer.
-use crate::forager::ForagerEnv;
+//! One request of a load_client, and what is odd about its answer.
+use crate::load_client::LoadClientEnv;
 use crate::mix::Share;
+use primitives::Addr;
 use std::collections::HashMap;
 use std::io::ErrorKind;
 use tinyjson::JsonValue;
 use ureq::Agent;
-use wax::Addr;
 
 pub(crate) struct Got {
     pub what: String,
@@ -29,7 +29,7 @@
 /// Two seconds, as the brief has it.
 const GRACE: u64 = 2000;
 
-/// Why it was denied, in the gate's own words.
+/// Why it was denied, in the edge's own words.
 fn reason(body: &[u8]) -> String {
     let v = std::str::from_utf8(body).ok().and_then(|s| s.parse::<JsonValue>().ok());
     let m = v.and_then(|v| v.get::<HashMap<String, JsonValue>>().cloned()).unwrap_or_default();
@@ -39,14 +39,14 @@
 impl Got {
     /// What must not be: a copy past its life, content purged before, an answer made
     /// for somebody else.
-    pub fn odd(&self, env: &ForagerEnv, s: &Share, asked: u64, tag: &str) -> Option<String> {
+    pub fn odd(&self, env: &LoadClientEnv, s: &Share, asked: u64, tag: &str) -> Option<String> {
         let made = self.made.filter(|_| self.good)?;
         let copy = self.from.as_deref() == Some("copy");
         let ttl = env.mix.table.iter().filter(|c| c.lane == s.lane).map(|c| c.row.ttl.as_ms()).max()?;
         if copy && asked > made + ttl + GRACE {
             return Some(format!("a copy of {} ms, its life is {ttl}", asked - made));
         }
-        if self.from.as_deref() == Some("origin") && s.kind != brood::Kind::Read {
+        if self.from.as_deref() == Some("origin") && s.kind != control_state::Kind::Read {
             let other = self.echo.as_deref().filter(|e| *e != tag);
             return other.map(|e| format!("made for {e}, asked by {tag}"));
         }
@@ -61,11 +61,11 @@
     }
 }
 
-pub(crate) fn call(a: &Agent, gate: Addr, s: &Share, path: &str, key: Option<&str>, tag: &str) -> Got {
-    let uri = format!("http://{gate}/{}/{path}", s.lane);
+pub(crate) fn call(a: &Agent, edge: Addr, s: &Share, path: &str, key: Option<&str>, tag: &str) -> Got {
+    let uri = format!("http://{edge}/{}/{path}", s.lane);
     let got = match key {
-        Some(k) => a.post(uri).header("Idempotency-Key", k).header("X-Forager", tag).send(path.as_bytes()),
-        None => a.get(uri).header("X-Forager", tag).call(),
+        Some(k) => a.post(uri).header("Idempotency-Key", k).header("X-LoadClient", tag).send(path.as_bytes()),
+        None => a.get(uri).header("X-LoadClient", tag).call(),
     };
     let mut r = match got {
         Ok(r) => r,
--- a/crates/meadow/src/forager.rs
+++ b/crates/stand-ins/src/load_client.rs
@@ -1,30 +1,30 @@
-//! Foragers: callers that keep to a pace whatever happens, and check every answer.
+//! LoadClients: callers that keep to a pace whatever happens, and check every answer.
 use crate::content::is_page;
-use crate::flower::wall_ms;
 use crate::got::{call, Got};
 use crate::mix::Mix;
 use crate::ready::Ready;
+use crate::stub_origin::wall_ms;
 use crate::web;
-use brood::Kind;
+use control_state::Kind;
 use fastrand::Rng;
+use primitives::Addr;
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 use ureq::Agent;
-use wax::Addr;
 
 #[derive(Clone, Debug)]
-pub struct ForagerEnv {
-    pub gates: Vec<Addr>,
+pub struct LoadClientEnv {
+    pub edges: Vec<Addr>,
     pub mix: Mix,
     pub rate: u64,
     pub span: Duration,
     pub seed: u64,
     /// Denied callers ask again at once, this many times.
     pub pushy: u64,
-    /// Asks only gates that lately said that they are ready.
+    /// Asks only edges that lately said that they are ready.
     pub follow: bool,
     /// Purges acknowledged so far.
     pub purged: Purged,
@@ -51,11 +51,11 @@
     pub good: BTreeMap<u64, u64>,
 }
 
-/// Enough hands that callers who wait at one frozen gate hold up nobody else.
+/// Enough hands that callers who wait at one frozen edge hold up nobody else.
 const HANDS: u64 = 384;
 const PATIENCE: Duration = Duration::from_secs(5);
 
-pub fn run(env: ForagerEnv) -> Harvest {
+pub fn run(env: LoadClientEnv) -> Harvest {
     let all: Arc<Mutex<Harvest>> = Arc::default();
     let next = Arc::new(AtomicU64::new(0));
     let start = Instant::now();
@@ -94,7 +94,7 @@
 
 #[allow(clippy::too_many_arguments)]
 fn one(
-    env: &ForagerEnv,
+    env: &LoadClientEnv,
     ready: &Ready,
     a: &Agent,
     rng: &mut Rng,
@@ -117,10 +117,10 @@
     let key = (s.kind == Kind::Keyed).then(|| format!("k{}-{i}", env.seed));
     let tries = 1 + (key.is_some() && rng.u64(0..100) < env.mix.again) as u64;
     for t in 0..tries + env.pushy {
-        let gate = ready.pick(rng);
+        let edge = ready.pick(rng);
         let began = Instant::now();
         let (tag, asked) = (format!("{i}-{t}"), wall_ms());
-        let got = call(a, gate, s, &path, key.as_deref(), &tag);
+        let got = call(a, edge, s, &path, key.as_deref(), &tag);
         let odd = got.odd(env, s, asked, &tag);
         let Got { what, good, body, .. } = got;
         let mut h = all.lock().expect("sound");
--- a/crates/meadow/src/mix.rs
+++ b/crates/stand-ins/src/mix.rs
@@ -1,8 +1,8 @@
 //! A deployment's own mix of requests, from the rehearsal part of its settings.
-use brood::{read_row, Kind, Row};
+use control_state::{read_row, Kind, Row};
+use primitives::{Addr, Look, LookProblem};
 use std::time::Duration;
 use tinyjson::JsonValue;
-use wax::{Addr, Look, LookProblem};
 
 #[derive(Clone, Debug)]
 pub struct Patch {
@@ -36,7 +36,7 @@
     /// Requests a second.
     pub rate: u64,
     pub shares: Vec<Share>,
-    /// Of a hundred keyed requests, how many are sent again by another gate.
+    /// Of a hundred keyed requests, how many are sent again by another edge.
     pub again: u64,
 }
 
@@ -68,7 +68,7 @@
         let name = lane.name()?;
         let kind = table.iter().filter(|c| c.lane == name).map(|c| c.row.kind).max();
         Ok(Share {
-            kind: kind.map(Ok).unwrap_or_else(|| lane.bad(wax::Reason::Unknown))?,
+            kind: kind.map(Ok).unwrap_or_else(|| lane.bad(primitives::Reason::Unknown))?,
             lane: name,
             share: s.field("share")?.num(1, 100)?,
             objects: s.field("objects")?.num(1, 1_000_000)?,
--- a/crates/meadow/src/ready.rs
+++ b/crates/stand-ins/src/ready.rs
@@ -1,22 +1,22 @@
-//! Following what gates say of their readiness.
-use crate::forager::ForagerEnv;
+//! Following what edges say of their readiness.
+use crate::load_client::LoadClientEnv;
 use crate::web;
 use fastrand::Rng;
+use primitives::Addr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
-use wax::Addr;
 
-/// Which gates say that they are ready.
+/// Which edges say that they are ready.
 pub(crate) struct Ready(Vec<(Addr, AtomicBool)>);
 
 impl Ready {
-    pub fn new(env: &ForagerEnv) -> Ready {
-        Ready(env.gates.iter().map(|g| (*g, AtomicBool::new(true))).collect())
+    pub fn new(env: &LoadClientEnv) -> Ready {
+        Ready(env.edges.iter().map(|g| (*g, AtomicBool::new(true))).collect())
     }
 
-    pub fn watch(r: &Arc<Ready>, env: &ForagerEnv, start: Instant) {
+    pub fn watch(r: &Arc<Ready>, env: &LoadClientEnv, start: Instant) {
         for i in 0..r.0.len() {
             let (r, span) = (r.clone(), env.span);
             thread::spawn(move || {
--- a/crates/meadow/src/flower.rs
+++ b/crates/stand-ins/src/stub_origin.rs
@@ -1,8 +1,9 @@
-//! A flower: a stand-in origin that beats, serves, misbehaves on request and
+//! A stub_origin: a stand-in origin that beats, serves, misbehaves on request and
 //! keeps count of all that reached it.
 use crate::content::page;
 use crate::web;
-use brood::{digest, list, num, obj, text};
+use control_state::{digest, list, num, obj, text};
+use primitives::{parse, Addr, Look, LookProblem};
 use std::collections::{BTreeMap, HashMap};
 use std::io::Write;
 use std::net::TcpListener;
@@ -11,16 +12,15 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tiny_http::{Header, Request, Response, Server};
 use tinyjson::JsonValue;
-use wax::{parse, Addr, Look, LookProblem};
 
 #[derive(Clone, Debug)]
-pub struct FlowerEnv {
+pub struct StubOriginEnv {
     pub at: Addr,
     pub svc: String,
     pub zone: String,
     pub cap: u32,
-    /// Keepers' HTTP addresses, to beat to.
-    pub keepers: Vec<Addr>,
+    /// Controllers' HTTP addresses, to beat to.
+    pub controllers: Vec<Addr>,
     /// How long an answer takes.
     pub work: Duration,
 }
@@ -56,8 +56,8 @@
 }
 
 /// Serves until the process is ended. False if it could not listen.
-pub fn run(env: FlowerEnv) -> bool {
-    let birth = skep::life();
+pub fn run(env: StubOriginEnv) -> bool {
+    let birth = runtime::life();
     let seen: Shared = Arc::default();
     let Ok(l) = TcpListener::bind(env.at.0) else { return false };
     let Ok(server) = Server::from_listener(l, None) else { return false };
@@ -74,9 +74,9 @@
     true
 }
 
-fn beat(env: &FlowerEnv, seen: &Shared, birth: u64) {
+fn beat(env: &StubOriginEnv, seen: &Shared, birth: u64) {
     let agent = web::agent(Duration::from_millis(400));
-    let mut k = birth as usize % env.keepers.len().max(1);
+    let mut k = birth as usize % env.controllers.len().max(1);
     let mut mark: Option<JsonValue> = None;
     loop {
         let (mood, hand) = {
@@ -93,13 +93,13 @@
             ("mood", text(&mood)),
         ];
         b.extend(mark.take().map(|m| ("mark", m)));
-        let heard = env.keepers.get(k).and_then(|a| web::post(&agent, *a, "lanewing/beats", &obj(b)));
+        let heard = env.controllers.get(k).and_then(|a| web::post(&agent, *a, "lanewing/beats", &obj(b)));
         match heard {
-            // Of this keeper's clock, so given back to no other.
+            // Of this controller's clock, so given back to no other.
             Some((200, v)) => {
                 mark = v.get().and_then(|m: &HashMap<String, JsonValue>| m.get("mark").cloned())
             }
-            _ => k = (k + 1) % env.keepers.len().max(1),
+            _ => k = (k + 1) % env.controllers.len().max(1),
         }
         thread::sleep(Duration::from_millis(200));
     }
@@ -123,7 +123,7 @@
     reply(req, 200, "application/json", v.stringify().unwrap_or_default().into_bytes());
 }
 
-fn serve(mut req: Request, seen: &Shared, env: &FlowerEnv, birth: u64) {
+fn serve(mut req: Request, seen: &Shared, env: &StubOriginEnv, birth: u64) {
     let path = req.url().trim_start_matches('/').to_string();
     match path.as_str() {
         "lanewing/probe" => {
@@ -158,7 +158,7 @@
     })
 }
 
-fn tally(s: &Seen, env: &FlowerEnv) -> JsonValue {
+fn tally(s: &Seen, env: &StubOriginEnv) -> JsonValue {
     let hits = s.hits.iter().map(|(k, n)| (k.as_str(), num(*n))).collect();
     let times = |v: &Vec<u64>| list(v.iter().map(|t| num(*t)).collect());
     let keys = s.keys.iter().map(|(k, v)| (k.as_str(), times(v))).collect();
@@ -172,13 +172,13 @@
     ])
 }
 
-fn content(mut req: Request, path: String, seen: &Shared, env: &FlowerEnv, birth: u64) {
+fn content(mut req: Request, path: String, seen: &Shared, env: &StubOriginEnv, birth: u64) {
     let head = |n: &'static str| {
         let h = req.headers().iter().find(|h| h.field.equiv(n));
         h.map(|h| h.value.as_str().to_string())
     };
     let (key, lane) = (head("Idempotency-Key"), head("Lanewing-Lane").unwrap_or_default());
-    let echo = head("X-Forager").unwrap_or_default();
+    let echo = head("X-LoadClient").unwrap_or_default();
     let meant = head("Lanewing-Birth").is_none_or(|b| b == birth.to_string());
     let mut sent = vec![];
     let _ = req.as_reader().read_to_end(&mut sent);
--- a/crates/meadow/src/web.rs
+++ b/crates/stand-ins/src/web.rs
@@ -1,8 +1,8 @@
 //! Small HTTP calls with JSON.
+use primitives::Addr;
 use std::time::Duration;
 use tinyjson::JsonValue;
 use ureq::Agent;
-use wax::Addr;
 
 pub fn agent(most: Duration) -> Agent {
     let c = Agent::config_builder()
