--- a/crates/control-state/src/msg.rs
+++ b/crates/control-state/src/msg.rs
@@ -88,6 +88,12 @@
     Blank(Member),
     Picture(Box<Picture>),
     WantPicture(Era, Birth),
+    /// A snapshot for a controller without a seat, before it is given one.
+    Learn(Box<Picture>),
+    /// The disk of this birth has synced the snapshot of this era.
+    Learned(Era, Birth),
+    /// The member is about to stop.
+    Leaving(Kid),
     /// Who has a seat, for processes that have none to pass on.
     Roster(Era, Vec<Member>),
     /// The one blank controller that is to found the deployment.
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -3,6 +3,7 @@
 use crate::feeds::Feed;
 use crate::force::Pending;
 use crate::landing::Landed;
+use crate::membership::MembershipWatch;
 use crate::recs::Kept;
 use crate::roll::RollWatch;
 pub use crate::settings::{ControllerEnv, Open};
@@ -58,9 +59,9 @@
     /// Callers through other nodes, by the tokens given to their calls.
     pub(crate) calls: BTreeMap<Token, (Addr, u64)>,
     pub(crate) next_call: u64,
-    /// The blank controller named to found, and since when blanks are heard.
+    /// The blank controller named to found, and since when.
     pub(crate) named: Option<(Birth, Mono)>,
-    pub(crate) gathers: Option<Mono>,
+    pub(crate) watch: MembershipWatch,
     pub(crate) written: usize,
     pub(crate) counts: BTreeMap<&'static str, u64>,
     last: BTreeMap<&'static str, Mono>,
@@ -106,7 +107,7 @@
             calls: BTreeMap::new(),
             next_call: 0,
             named: None,
-            gathers: None,
+            watch: MembershipWatch::default(),
             written: 0,
             counts: BTreeMap::new(),
             last: BTreeMap::new(),
@@ -227,6 +228,9 @@
                 Msg::AskForce(era, cid) => self.on_ask_force(from, era, cid, out),
                 Msg::InForce(era, cid, kid) => self.on_in_force(now, era, cid, kid, out),
                 Msg::Applied(era, cid, kid) => self.on_applied(now, era, cid, kid, out),
+                Msg::Learn(p) => self.on_learn(from, *p, out),
+                Msg::Learned(era, birth) => self.on_learned(now, from, era, birth),
+                Msg::Leaving(kid) => self.on_leaving(kid),
                 Msg::Landed(said) => self.on_landed(now, said, out),
                 Msg::AskApplied(era, cid) => self.on_ask_applied(from, era, cid, out),
                 Msg::DutyAsk(kid, e, t) => self.on_duty_ask(now, from, kid, e, t, out),
--- a/crates/controller/src/duty.rs
+++ b/crates/controller/src/duty.rs
@@ -62,10 +62,11 @@
 }
 
 impl Controller {
-    fn first_live(&self, now: Mono) -> bool {
+    pub(crate) fn first_live(&self, now: Mono) -> bool {
         let heard = |k: &Kid| self.mach.as_ref().and_then(|m| m.heard_of(*k));
         let live = |k: &Kid| *k == self.kid || heard(k).is_some_and(|t| now - t < self.env.pace.suspect);
-        order(&self.pic).into_iter().find(live) == Some(self.kid)
+        let stays = |k: &Kid| !self.watch.leaves(*k);
+        order(&self.pic).into_iter().filter(stays).find(live) == Some(self.kid)
     }
 
     pub(crate) fn do_duty(&mut self, now: Mono, out: &mut Vec<Out>) {
--- a/crates/controller/src/force.rs
+++ b/crates/controller/src/force.rs
@@ -173,7 +173,7 @@
 
     /// Answers the operator when there is nothing left to wait for.
     pub(crate) fn conclude(&mut self, now: Mono, cid: Cid, out: &mut Vec<Out>) {
-        let need = classic(self.base.members.len());
+        let need = classic(self.base.members.len()).max(self.least_copies());
         let Some(p) = self.pending.get(&cid) else { return };
         let Some(vs) = &p.verdicts else { return };
         let asked = |t: &Option<Token>, c: &Change| t.is_some() || matches!(c.op, Op::Seats { .. });
--- a/crates/controller/src/found.rs
+++ b/crates/controller/src/found.rs
@@ -9,7 +9,9 @@
     pub(crate) fn show_blank(&mut self, out: &mut Vec<Out>) {
         if self.mach.is_none() && !self.passes_on() {
             let m = self.member(Kid(0));
-            out.extend(self.env.seeds.iter().map(|s| Out::Send(*s, Msg::Blank(m.clone()))));
+            let members = self.base.members.iter().map(|x| x.addr).filter(|a| !self.env.seeds.contains(a));
+            let known = self.env.seeds.iter().copied().chain(members);
+            out.extend(known.map(|a| Out::Send(a, Msg::Blank(m.clone()))));
         }
     }
 
@@ -19,12 +21,9 @@
         if self.mach.is_none() {
             return self.maybe_found(now, out);
         }
-        if self.env.open.is_some() {
-            self.gathers = self.gathers.or(Some(now));
-        }
         if self.base.members.iter().any(|x| x.addr == addr && x.birth == birth) {
             out.push(Out::Send(addr, Msg::Picture(Box::new(self.base.clone()))));
-        } else if self.base.members.iter().any(|x| x.addr == addr) {
+        } else if self.env.open.is_none() && self.base.members.iter().any(|x| x.addr == addr) {
             // Its disk was lost: it gets a new id in its old place.
             self.swap_in(now, addr, m, out);
         }
--- a/crates/controller/src/landing.rs
+++ b/crates/controller/src/landing.rs
@@ -30,14 +30,17 @@
         open.map_or(self.base.era, |(e, _)| Era(e.0 - 1))
     }
 
-    /// For whom of a roster this controller can speak: for itself; and for whoever had its
-    /// seat before, once every lease that one gave has run out. For that one's disk was
-    /// lost, or an operator's word is that it is gone; and a controller that hears nobody
-    /// of its era renews nothing.
+    /// For whom of a roster this controller can speak: for itself; and for whoever is
+    /// provably gone and had its seat before, once every lease that one gave has run out.
+    /// It is provably gone if its address answers with this controller's disk, or by the
+    /// word of an operator, who alone gives seats away where controllers are counted.
+    /// A member that was only silent may still renew leases: nobody speaks for it.
     fn speaks_for(&self, now: Mono, seat: usize, m: &Member) -> bool {
         let mine = |m: &Member| m.addr == self.env.addr && m.birth == self.birth;
         let outlived = now - self.seated > self.env.lease.padded() + self.env.pace.suspect;
-        mine(m) || (outlived && self.base.members.get(seat).is_some_and(mine))
+        let same_address = m.addr == self.env.addr && self.mach.is_some();
+        let by_operator = self.env.open.is_none() && self.base.members.get(seat).is_some_and(mine);
+        mine(m) || (outlived && (same_address || by_operator))
     }
 
     /// Another member was lately heard in this era: without, this controller may have been
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -9,6 +9,8 @@
 mod force;
 mod found;
 mod landing;
+mod membership;
+pub mod membership_plan;
 mod open;
 mod recs;
 mod roll;
--- /dev/null
+++ b/crates/controller/src/membership.rs
@@ -0,0 +1,186 @@
+//! Changes of membership in a deployment that nobody counted: watching members, bringing
+//! newcomers up to date, and proposing what `membership_plan` says.
+use crate::controller::Controller;
+use crate::membership_plan::{MembershipView, Reason};
+use crate::recs::Kept;
+use caesar::Kid;
+use control_state::*;
+use primitives::{Addr, Birth, Mono, Span};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Newcomers that are ready within this of one another join together.
+const GATHER: Span = Span::ms(300);
+/// How often the membership is looked at.
+const LOOK: Span = Span::ms(50);
+/// A newcomer that was not heard for so long is no longer counted on.
+const NEWCOMER_HEARD: Span = Span::secs(1);
+/// How often a snapshot is sent to a newcomer that has not confirmed it.
+const SNAPSHOT_RETRY: Span = Span::ms(500);
+/// How often a change is proposed if nothing came of the last one.
+const CHANGE_RETRY: Span = Span::secs(1);
+/// A single step between two looks that counts as silence: a controller that was itself
+/// frozen has not noticed anybody's silence.
+const LONGEST_STEP: Span = Span::ms(100);
+
+/// A newcomer and what it is known to hold.
+#[derive(Clone, Debug)]
+struct Learner {
+    birth: Birth,
+    /// The era whose snapshot it has synced, and since when it is ready.
+    holds: Option<(Era, Mono)>,
+    sent: Option<(Era, Mono)>,
+}
+
+/// What this controller knows about who comes and goes.
+#[derive(Debug, Default)]
+pub(crate) struct MembershipWatch {
+    learners: BTreeMap<Addr, Learner>,
+    /// By member: when it was last heard, and for how long it has been silent since, by
+    /// this controller's own steps.
+    silence: BTreeMap<Kid, (Option<Mono>, Span)>,
+    looked: Mono,
+    /// Members that announced that they stop.
+    leaving: BTreeSet<Kid>,
+}
+
+impl MembershipWatch {
+    pub(crate) fn leaves(&self, kid: Kid) -> bool {
+        self.leaving.contains(&kid)
+    }
+
+    fn unheard_for(&self, least: Span) -> BTreeSet<Kid> {
+        self.silence.iter().filter(|(_, (_, span))| *span >= least).map(|(kid, _)| *kid).collect()
+    }
+}
+
+impl Controller {
+    /// Looks after the membership; whoever leads proposes the next change.
+    pub(crate) fn mind_membership(&mut self, now: Mono, out: &mut Vec<Out>) {
+        if self.mach.is_none() || !self.due("membership", LOOK, now) {
+            return;
+        }
+        self.note_silence(now);
+        if !self.connected(now) || !self.first_live(now) {
+            return;
+        }
+        self.teach_newcomers(now, out);
+        let lately = self.cutting.is_some_and(|t| now - t < CHANGE_RETRY);
+        if !lately {
+            self.propose_membership(now, out);
+        }
+    }
+
+    fn note_silence(&mut self, now: Mono) {
+        let step = (now - self.watch.looked).min(LONGEST_STEP);
+        self.watch.looked = now;
+        let before = std::mem::take(&mut self.watch.silence);
+        for member in self.base.members.iter().filter(|m| m.kid != self.kid) {
+            let in_era = self.heard.contains(&member.kid);
+            let heard = self.mach.as_ref().and_then(|m| m.heard_of(member.kid)).filter(|_| in_era);
+            let (last, span) = before.get(&member.kid).copied().unwrap_or((None, Span(0)));
+            let news = heard.is_some() && heard != last;
+            let span = if news { Span(0) } else { span + step };
+            self.watch.silence.insert(member.kid, (heard, span));
+        }
+        let members: BTreeSet<Kid> = self.base.members.iter().map(|m| m.kid).collect();
+        self.watch.leaving.retain(|kid| members.contains(kid));
+    }
+
+    /// Newcomers are sent the snapshot that the era started from.
+    fn teach_newcomers(&mut self, now: Mono, out: &mut Vec<Out>) {
+        let heard = |(_, t): &&(Member, Mono)| now - *t < NEWCOMER_HEARD;
+        let newcomers: BTreeMap<Addr, Birth> =
+            self.blanks.values().filter(heard).map(|(m, _)| (m.addr, m.birth)).collect();
+        self.watch.learners.retain(|addr, l| newcomers.get(addr) == Some(&l.birth));
+        let era = self.base.era;
+        for (addr, birth) in newcomers {
+            let seated = self.base.members.iter().any(|m| m.addr == addr && m.birth == birth);
+            let fresh = Learner { birth, holds: None, sent: None };
+            let learner = self.watch.learners.entry(addr).or_insert(fresh);
+            let holds = learner.holds.is_some_and(|(held, _)| held == era);
+            let lately = learner.sent.is_some_and(|(sent, t)| sent == era && now - t < SNAPSHOT_RETRY);
+            if !seated && !holds && !lately {
+                learner.sent = Some((era, now));
+                out.push(Out::Send(addr, Msg::Learn(Box::new(self.base.clone()))));
+            }
+        }
+    }
+
+    /// Without a seat: keeps the snapshot and says so once it is synced.
+    pub(crate) fn on_learn(&mut self, from: Addr, snapshot: Picture, out: &mut Vec<Out>) {
+        let keeps = self.env.open.is_some_and(|o| o.keeps);
+        if self.mach.is_some() || !keeps || snapshot.era < self.base.era {
+            return;
+        }
+        let era = snapshot.era;
+        if era > self.base.era {
+            self.base = snapshot;
+            self.pic = self.base.clone();
+            self.written = 0;
+            out.push(Out::Base(Kept::Base(self.birth, Box::new(self.base.clone())).encode()));
+        }
+        out.push(Out::Send(from, Msg::Learned(era, self.birth)));
+    }
+
+    pub(crate) fn on_learned(&mut self, now: Mono, from: Addr, era: Era, birth: Birth) {
+        let learner = self.watch.learners.get_mut(&from);
+        if let Some(l) = learner.filter(|l| l.birth == birth) {
+            let since = l.holds.map_or(now, |(_, since)| since);
+            l.holds = Some((era, since));
+        }
+    }
+
+    fn membership_view(&self, losses: usize) -> MembershipView {
+        let era = self.base.era;
+        let holds = |m: &&Member| {
+            let learner = self.watch.learners.get(&m.addr).filter(|l| l.birth == m.birth);
+            learner.and_then(|l| l.holds).is_some_and(|(held, _)| held == era)
+        };
+        let seated = |m: &&Member| self.base.members.iter().any(|x| x.addr == m.addr && x.birth == m.birth);
+        let newcomers = self.blanks.values().map(|(m, _)| m);
+        let suspect = self.env.pace.suspect;
+        MembershipView {
+            members: self.pic.members.clone(),
+            silent: self.watch.unheard_for(suspect.times(2)),
+            suspected: self.watch.unheard_for(suspect),
+            leaving: self.watch.leaving.clone(),
+            ready: newcomers.filter(holds).filter(|m| !seated(m)).cloned().collect(),
+            settled: self.all_landed() && self.enough_heard(),
+            next_kid: self.pic.next_kid,
+            losses,
+        }
+    }
+
+    /// The first newcomer of a group was ready long enough ago for the others to join too.
+    fn newcomers_gathered(&self, now: Mono) -> bool {
+        let ready = self.watch.learners.values().filter_map(|l| l.holds);
+        ready.map(|(_, since)| since).min().is_some_and(|first| now - first >= GATHER)
+    }
+
+    fn propose_membership(&mut self, now: Mono, out: &mut Vec<Out>) {
+        let Some(open) = self.env.open else { return };
+        let Some(change) = self.membership_view(open.losses).plan() else { return };
+        if change.reason == Reason::Widened && !self.newcomers_gathered(now) {
+            return;
+        }
+        self.cutting = Some(now);
+        let (name, note) = match change.reason {
+            Reason::DiskLost => ("disks replaced", "proposing a new disk in a lost one's seat"),
+            Reason::SeatTaken => ("seats taken", "proposing a newcomer in a member's seat"),
+            Reason::SeatGivenUp => ("seats given up", "proposing to do without a member"),
+            Reason::Widened => ("joins", "proposing seats for newcomers"),
+        };
+        self.count(name);
+        out.push(Out::Note(note));
+        let landed = self.landed_to();
+        self.with_machine(now, out, |m, o| {
+            m.propose(now, Cmd::Cut(change.members, landed), o);
+        });
+    }
+
+    pub(crate) fn on_leaving(&mut self, kid: Kid) {
+        if self.base.member(kid).is_some() {
+            self.watch.leaving.insert(kid);
+        }
+    }
+}
--- /dev/null
+++ b/crates/controller/src/membership_plan.rs
@@ -0,0 +1,130 @@
+//! Plans the next membership: a pure function of what one controller knows.
+//!
+//! Invariants, for `f` losses to be borne at once (checked in `tests/membership_plan.rs`):
+//!
+//! - A plan changes one thing: disks replaced in place, one seat given to a newcomer, one
+//!   seat given up, or newcomers added.
+//! - Whoever can be reached before and does not leave keeps its seat.
+//! - A seat is given up only while `2f + 1` members remain.
+//! - If a majority of the old members can be reached, so can a majority of the new ones.
+use caesar::{classic, Kid};
+use control_state::Member;
+use std::collections::BTreeSet;
+
+/// What the planner knows.
+#[derive(Clone, Debug)]
+pub struct MembershipView {
+    pub members: Vec<Member>,
+    /// Members unheard for so long that their seats may be given away.
+    pub silent: BTreeSet<Kid>,
+    /// Members unheard for a while, which may still prove silent.
+    pub suspected: BTreeSet<Kid>,
+    /// Members that announced that they are about to stop.
+    pub leaving: BTreeSet<Kid>,
+    /// Newcomers that hold a synced snapshot.
+    pub ready: Vec<Member>,
+    /// Nothing else is under way: the last change has landed.
+    pub settled: bool,
+    /// The least id that was never given out.
+    pub next_kid: u16,
+    /// Losses borne at once.
+    pub losses: usize,
+}
+
+/// Why the membership changes.
+#[derive(Copy, Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Reason {
+    /// A member's address answers with another disk.
+    DiskLost,
+    /// A newcomer takes the seat of a silent or leaving member.
+    SeatTaken,
+    /// A silent or leaving member is not needed.
+    SeatGivenUp,
+    Widened,
+}
+
+/// The next membership.
+#[derive(Clone, Debug, PartialEq)]
+pub struct MembershipChange {
+    pub members: Vec<Member>,
+    pub reason: Reason,
+}
+
+/// The smallest membership in which every majority has `f + 1` disks and which keeps a
+/// majority when `f` are lost.
+pub fn least_members(losses: usize) -> usize {
+    2 * losses + 1
+}
+
+/// How many more members can be lost before no majority is left; none if there is none now.
+pub fn losses_borne(members: usize, reachable: usize) -> Option<usize> {
+    reachable.checked_sub(classic(members))
+}
+
+impl MembershipView {
+    /// The next change, or none if the membership is as it should be.
+    pub fn plan(&self) -> Option<MembershipChange> {
+        let change = self.replace_disks();
+        let settled = || self.settled.then_some(());
+        let change = change.or_else(|| settled().and_then(|()| self.give_seat()));
+        let change = change.or_else(|| settled().and_then(|()| self.give_up_seat()));
+        change.or_else(|| settled().and_then(|()| self.widen()))
+    }
+
+    /// The old disk is provably gone: its address answers with another one.
+    fn replace_disks(&self) -> Option<MembershipChange> {
+        let mut kids = self.next_kid..;
+        let mut members = self.members.clone();
+        for seat in &mut members {
+            let successor = self.ready.iter().find(|r| r.addr == seat.addr && r.birth != seat.birth);
+            if let Some(successor) = successor {
+                *seat = Member { kid: Kid(kids.next()?), ..successor.clone() };
+            }
+        }
+        (members != self.members).then_some(MembershipChange { members, reason: Reason::DiskLost })
+    }
+
+    fn newcomers(&self) -> impl Iterator<Item = &Member> {
+        let seated = |r: &&Member| self.members.iter().any(|m| m.addr == r.addr);
+        self.ready.iter().filter(move |r| !seated(r))
+    }
+
+    /// Who gives up its seat first: whoever is silent, then whoever leaves.
+    fn departing(&self) -> Option<&Member> {
+        let first = |set: &BTreeSet<Kid>| self.members.iter().find(|m| set.contains(&m.kid));
+        first(&self.silent).or_else(|| first(&self.leaving))
+    }
+
+    fn give_seat(&self) -> Option<MembershipChange> {
+        let departing = self.departing()?.kid;
+        let newcomer = Member { kid: Kid(self.next_kid), ..self.newcomers().next()?.clone() };
+        let successor = |m: &Member| if m.kid == departing { newcomer.clone() } else { m.clone() };
+        let members = self.members.iter().map(successor).collect();
+        Some(MembershipChange { members, reason: Reason::SeatTaken })
+    }
+
+    fn give_up_seat(&self) -> Option<MembershipChange> {
+        let departing = self.departing()?.kid;
+        if self.members.len() <= least_members(self.losses) {
+            return None;
+        }
+        let members: Vec<Member> = self.members.iter().filter(|m| m.kid != departing).cloned().collect();
+        let stays = |m: &&Member| {
+            ![&self.silent, &self.suspected, &self.leaving].iter().any(|set| set.contains(&m.kid))
+        };
+        let staying = members.iter().filter(stays).count();
+        losses_borne(members.len(), staying)?;
+        Some(MembershipChange { members, reason: Reason::SeatGivenUp })
+    }
+
+    fn widen(&self) -> Option<MembershipChange> {
+        // A newcomer may be needed in the place of one of these.
+        if !self.suspected.is_empty() && self.members.len() >= least_members(self.losses) {
+            return None;
+        }
+        let kids = self.next_kid..;
+        let added = self.newcomers().zip(kids).map(|(m, kid)| Member { kid: Kid(kid), ..m.clone() });
+        let members: Vec<Member> = self.members.iter().cloned().chain(added).collect();
+        (members != self.members).then_some(MembershipChange { members, reason: Reason::Widened })
+    }
+}
--- a/crates/controller/src/open.rs
+++ b/crates/controller/src/open.rs
@@ -5,19 +5,16 @@
 //! began at the first start only; if it can keep nothing it names one blank controller, and
 //! none other while that one may live. A roster then grows by cuts only.
 use crate::controller::Controller;
+use crate::membership_plan::least_members;
 use caesar::Kid;
 use control_state::*;
 use primitives::{Addr, Birth, Mono, Span};
 
-/// Blanks that come together join together.
-const GATHER: Span = Span::ms(300);
 /// How long a seat that keeps nothing listens before it names a founder.
 const LISTEN: Span = Span::ms(800);
 /// Nothing is taken from operators before there are enough controllers and ledgers, or
 /// it is clear that no more will come.
 const PATIENT: Span = Span::secs(6);
-/// A member unheard for so long gives its seat to a newcomer.
-const GONE: Span = Span::secs(30);
 
 impl Controller {
     fn first_seed(&self) -> Option<Addr> {
@@ -85,10 +82,7 @@
             let seat = |a: &&Addr| !self.base.members.iter().any(|m| m.addr == **a);
             out.extend(self.env.seeds.iter().filter(seat).map(|s| Out::Send(*s, m.clone())));
         }
-        if self.gathers.is_some_and(|t| now - t >= GATHER) {
-            self.gathers = None;
-            self.let_in(now, out);
-        }
+        self.mind_membership(now, out);
     }
 
     fn pass_blanks(&mut self, now: Mono, out: &mut Vec<Out>) {
@@ -115,49 +109,19 @@
         }
     }
 
-    /// Blank controllers heard lately get a seat: one that somebody left for good, or a new one.
-    fn let_in(&mut self, now: Mono, out: &mut Vec<Out>) {
-        let lately = self.cutting.is_some_and(|t| now - t < Span::secs(1));
-        let has = |m: &Member| self.base.members.iter().any(|x| x.addr == m.addr);
-        let new: Vec<Member> = self
-            .blanks
-            .values()
-            .filter(|(m, t)| now - *t < Span::secs(1) && !has(m))
-            .map(|(m, _)| m.clone())
-            .collect();
-        if new.is_empty() || lately || !self.connected(now) {
-            return;
-        }
-        self.cutting = Some(now);
-        self.count("joins");
-        out.push(Out::Note("proposing seats for new controllers"));
-        let heard = |m: &Member| {
-            m.kid == self.kid
-                || self.mach.as_ref().and_then(|x| x.heard_of(m.kid)).is_some_and(|t| now - t < GONE)
-        };
-        let long = now - self.seated >= GONE;
-        let mut left = self.pic.members.iter().position(|m| long && !heard(m));
-        let mut ms = self.pic.members.clone();
-        for (i, m) in new.into_iter().enumerate() {
-            let m = Member { kid: Kid(self.pic.next_kid + i as u16), ..m };
-            match left.take() {
-                Some(at) => ms[at] = m,
-                None => ms.push(m),
-            }
-        }
-        let landed = self.landed_to();
-        self.with_machine(now, out, |x, o| {
-            x.propose(now, Cmd::Cut(ms, landed), o);
-        });
-    }
-
     /// Whether an operator's edits may be taken: a deployment still gathering
     /// could lose them with fewer disks than it is to bear.
     pub(crate) fn gathered(&self, now: Mono, c: &Change) -> bool {
         let Some(o) = self.env.open.filter(|_| matches!(c.op, Op::Edit(_))) else { return true };
-        let need = 2 * o.losses + 1;
+        let need = least_members(o.losses);
         let roll = Roll::of(&self.pic.items);
-        let enough = self.base.members.len() >= need && roll.sets.last().is_some_and(|s| s.len() >= need);
-        enough || now - self.seated >= PATIENT
+        let members = self.base.members.len();
+        let enough = members >= need && roll.sets.last().is_some_and(|s| s.len() >= need);
+        enough || (members >= self.least_copies() && now - self.seated >= PATIENT)
+    }
+
+    /// Synced disks that an acknowledged change is on: one more than may be lost at once.
+    pub(crate) fn least_copies(&self) -> usize {
+        self.env.open.map_or(0, |o| o.losses + 1)
     }
 }
--- a/crates/controller/src/show.rs
+++ b/crates/controller/src/show.rs
@@ -23,7 +23,7 @@
     }
 
     /// Heard in this era from so many that nothing shown before is unknown here.
-    fn enough_heard(&self) -> bool {
+    pub(crate) fn enough_heard(&self) -> bool {
         self.base.members.len() == 1 || self.heard.len() >= self.quorum()
     }
 
