--- a/crates/controller/src/membership_plan.rs
+++ b/crates/controller/src/membership_plan.rs
@@ -109,11 +109,9 @@
             return None;
         }
         let members: Vec<Member> = self.members.iter().filter(|m| m.kid != departing).cloned().collect();
-        let stays = |m: &&Member| {
-            ![&self.silent, &self.suspected, &self.leaving].iter().any(|set| set.contains(&m.kid))
-        };
-        let staying = members.iter().filter(stays).count();
-        losses_borne(members.len(), staying)?;
+        let heard = |m: &&Member| !self.silent.contains(&m.kid) && !self.suspected.contains(&m.kid);
+        let reachable = members.iter().filter(heard).count();
+        losses_borne(members.len(), reachable)?;
         Some(MembershipChange { members, reason: Reason::SeatGivenUp })
     }
 
