--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -134,20 +134,6 @@
         }
     }
 
-    pub fn picture(&self) -> &Picture {
-        &self.pic
-    }
-    /// Commands of this era known here.
-    pub fn known(&self) -> usize {
-        self.mach.as_ref().map_or(0, |m| m.size())
-    }
-    pub fn tally(&self) -> caesar::Tally {
-        self.mach.as_ref().map(|m| m.tally).unwrap_or_default()
-    }
-    pub fn kid(&self) -> Option<Kid> {
-        self.mach.as_ref().map(|_| self.kid)
-    }
-
     /// Hears enough of the others to decide anything.
     pub(crate) fn connected(&self, now: Mono) -> bool {
         self.mach.as_ref().is_some_and(|m| {
@@ -174,6 +160,9 @@
     pub(crate) fn ask(&mut self, now: Mono, t: Token, ask: Ask, out: &mut Vec<Out>) {
         let ready = self.connected(now);
         let r = match ask {
+            Ask::Drain => Receipt::Health(self.drain(now, out)),
+            Ask::Ready => Receipt::Health(self.health(now)),
+            _ if self.watch.stopping => Receipt::NotNow("this controller is leaving"),
             Ask::Change(c) if ready && self.gathered(now, &c) => return self.submit(now, Some(t), c, out),
             Ask::Change(_) => Receipt::NotNow("no quorum of controllers in reach"),
             Ask::Beat(b, mark) if ready => return self.first_hand(now, t, b, mark, out),
@@ -182,7 +171,6 @@
             Ask::Replace { old, new } => self.replace(now, old, new, out),
             Ask::Table if ready => return self.look(now, t, out),
             Ask::Table => Receipt::NotNow("no quorum of controllers in reach"),
-            Ask::Ready => Receipt::Health(self.health(now)),
             _ => Receipt::Took,
         };
         out.push(Out::Tell(t, r));
@@ -192,6 +180,7 @@
         if self.due("blank", Span::ms(200), now) {
             self.show_blank(out);
         }
+        self.announce_leaving(now, out);
         self.mind_roster(now, out);
         self.with_machine(now, out, |m, o| m.tick(now, o));
         let near = self.connected(now);
@@ -230,7 +219,7 @@
                 Msg::Applied(era, cid, kid) => self.on_applied(now, era, cid, kid, out),
                 Msg::Learn(p) => self.on_learn(from, *p, out),
                 Msg::Learned(era, birth) => self.on_learned(now, from, era, birth),
-                Msg::Leaving(kid) => self.on_leaving(kid),
+                Msg::Leaving(kid) => self.on_leaving(now, kid),
                 Msg::Landed(said) => self.on_landed(now, said, out),
                 Msg::AskApplied(era, cid) => self.on_ask_applied(from, era, cid, out),
                 Msg::DutyAsk(kid, e, t) => self.on_duty_ask(now, from, kid, e, t, out),
--- a/crates/controller/src/found.rs
+++ b/crates/controller/src/found.rs
@@ -5,9 +5,9 @@
 use primitives::{Addr, Mono, Span};
 
 impl Controller {
-    /// Without a seat: shows itself to the seeds.
+    /// Without a seat: shows itself to the seeds, and to the members it knows of.
     pub(crate) fn show_blank(&mut self, out: &mut Vec<Out>) {
-        if self.mach.is_none() && !self.passes_on() {
+        if self.mach.is_none() && !self.passes_on() && !self.watch.stopping {
             let m = self.member(Kid(0));
             let members = self.base.members.iter().map(|x| x.addr).filter(|a| !self.env.seeds.contains(a));
             let known = self.env.seeds.iter().copied().chain(members);
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -9,6 +9,7 @@
 mod force;
 mod found;
 mod landing;
+mod leaving;
 mod membership;
 pub mod membership_plan;
 mod open;
--- a/crates/controller/src/membership.rs
+++ b/crates/controller/src/membership.rs
@@ -14,6 +14,8 @@
 const LOOK: Span = Span::ms(50);
 /// A newcomer that was not heard for so long is no longer counted on.
 const NEWCOMER_HEARD: Span = Span::secs(1);
+/// A member that has not repeated that it leaves for so long has ended, or is back.
+const LEAVING_HEARD: Span = Span::secs(1);
 /// How often a snapshot is sent to a newcomer that has not confirmed it.
 const SNAPSHOT_RETRY: Span = Span::ms(500);
 /// How often a change is proposed if nothing came of the last one.
@@ -39,13 +41,19 @@
     /// this controller's own steps.
     silence: BTreeMap<Kid, (Option<Mono>, Span)>,
     looked: Mono,
-    /// Members that announced that they stop.
-    leaving: BTreeSet<Kid>,
+    /// Members that announced that they stop, and when they last did.
+    leaving: BTreeMap<Kid, Mono>,
+    /// This controller itself was told to stop.
+    pub(crate) stopping: bool,
 }
 
 impl MembershipWatch {
     pub(crate) fn leaves(&self, kid: Kid) -> bool {
-        self.leaving.contains(&kid)
+        self.leaving.contains_key(&kid)
+    }
+
+    pub(crate) fn note_leaving(&mut self, kid: Kid, now: Mono) {
+        self.leaving.insert(kid, now);
     }
 
     fn unheard_for(&self, least: Span) -> BTreeSet<Kid> {
@@ -83,7 +91,7 @@
             self.watch.silence.insert(member.kid, (heard, span));
         }
         let members: BTreeSet<Kid> = self.base.members.iter().map(|m| m.kid).collect();
-        self.watch.leaving.retain(|kid| members.contains(kid));
+        self.watch.leaving.retain(|kid, t| members.contains(kid) && now - *t < LEAVING_HEARD);
     }
 
     /// Newcomers are sent the snapshot that the era started from.
@@ -130,6 +138,12 @@
         }
     }
 
+    /// A controller without a seat shows itself.
+    pub(crate) fn hears_newcomer(&self, now: Mono) -> bool {
+        let seated = |a: &Addr| self.base.members.iter().any(|m| m.addr == *a);
+        self.blanks.iter().any(|(a, (_, t))| now - *t < NEWCOMER_HEARD && !seated(a))
+    }
+
     fn membership_view(&self, losses: usize) -> MembershipView {
         let era = self.base.era;
         let holds = |m: &&Member| {
@@ -143,7 +157,7 @@
             members: self.pic.members.clone(),
             silent: self.watch.unheard_for(suspect.times(2)),
             suspected: self.watch.unheard_for(suspect),
-            leaving: self.watch.leaving.clone(),
+            leaving: self.watch.leaving.keys().copied().collect(),
             ready: newcomers.filter(holds).filter(|m| !seated(m)).cloned().collect(),
             settled: self.all_landed() && self.enough_heard(),
             next_kid: self.pic.next_kid,
@@ -177,10 +191,4 @@
             m.propose(now, Cmd::Cut(change.members, landed), o);
         });
     }
-
-    pub(crate) fn on_leaving(&mut self, kid: Kid) {
-        if self.base.member(kid).is_some() {
-            self.watch.leaving.insert(kid);
-        }
-    }
 }
--- a/crates/controller/src/show.rs
+++ b/crates/controller/src/show.rs
@@ -18,6 +18,20 @@
 }
 
 impl Controller {
+    pub fn picture(&self) -> &Picture {
+        &self.pic
+    }
+    /// Commands of this era known here.
+    pub fn known(&self) -> usize {
+        self.mach.as_ref().map_or(0, |m| m.size())
+    }
+    pub fn tally(&self) -> caesar::Tally {
+        self.mach.as_ref().map(|m| m.tally).unwrap_or_default()
+    }
+    pub fn kid(&self) -> Option<Kid> {
+        self.mach.as_ref().map(|_| self.kid)
+    }
+
     fn quorum(&self) -> usize {
         classic(self.base.members.len())
     }
@@ -143,6 +157,7 @@
     pub(crate) fn health(&self, now: Mono) -> Health {
         let t = self.tally();
         let why = match (&self.mach, self.connected(now)) {
+            _ if self.watch.stopping => "leaving",
             (None, _) => "not a member yet",
             (_, false) => "no quorum of controllers in reach",
             _ => "",
--- a/crates/machine/src/leave.rs
+++ b/crates/machine/src/leave.rs
@@ -11,22 +11,33 @@
 /// What is kept back of the grace, so that the end is ours.
 const BACK: Span = Span::ms(400);
 
-fn asked(h: &Handle) -> (bool, bool) {
-    match h.ask(Ask::Drain, Duration::from_secs(1)) {
-        Some(Receipt::Health(x)) => (x.taking, x.in_hand > 0),
-        _ => (false, false),
+/// How far a part is with its leaving.
+struct Progress {
+    taking: bool,
+    busy: bool,
+}
+
+fn drain(part: &Handle) -> Progress {
+    match part.ask(Ask::Drain, Duration::from_secs(1)) {
+        Some(Receipt::Health(x)) => Progress { taking: x.taking, busy: x.in_hand > 0 },
+        _ => Progress { taking: false, busy: false },
     }
 }
 
-pub(crate) fn leave(h: &Handle, callers: Callers, grace: Span) {
+/// The edge leaves its callers while the controller leaves its seat.
+pub(crate) fn leave(edge: &Handle, controller: &Handle, callers: Callers, grace: Span) {
     let until = runtime::now() + Span(grace.0.saturating_sub(BACK.0));
     callers.into_iter().for_each(|d| d.leave());
-    while asked(h).0 && runtime::now() < until {
+    let both = || (drain(controller), drain(edge));
+    while both().1.taking && runtime::now() < until {
         thread::sleep(LOOK);
     }
     callers.into_iter().for_each(|d| d.shut());
-    let busy = |h: &Handle| asked(h).1 || callers.is_some_and(|d| d.in_hand() > 0);
-    while busy(h) && runtime::now() < until {
+    let busy = || {
+        let (controller, edge) = both();
+        controller.busy || edge.busy || callers.is_some_and(|d| d.in_hand() > 0)
+    };
+    while busy() && runtime::now() < until {
         thread::sleep(LOOK);
     }
 }
--- a/crates/machine/src/run.rs
+++ b/crates/machine/src/run.rs
@@ -16,6 +16,7 @@
 use slog::{info, Logger};
 use snafu::{ResultExt, Snafu};
 use std::net::{SocketAddr, TcpListener};
+use std::sync::mpsc::{channel, Receiver};
 use std::sync::{Arc, Mutex};
 use std::thread;
 
@@ -82,16 +83,17 @@
         Ok(())
     }
 
-    /// On a thread of its own; it ends with the process.
-    fn spawn(self, env: &MachineEnv, log: &Logger) -> Result<()> {
+    /// On a thread of its own; it ends with the process. The handle comes once it runs.
+    fn spawn(self, env: &MachineEnv, log: &Logger) -> Receiver<Handle> {
         let (env, log) = (env.clone(), log.clone());
+        let (running, handle) = channel();
         thread::spawn(move || {
-            if let Err(p) = self.run(&env, &log, |_| ()) {
+            if let Err(p) = self.run(&env, &log, move |h| drop(running.send(h))) {
                 slog::crit!(log, "a part cannot run"; "problem" => %p);
                 std::process::exit(74);
             }
         });
-        Ok(())
+        handle
     }
 }
 
@@ -125,9 +127,9 @@
     let logs = LogRing::default();
     on_panic(logs.clone());
     let log = logs.logger();
-    controller(&env)?.spawn(&env, &log)?;
+    let controller = controller(&env)?.spawn(&env, &log);
     if let Some((dir, _)) = env.keeps() {
-        ledger(&env, dir)?.spawn(&env, &log)?;
+        ledger(&env, dir)?.spawn(&env, &log);
     }
     let room = Room::new(env.memory / 4);
     let exec = ExecEnv { answer: 64 << 20, room, manner: fronts.manner.clone() };
@@ -151,7 +153,9 @@
             // Settings count from the next start: a word that they changed ends nothing.
             if let Some(s) = signals.forever().find(|s| *s != SIGHUP) {
                 info!(log, "leaving"; "signal" => s);
-                leave(&h, callers.as_deref(), grace);
+                if let Ok(controller) = controller.recv() {
+                    leave(&h, &controller, callers.as_deref(), grace);
+                }
                 h.stop();
             }
         });
