--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -3,6 +3,7 @@
 use crate::feeds::Feed;
 use crate::force::Pending;
 use crate::landing::Landed;
+use crate::membership::MembershipWatch;
 use crate::recs::Kept;
 use crate::roll::RollWatch;
 pub use crate::settings::{ControllerEnv, Open};
@@ -58,9 +59,9 @@
     /// Callers through other nodes, by the tokens given to their calls.
     pub(crate) calls: BTreeMap<Token, (Addr, u64)>,
     pub(crate) next_call: u64,
-    /// The blank controller named to found, and since when blanks are heard.
+    /// The blank controller named to found, and since when.
     pub(crate) named: Option<(Birth, Mono)>,
-    pub(crate) gathers: Option<Mono>,
+    pub(crate) watch: MembershipWatch,
     pub(crate) written: usize,
     pub(crate) counts: BTreeMap<&'static str, u64>,
     last: BTreeMap<&'static str, Mono>,
@@ -106,7 +107,7 @@
             calls: BTreeMap::new(),
             next_call: 0,
             named: None,
-            gathers: None,
+            watch: MembershipWatch::default(),
             written: 0,
             counts: BTreeMap::new(),
             last: BTreeMap::new(),
@@ -133,20 +134,6 @@
         }
     }
 
-    pub fn picture(&self) -> &Picture {
-        &self.pic
-    }
-    /// Commands of this era known here.
-    pub fn known(&self) -> usize {
-        self.mach.as_ref().map_or(0, |m| m.size())
-    }
-    pub fn tally(&self) -> caesar::Tally {
-        self.mach.as_ref().map(|m| m.tally).unwrap_or_default()
-    }
-    pub fn kid(&self) -> Option<Kid> {
-        self.mach.as_ref().map(|_| self.kid)
-    }
-
     /// Hears enough of the others to decide anything.
     pub(crate) fn connected(&self, now: Mono) -> bool {
         self.mach.as_ref().is_some_and(|m| {
@@ -173,6 +160,9 @@
     pub(crate) fn ask(&mut self, now: Mono, t: Token, ask: Ask, out: &mut Vec<Out>) {
         let ready = self.connected(now);
         let r = match ask {
+            Ask::Drain => Receipt::Health(self.drain(now, out)),
+            Ask::Ready => Receipt::Health(self.health(now)),
+            _ if self.watch.stopping => Receipt::NotNow("this controller is leaving"),
             Ask::Change(c) if ready && self.gathered(now, &c) => return self.submit(now, Some(t), c, out),
             Ask::Change(_) => Receipt::NotNow("no quorum of controllers in reach"),
             Ask::Beat(b, mark) if ready => return self.first_hand(now, t, b, mark, out),
@@ -181,7 +171,6 @@
             Ask::Replace { old, new } => self.replace(now, old, new, out),
             Ask::Table if ready => return self.look(now, t, out),
             Ask::Table => Receipt::NotNow("no quorum of controllers in reach"),
-            Ask::Ready => Receipt::Health(self.health(now)),
             _ => Receipt::Took,
         };
         out.push(Out::Tell(t, r));
@@ -191,6 +180,7 @@
         if self.due("blank", Span::ms(200), now) {
             self.show_blank(out);
         }
+        self.announce_leaving(now, out);
         self.mind_roster(now, out);
         self.with_machine(now, out, |m, o| m.tick(now, o));
         let near = self.connected(now);
@@ -227,6 +217,9 @@
                 Msg::AskForce(era, cid) => self.on_ask_force(from, era, cid, out),
                 Msg::InForce(era, cid, kid) => self.on_in_force(now, era, cid, kid, out),
                 Msg::Applied(era, cid, kid) => self.on_applied(now, era, cid, kid, out),
+                Msg::Learn(p) => self.on_learn(from, *p, out),
+                Msg::Learned(era, birth) => self.on_learned(now, from, era, birth),
+                Msg::Leaving(kid) => self.on_leaving(now, kid),
                 Msg::Landed(said) => self.on_landed(now, said, out),
                 Msg::AskApplied(era, cid) => self.on_ask_applied(from, era, cid, out),
                 Msg::DutyAsk(kid, e, t) => self.on_duty_ask(now, from, kid, e, t, out),
