--- a/crates/lanewing/src/books.rs
+++ b/crates/lanewing/src/books.rs
@@ -5,7 +5,7 @@
 use clap::{Arg, ArgAction, ArgMatches, Command};
 use linkme::distributed_slice;
 use primitives::{parse, Addr, Look};
-use runbooks::{page, read_book, Book, Hands};
+use runbooks::{page, read_runbook, Environment, Runbook};
 use stand_ins::web;
 use std::collections::BTreeMap;
 use std::io::{BufRead, IsTerminal};
@@ -32,11 +32,11 @@
         )
 }
 
-fn load(name: &str) -> Result<Book, OpsProblem> {
+fn load(name: &str) -> Result<Runbook, OpsProblem> {
     let shipped = runbooks::SHIPPED.iter().find(|(n, _)| *n == name).map(|(_, s)| s.to_string());
     let file = |source| OpsProblem::File { path: name.to_string(), source };
     let s = shipped.map(Ok).unwrap_or_else(|| std::fs::read_to_string(name).map_err(file))?;
-    Ok(read_book(&Look::at(&parse(&s)?, ""))?)
+    Ok(read_runbook(&Look::at(&parse(&s)?, ""))?)
 }
 
 struct Real {
@@ -46,7 +46,7 @@
     began: Instant,
 }
 
-impl Hands for Real {
+impl Environment for Real {
     fn say(&mut self, s: &str) {
         println!("{s}");
     }
--- a/crates/lanewing/src/kernel.rs
+++ b/crates/lanewing/src/kernel.rs
@@ -51,8 +51,8 @@
             "purge",
             "runbook",
             "plan",
-            "stub_origin",
-            "load_client",
+            "stub-origin",
+            "load-client",
         ] {
             assert!(names.iter().any(|m| m == n), "{n} is missing from {names:?}");
         }
--- a/crates/primitives/src/ids.rs
+++ b/crates/primitives/src/ids.rs
@@ -1,11 +1,16 @@
-//! Small types for ids, versions and times.
+//! Identifiers, versions and times.
 use serde::{Deserialize, Serialize};
 use std::fmt;
-use std::net::SocketAddr;
+use std::net::{AddrParseError, SocketAddr};
 use std::ops::{Add, Sub};
+use std::str::FromStr;
 use std::time::Duration;
 
+const MICROS_PER_MS: u64 = 1_000;
+const MICROS_PER_SECOND: u64 = 1_000_000;
+
 /// A point on the local monotonic clock, in microseconds.
+///
 /// Invariant: never compared with a `Mono` of another process, never wall time.
 #[derive(Copy, Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Mono(pub u64);
@@ -15,106 +20,119 @@
 pub struct Span(pub u64);
 
 impl Span {
-    pub const fn ms(n: u64) -> Span {
-        Span(n * 1000)
+    /// A span of so many milliseconds.
+    pub const fn ms(count: u64) -> Span {
+        Span(count * MICROS_PER_MS)
     }
-    pub const fn secs(n: u64) -> Span {
-        Span(n * 1_000_000)
+
+    /// A span of so many seconds.
+    pub const fn secs(count: u64) -> Span {
+        Span(count * MICROS_PER_SECOND)
     }
+
+    /// The span in whole milliseconds, rounded down.
     pub fn as_ms(self) -> u64 {
-        self.0 / 1000
+        self.0 / MICROS_PER_MS
     }
-    pub fn times(self, n: u64) -> Span {
-        Span(self.0 * n)
+
+    /// The span, `factor` times as long.
+    pub fn times(self, factor: u64) -> Span {
+        Span(self.0 * factor)
     }
-    /// Longer by a tenth: what one clock may count while another counts `self`.
+
+    /// The span, longer by a tenth: the bound on what a clock that runs slow or fast within
+    /// the allowed drift counts while another one counts `self`.
     pub fn padded(self) -> Span {
         Span(self.0 + self.0 / 10)
     }
 }
 
 impl From<Span> for Duration {
-    fn from(s: Span) -> Duration {
-        Duration::from_micros(s.0)
+    fn from(span: Span) -> Duration {
+        Duration::from_micros(span.0)
     }
 }
 
 impl Add for Span {
     type Output = Span;
-    fn add(self, o: Span) -> Span {
-        Span(self.0 + o.0)
+    fn add(self, other: Span) -> Span {
+        Span(self.0 + other.0)
     }
 }
 
 impl Add<Span> for Mono {
     type Output = Mono;
-    fn add(self, s: Span) -> Mono {
-        Mono(self.0 + s.0)
+    fn add(self, span: Span) -> Mono {
+        Mono(self.0 + span.0)
     }
 }
 
 impl Sub<Mono> for Mono {
     type Output = Span;
-    /// Saturates: an earlier point minus a later one is no time at all.
-    fn sub(self, o: Mono) -> Span {
-        Span(self.0.saturating_sub(o.0))
+    /// Saturates at zero: an earlier point minus a later one is an empty span.
+    fn sub(self, earlier: Mono) -> Span {
+        Span(self.0.saturating_sub(earlier.0))
     }
 }
 
 impl Sub<Span> for Mono {
     type Output = Mono;
-    fn sub(self, s: Span) -> Mono {
-        Mono(self.0.saturating_sub(s.0))
+    /// Saturates at the clock's zero.
+    fn sub(self, span: Span) -> Mono {
+        Mono(self.0.saturating_sub(span.0))
     }
 }
 
+/// Declares an identifier that wraps an integer and is displayed as that integer.
 macro_rules! id {
     ($(#[$doc:meta])* $name:ident, $of:ty) => {
         $(#[$doc])*
         #[derive(Copy, Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
         pub struct $name(pub $of);
         impl fmt::Display for $name {
-            fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-                write!(f, "{}", self.0)
+            fn fmt(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
+                write!(formatter, "{}", self.0)
             }
         }
     };
 }
 
 id!(
-    /// A node of the fleet: one process of one role.
+    /// A node of the fleet: one process with one role.
     NodeId, u64
 );
 id!(
-    /// The version of one row, origin, node or purge scope; grows by one with each change.
+    /// The version of one item of the control state (a row, an origin, a node, a purge scope).
+    /// It grows by one with each change of that item.
     Version, u64
 );
 id!(
-    /// The epoch of a single duty. Invariant: nobody obeys a lower one than it has seen.
+    /// The epoch of a leader. Invariant: a process never obeys an epoch lower than the highest
+    /// it has seen.
     Epoch, u64
 );
 id!(
-    /// One life of a process or of its disk, drawn at random.
+    /// The incarnation of a process or of its disk, drawn at random when it starts or is new.
     Birth, u64
 );
 
-/// Where a process listens, by number.
+/// The IP address and port on which a process listens; never a host name.
 #[derive(Copy, Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Addr(pub SocketAddr);
 
 impl fmt::Display for Addr {
-    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        self.0.fmt(f)
+    fn fmt(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
+        self.0.fmt(formatter)
     }
 }
 
-impl std::str::FromStr for Addr {
-    type Err = std::net::AddrParseError;
-    fn from_str(s: &str) -> Result<Addr, Self::Err> {
-        s.parse().map(Addr)
+impl FromStr for Addr {
+    type Err = AddrParseError;
+    fn from_str(text: &str) -> Result<Addr, Self::Err> {
+        text.parse().map(Addr)
     }
 }
 
-/// A local question that waits for its receipt.
+/// Matches a local question to the answer that is given later. Unique within one process.
 #[derive(Copy, Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Token(pub u64);
--- a/crates/primitives/src/lib.rs
+++ b/crates/primitives/src/lib.rs
@@ -1,24 +1,33 @@
-//! The ledger's primitives: what every other crate is built on.
+//! Types and functions that every other crate is built on: times and identifiers, stable
+//! hashing, and reading JSON with precise error locations.
+#![deny(missing_docs)]
+#![deny(clippy::too_many_lines)]
+
 mod ids;
 mod look;
 
 pub use ids::*;
 pub use look::*;
 
+use std::cmp::Reverse;
 use std::hash::Hash;
 use xxhash_rust::xxh3::Xxh3;
 
-/// A hash that is the same in every process.
-pub fn hash<T: Hash>(t: &T) -> u64 {
-    let mut h = Xxh3::new();
-    t.hash(&mut h);
-    h.digest()
+/// Hashes a value to 64 bits (XXH3), with the same result in every process and on every
+/// start. Not a cryptographic hash.
+pub fn hash<T: Hash>(value: &T) -> u64 {
+    let mut hasher = Xxh3::new();
+    value.hash(&mut hasher);
+    hasher.digest()
 }
 
-/// Rendezvous order: the same in every process that sees the same members, and
-/// a member's coming or going moves only what it itself takes or leaves.
-pub fn rank<K: Hash, T: Clone>(key: &K, all: &[T], id: impl Fn(&T) -> u64) -> Vec<T> {
-    let mut v: Vec<(u64, u64, T)> = all.iter().map(|t| (hash(&(key, id(t))), id(t), t.clone())).collect();
-    v.sort_by_key(|(h, i, _)| (std::cmp::Reverse(*h), *i));
-    v.into_iter().map(|(_, _, t)| t).collect()
+/// Orders `members` for `key` by rendezvous (highest random weight) hashing.
+///
+/// `id` gives the number by which a member is hashed. The order is the same in every process
+/// that sees the same members; when a member joins or leaves, the others keep their order.
+pub fn rank<K: Hash, T: Clone>(key: &K, members: &[T], id: impl Fn(&T) -> u64) -> Vec<T> {
+    let weigh = |member: &T| (hash(&(key, id(member))), id(member), member.clone());
+    let mut weighed: Vec<(u64, u64, T)> = members.iter().map(weigh).collect();
+    weighed.sort_by_key(|(weight, number, _)| (Reverse(*weight), *number));
+    weighed.into_iter().map(|(.., member)| member).collect()
 }
--- a/crates/primitives/src/look.rs
+++ b/crates/primitives/src/look.rs
@@ -1,64 +1,114 @@
-//! Reading JSON values by hand, with the place of whatever is wrong.
+//! Reading JSON values by hand. Every error names the place of the offending value.
 use snafu::Snafu;
 use std::collections::HashMap;
-use tinyjson::JsonValue;
+use std::str::FromStr;
+use tinyjson::{JsonParseError, JsonValue};
 
+/// The most characters that [`Look::name`] allows.
+const LONGEST_NAME: usize = 64;
+/// What a name may contain beside ASCII letters and digits.
+const NAME_PUNCTUATION: &str = "-_/.";
+
+/// Why a JSON text was refused.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
 pub enum LookProblem {
+    /// The text is not JSON.
     #[snafu(display("not JSON: {reason}"))]
-    NotJson { reason: String },
+    NotJson {
+        /// The parser's message.
+        reason: String,
+    },
+    /// A value is not what is expected at its place.
     #[snafu(display("{place}: {reason}"))]
-    Field { place: String, reason: Reason },
+    Field {
+        /// Path from the root, such as `nodes[3].http`.
+        place: String,
+        /// What is wrong with the value.
+        reason: Reason,
+    },
 }
 
+/// What is wrong with one value.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
 pub enum Reason {
+    /// A required field is absent.
     #[snafu(display("is missing"))]
     Missing,
+    /// An object has a field that is not read.
     #[snafu(display("is not a known field"))]
     Unknown,
+    /// The value has another type or form.
     #[snafu(display("should be {what}"))]
-    Not { what: &'static str },
+    Not {
+        /// The expected type or form, as a noun phrase.
+        what: &'static str,
+    },
+    /// The value is no whole number within the bounds.
     #[snafu(display("should be a whole number from {low} to {high}"))]
-    Range { low: u64, high: u64 },
+    Range {
+        /// The least allowed value.
+        low: u64,
+        /// The greatest allowed value.
+        high: u64,
+    },
+    /// The text is none of the allowed ones.
     #[snafu(display("should be one of {these}"))]
-    OneOf { these: String },
+    OneOf {
+        /// The allowed texts, separated by commas.
+        these: String,
+    },
+    /// A value that must be unique occurs again.
     #[snafu(display("is used twice"))]
     Twice,
 }
 
 type Result<T> = std::result::Result<T, LookProblem>;
 
-pub fn parse(s: &str) -> Result<JsonValue> {
-    s.parse().map_err(|e: tinyjson::JsonParseError| LookProblem::NotJson { reason: e.to_string() })
+/// Parses a JSON text.
+pub fn parse(text: &str) -> Result<JsonValue> {
+    text.parse().map_err(|error: JsonParseError| LookProblem::NotJson { reason: error.to_string() })
 }
 
-/// A value and where it stands.
+/// A JSON value together with its place in the document.
 #[derive(Clone, Debug)]
 pub struct Look<'a> {
+    /// The value.
     pub v: &'a JsonValue,
+    /// Path from the root; empty for the root itself.
     pub place: String,
 }
 
 impl<'a> Look<'a> {
+    /// The value `v`, which stands at `place`.
     pub fn at(v: &'a JsonValue, place: &str) -> Look<'a> {
         Look { v, place: place.to_string() }
     }
 
+    /// An error about this value.
     pub fn bad<T>(&self, reason: Reason) -> Result<T> {
         Err(LookProblem::Field { place: self.place.clone(), reason })
     }
 
-    fn map(&self) -> Result<&'a HashMap<String, JsonValue>> {
-        self.v.get().map(Ok).unwrap_or_else(|| self.bad(Reason::Not { what: "an object" }))
+    fn not<T>(&self, what: &'static str) -> Result<T> {
+        self.bad(Reason::Not { what })
+    }
+
+    fn fields(&self) -> Result<&'a HashMap<String, JsonValue>> {
+        match self.v.get() {
+            Some(fields) => Ok(fields),
+            None => self.not("an object"),
+        }
     }
 
-    /// Denies fields nobody reads: they are most often misspelt.
+    /// Requires an object without fields other than `names`: an unread field is most often
+    /// a misspelt one.
     pub fn only(&self, names: &[&str]) -> Result<()> {
-        let m = self.map()?;
-        let mut odd: Vec<&String> = m.keys().filter(|k| !names.contains(&k.as_str())).collect();
-        odd.sort();
-        odd.first().map(|k| self.under(k, self.v).bad(Reason::Unknown)).unwrap_or(Ok(()))
+        let fields = self.fields()?;
+        let unknown = fields.keys().filter(|name| !names.contains(&name.as_str()));
+        match unknown.min() {
+            Some(name) => self.under(name, self.v).bad(Reason::Unknown),
+            None => Ok(()),
+        }
     }
 
     fn under(&self, name: &str, v: &'a JsonValue) -> Look<'a> {
@@ -66,59 +116,74 @@
         Look { v, place: format!("{}{dot}{name}", self.place) }
     }
 
+    /// The field of this object, if it is there.
     pub fn opt(&self, name: &str) -> Result<Option<Look<'a>>> {
-        Ok(self.map()?.get(name).map(|v| self.under(name, v)))
+        let value = self.fields()?.get(name);
+        Ok(value.map(|value| self.under(name, value)))
     }
 
+    /// The field of this object; it is an error if it is absent.
     pub fn field(&self, name: &str) -> Result<Look<'a>> {
-        self.opt(name)?.map(Ok).unwrap_or_else(|| self.under(name, self.v).bad(Reason::Missing))
+        match self.opt(name)? {
+            Some(field) => Ok(field),
+            None => self.under(name, self.v).bad(Reason::Missing),
+        }
     }
 
+    /// The value as a string.
     pub fn text(&self) -> Result<String> {
-        let s: Option<&String> = self.v.get();
-        s.cloned().map(Ok).unwrap_or_else(|| self.bad(Reason::Not { what: "a text" }))
+        let text: Option<&String> = self.v.get();
+        text.map_or_else(|| self.not("a text"), |text| Ok(text.clone()))
     }
 
+    /// The value as a boolean.
     pub fn flag(&self) -> Result<bool> {
-        let b: Option<&bool> = self.v.get();
-        b.copied().map(Ok).unwrap_or_else(|| self.bad(Reason::Not { what: "true or false" }))
+        let flag: Option<&bool> = self.v.get();
+        flag.map_or_else(|| self.not("true or false"), |flag| Ok(*flag))
     }
 
+    /// The value as a whole number from `low` to `high`, both included.
     pub fn num(&self, low: u64, high: u64) -> Result<u64> {
-        let n: Option<&f64> = self.v.get();
-        n.filter(|n| n.fract() == 0.0 && **n >= low as f64 && **n <= high as f64)
-            .map(|n| Ok(*n as u64))
-            .unwrap_or_else(|| self.bad(Reason::Range { low, high }))
+        let number: Option<&f64> = self.v.get();
+        let fits = |n: &&f64| n.fract() == 0.0 && **n >= low as f64 && **n <= high as f64;
+        match number.filter(fits) {
+            Some(number) => Ok(*number as u64),
+            None => self.bad(Reason::Range { low, high }),
+        }
     }
 
+    /// The elements of an array.
     pub fn list(&self) -> Result<Vec<Look<'a>>> {
-        let l: Option<&Vec<JsonValue>> = self.v.get();
-        let at = |(i, v)| Look { v, place: format!("{}[{i}]", self.place) };
-        l.map(|l| Ok(l.iter().enumerate().map(at).collect()))
-            .unwrap_or_else(|| self.bad(Reason::Not { what: "a list" }))
+        let Some(elements) = self.v.get::<Vec<JsonValue>>() else { return self.not("a list") };
+        let element = |(i, v)| Look { v, place: format!("{}[{i}]", self.place) };
+        Ok(elements.iter().enumerate().map(element).collect())
     }
 
+    /// The value that belongs to this text among `all`.
     pub fn one_of<T: Copy>(&self, all: &[(&str, T)]) -> Result<T> {
-        let s = self.text()?;
-        let hit = all.iter().find(|(n, _)| *n == s).map(|(_, t)| *t);
-        let these = || all.iter().map(|(n, _)| *n).collect::<Vec<_>>().join(", ");
-        hit.map(Ok).unwrap_or_else(|| self.bad(Reason::OneOf { these: these() }))
+        let text = self.text()?;
+        let found = all.iter().find(|(name, _)| *name == text);
+        let names = || all.iter().map(|(name, _)| *name).collect::<Vec<_>>().join(", ");
+        match found {
+            Some((_, value)) => Ok(*value),
+            None => self.bad(Reason::OneOf { these: names() }),
+        }
     }
 
-    /// A text that parses, such as an address.
-    pub fn parsed<T: std::str::FromStr>(&self, what: &'static str) -> Result<T> {
-        self.text()?.parse().map(Ok).unwrap_or_else(|_| self.bad(Reason::Not { what }))
+    /// The value of a string that parses; `what` names the expected form in the error.
+    pub fn parsed<T: FromStr>(&self, what: &'static str) -> Result<T> {
+        self.text()?.parse().or_else(|_| self.not(what))
     }
 
-    /// A short name that can stand in a path.
+    /// A short name that can be part of a URL path: 1 to 64 ASCII letters, digits and `-_/.`.
     pub fn name(&self) -> Result<String> {
-        let s = self.text()?;
-        let plain = |c: char| c.is_ascii_alphanumeric() || "-_/.".contains(c);
-        let ok = !s.is_empty() && s.len() <= 64 && s.chars().all(plain);
-        if ok {
-            Ok(s)
+        let text = self.text()?;
+        let plain = |c: char| c.is_ascii_alphanumeric() || NAME_PUNCTUATION.contains(c);
+        let valid = !text.is_empty() && text.len() <= LONGEST_NAME && text.chars().all(plain);
+        if valid {
+            Ok(text)
         } else {
-            self.bad(Reason::Not { what: "1 to 64 of letters, digits and -_/." })
+            self.not("1 to 64 of letters, digits and -_/.")
         }
     }
 }
--- a/crates/runbooks/src/lib.rs
+++ b/crates/runbooks/src/lib.rs
@@ -1,14 +1,17 @@
-//! Runbooks: one text that is both the page an operator reads and the steps
-//! that are executed.
-mod book;
+//! Runbooks: one JSON text that is both the page an operator reads and the steps that
+//! `lanewing runbook run` executes.
+#![deny(missing_docs)]
+#![deny(clippy::too_many_lines)]
+
 mod page;
 mod run;
+mod runbook;
 
-pub use book::{read_book, Book, Step, Until};
 pub use page::page;
-pub use run::{run, Hands, RunProblem};
+pub use run::{run, Environment, RunProblem};
+pub use runbook::{read_runbook, Condition, Runbook, Step};
 
-/// The books that come with the program, by name.
+/// The runbooks that come with the program: name and JSON text.
 pub const SHIPPED: [(&str, &str); 4] = [
     ("drain-a-node", include_str!("../../../runbooks/drain-a-node.json")),
     ("replace-a-machine", include_str!("../../../runbooks/replace-a-machine.json")),
--- a/crates/runbooks/src/page.rs
+++ b/crates/runbooks/src/page.rs
@@ -1,33 +1,36 @@
-//! The book as a page.
-use crate::book::{Book, Step};
+//! A runbook as a Markdown page.
+use crate::runbook::{Runbook, Step};
 
-pub fn page(name: &str, b: &Book) -> String {
-    let mut s = format!("# {}\n\n{}\n\n", b.title, b.why);
-    let sets: Vec<String> = b.needs.keys().map(|k| format!("--set {k}={}", k.to_uppercase())).collect();
-    s += &format!("    lanewing runbook run {name} --at CONTROLLERS {}\n\n", sets.join(" "));
-    for (k, what) in &b.needs {
-        s += &format!("- `{k}`: {what}\n");
+/// The page of the runbook with this name.
+pub fn page(name: &str, runbook: &Runbook) -> String {
+    let mut page = format!("# {}\n\n{}\n\n", runbook.title, runbook.why);
+    let set = |need: &String| format!("--set {need}={}", need.to_uppercase());
+    let sets: Vec<String> = runbook.needs.keys().map(set).collect();
+    page += &format!("    lanewing runbook run {name} --at CONTROLLERS {}\n\n", sets.join(" "));
+    for (need, meaning) in &runbook.needs {
+        page += &format!("- `{need}`: {meaning}\n");
     }
-    s += "\nSteps:\n\n";
-    for (i, st) in b.steps.iter().enumerate() {
-        s += &format!("{}. {}\n", i + 1, line(st));
+    page += "\nSteps:\n\n";
+    for (i, step) in runbook.steps.iter().enumerate() {
+        page += &format!("{}. {}\n", i + 1, step_text(step));
     }
-    s
+    page
 }
 
-pub(crate) fn line(s: &Step) -> String {
-    match s {
-        Step::Say(t) => t.clone(),
-        Step::Confirm(t) => format!("**You:** {t}"),
-        Step::Change(v) => format!("Send the change `{}`.", v.stringify().unwrap_or_default()),
+/// One step in words.
+pub(crate) fn step_text(step: &Step) -> String {
+    match step {
+        Step::Say(text) => text.clone(),
+        Step::Confirm(text) => format!("**You:** {text}"),
+        Step::Change(change) => format!("Send the change `{}`.", change.stringify().unwrap_or_default()),
         Step::Replace(old, new) => format!("Give the seat of `{old}` to `{new}` (`lanewing replace`)."),
-        Step::Until(u) => format!(
+        Step::Until(condition) => format!(
             "Wait, at most {} s, until `{}` at `http://{}/{}` is `{}`.",
-            u.within_s,
-            u.field,
-            u.at,
-            u.path,
-            u.is.stringify().unwrap_or_default()
+            condition.within_s,
+            condition.field,
+            condition.at,
+            condition.path,
+            condition.is.stringify().unwrap_or_default()
         ),
     }
 }
--- a/crates/scale-model/src/level.rs
+++ b/crates/scale-model/src/level.rs
@@ -28,7 +28,7 @@
 }
 
 /// One row for the relay and one for its children, all counted in virtual time.
-pub fn measure(p: &Plan) -> Result<Vec<Row>> {
+pub fn relays(p: &Plan) -> Result<Vec<Row>> {
     p.check(Plan::limit())?;
     let n = p.nodes;
     let mut l = Level {
--- a/crates/scale-model/src/lib.rs
+++ b/crates/scale-model/src/lib.rs
@@ -14,7 +14,7 @@
 mod stretch;
 mod world;
 
-pub use level::measure;
+pub use level::relays;
 pub use lookup::lookups;
 pub use meter::{resident, Meter, Tally};
 pub use plan::{Plan, Result, ScaleModelProblem, CONTROLLERS};
--- a/crates/scale-model/src/stretch.rs
+++ b/crates/scale-model/src/stretch.rs
@@ -55,17 +55,17 @@
         }
         self.w.start_beats();
         self.w.run(Span::ms(1500));
-        let kept = resident();
+        let with_controllers = resident();
         self.start(0..ledgers, true);
-        let combed = resident();
+        let with_ledgers = resident();
         self.start(ledgers..ledgers + whole, true);
-        let gated = resident();
+        let with_edges = resident();
         self.start(ledgers + whole..p.nodes, false);
         let each = |a: u64, b: u64, n: usize| b.saturating_sub(a) as f64 / n as f64;
         self.held = Held {
-            controller: each(began, kept, CONTROLLERS),
-            ledger: each(kept, combed, ledgers),
-            edge: each(combed, gated, whole),
+            controller: each(began, with_controllers, CONTROLLERS),
+            ledger: each(with_controllers, with_ledgers, ledgers),
+            edge: each(with_ledgers, with_edges, whole),
         };
         let leased = |w: &World| w.procs.iter().all(|p| p.body.leased(w.now));
         if !self.w.until(Span::secs(20), leased) {
--- a/crates/stand-ins/src/web.rs
+++ b/crates/stand-ins/src/web.rs
@@ -4,29 +4,38 @@
 use tinyjson::JsonValue;
 use ureq::Agent;
 
-pub fn agent(most: Duration) -> Agent {
-    let c = Agent::config_builder()
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+const INPUT_BUFFER: usize = 16 << 10;
+const OUTPUT_BUFFER: usize = 4 << 10;
+
+/// An HTTP client that gives up on a call after `timeout`, follows no redirects and returns
+/// every status as an answer.
+pub fn agent(timeout: Duration) -> Agent {
+    let config = Agent::config_builder()
         .http_status_as_error(false)
         .max_redirects(0)
-        .input_buffer_size(16 << 10)
-        .output_buffer_size(4 << 10)
+        .input_buffer_size(INPUT_BUFFER)
+        .output_buffer_size(OUTPUT_BUFFER)
         .proxy(None)
-        .timeout_connect(Some(Duration::from_millis(500)))
-        .timeout_global(Some(most))
+        .timeout_connect(Some(CONNECT_TIMEOUT))
+        .timeout_global(Some(timeout))
         .build();
-    Agent::new_with_config(c)
+    Agent::new_with_config(config)
 }
 
-/// The status and the JSON of the answer; none if there was no answer.
-pub fn get(a: &Agent, at: Addr, path: &str) -> Option<(u16, JsonValue)> {
-    let mut r = a.get(format!("http://{at}/{path}")).call().ok()?;
-    let s = r.body_mut().read_to_string().ok()?;
-    Some((r.status().as_u16(), s.parse().unwrap_or(JsonValue::Null)))
+/// Gets `path`: the status and the JSON of the answer (null if it is none), or `None` without
+/// an answer.
+pub fn get(agent: &Agent, at: Addr, path: &str) -> Option<(u16, JsonValue)> {
+    let mut response = agent.get(format!("http://{at}/{path}")).call().ok()?;
+    let text = response.body_mut().read_to_string().ok()?;
+    Some((response.status().as_u16(), text.parse().unwrap_or(JsonValue::Null)))
 }
 
-pub fn post(a: &Agent, at: Addr, path: &str, v: &JsonValue) -> Option<(u16, JsonValue)> {
-    let b = v.stringify().ok()?;
-    let mut r = a.post(format!("http://{at}/{path}")).content_type("application/json").send(b).ok()?;
-    let s = r.body_mut().read_to_string().ok()?;
-    Some((r.status().as_u16(), s.parse().unwrap_or(JsonValue::Null)))
+/// Posts JSON to `path`; answers as [`get`] does.
+pub fn post(agent: &Agent, at: Addr, path: &str, body: &JsonValue) -> Option<(u16, JsonValue)> {
+    let body = body.stringify().ok()?;
+    let request = agent.post(format!("http://{at}/{path}")).content_type("application/json");
+    let mut response = request.send(body).ok()?;
+    let text = response.body_mut().read_to_string().ok()?;
+    Some((response.status().as_u16(), text.parse().unwrap_or(JsonValue::Null)))
 }
