--- a/crates/lanewing/src/elsewhere.rs
+++ /dev/null
@@ -1,7 +0,0 @@
-//! The plug-in of the platform's program.
-use crate::kernel::{Plugin, PLUGINS};
-use linkme::distributed_slice;
-
-#[distributed_slice(PLUGINS)]
-static PLATFORM: Plugin =
-    Plugin { place: 9, commands: || vec![platform::command()], run: |_, m| Ok(platform::run(m)?) };
--- a/crates/lanewing/src/main.rs
+++ b/crates/lanewing/src/main.rs
@@ -1,50 +1,62 @@
-//! lanewing: `lanewing` runs every role and speaks for operators.
+//! The `lanewing` program: runs every role, and speaks for operators.
+#![deny(missing_docs)]
+#![deny(clippy::too_many_lines)]
+
 mod args;
-mod books;
-mod commands;
-mod daemons;
-mod desk;
-mod elsewhere;
+mod columns;
+mod http_api;
 mod kernel;
-mod ops;
+mod operator;
+mod operator_commands;
 mod plan;
-mod play;
+mod platform_command;
+mod rehearsal;
+mod role_commands;
 mod roles;
-mod sheet;
+mod runbook;
 
 use snafu::Snafu;
 use std::process::ExitCode;
 
-/// Whatever ends a command badly.
+/// Exit statuses; see `docs/operators/settings.md`.
+const FAILED: u8 = 1;
+const INVALID: u8 = 2;
+
+/// Why a command failed.
 #[derive(Debug, Snafu)]
 enum LanewingProblem {
+    /// A role could not start.
     #[snafu(display("{source}"), context(false))]
     Start { source: roles::StartProblem },
+    /// The platform's program failed.
     #[snafu(display("{source}"), context(false))]
     Platform { source: platform::PlatformProblem },
+    /// An operator's command failed.
     #[snafu(display("{source}"), context(false))]
-    Ops { source: ops::OpsProblem },
+    Operator { source: operator::OperatorProblem },
+    /// A stand-in failed.
     #[snafu(display("{source}"), context(false))]
-    Play { source: play::PlayProblem },
+    Rehearsal { source: rehearsal::RehearsalProblem },
 }
 
 impl LanewingProblem {
-    /// 1: it was denied or went wrong; 2: what was asked makes no sense;
-    /// 3: not known whether it took effect.
-    fn code(&self) -> u8 {
+    fn exit_status(&self) -> u8 {
         match self {
-            LanewingProblem::Start { source: roles::StartProblem::Env { .. } } => 2,
+            LanewingProblem::Start { source: roles::StartProblem::Env { .. } } => INVALID,
             LanewingProblem::Platform { source } => source.code(),
-            LanewingProblem::Ops { source } => source.code(),
-            _ => 1,
+            LanewingProblem::Operator { source } => source.exit_status(),
+            _ => FAILED,
         }
     }
 }
 
 fn main() -> ExitCode {
-    let m = kernel::command().get_matches();
-    kernel::run(&m).map(|()| ExitCode::SUCCESS).unwrap_or_else(|p| {
-        eprintln!("lanewing: {p}");
-        ExitCode::from(p.code())
-    })
+    let matches = kernel::command().get_matches();
+    match kernel::run(&matches) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(problem) => {
+            eprintln!("lanewing: {problem}");
+            ExitCode::from(problem.exit_status())
+        }
+    }
 }
--- a/crates/lanewing/src/roles.rs
+++ b/crates/lanewing/src/roles.rs
@@ -1,8 +1,8 @@
-//! Starting the daemons.
-use crate::desk;
+//! Starting the roles: each is a pure part from its own crate, run by the `runtime` shell.
+use crate::http_api;
 use control_state::*;
 use primitives::{Addr, Birth, Span};
-use runtime::env::{Env, EnvProblem, Place};
+use runtime::env::{role_name, Env, EnvProblem, Limits, Place};
 use runtime::exec::ExecEnv;
 use runtime::front::{self, FrontEnv, Open};
 use runtime::logs::{on_panic, LogRing};
@@ -10,52 +10,73 @@
 use runtime::ring::{Ring, RingProblem};
 use runtime::room::Room;
 use runtime::shell::{self, Frame, Handle};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
 use slog::info;
-use snafu::{ResultExt, Snafu};
+use snafu::{OptionExt, ResultExt, Snafu};
 use std::net::TcpListener;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
+/// Files of a ring on disk.
+const RING_FILES: usize = 4;
+/// How often a leaving process looks whether it still has requests in hand.
+const LEAVE_POLL: Duration = Duration::from_millis(50);
+/// It ends once it had none so many times in a row.
+const IDLE_POLLS: u32 = 4;
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Why a role could not start.
 #[derive(Debug, Snafu)]
 pub enum StartProblem {
+    /// The settings are invalid.
     #[snafu(display("{source}"), context(false))]
     Env { source: EnvProblem },
+    /// An address is not free.
     #[snafu(display("cannot listen on {addr}: {source}"))]
     Listen { addr: Addr, source: std::io::Error },
+    /// The disk cannot be read or trusted.
     #[snafu(display("disk: {source}"), context(false))]
     Disk { source: RingProblem },
+    /// A record is intact and unknown.
     #[snafu(display("disk: a record with a good checksum does not decode; another version wrote it"))]
     Undecodable,
+    /// Signals cannot be handled.
     #[snafu(display("signals: {source}"))]
     Signals { source: std::io::Error },
 }
 
+type Result<T> = std::result::Result<T, StartProblem>;
+
+/// What a process is started with.
 pub struct Start {
+    /// The settings.
     pub env: Env,
+    /// This process's entry in them, as overridden by arguments.
     pub place: Place,
+    /// Folder of all files; each node has its own part of it.
     pub data: PathBuf,
+    /// Delays messages by the distances of the settings.
     pub simulate: bool,
 }
 
-type Result<T> = std::result::Result<T, StartProblem>;
-
-fn bind(a: Addr) -> Result<TcpListener> {
-    TcpListener::bind(a.0).context(ListenSnafu { addr: a })
+fn bind(addr: Addr) -> Result<TcpListener> {
+    TcpListener::bind(addr.0).context(ListenSnafu { addr })
 }
 
 impl Start {
-    fn follow(&self, birth: u64) -> FollowEnv {
-        let p = self.place.clone();
+    fn follow(&self, birth: Birth) -> FollowEnv {
+        let place = self.place.clone();
         FollowEnv {
-            id: p.node,
-            role: p.role,
-            addr: p.cohort,
-            http: p.http,
-            zone: p.zone,
-            seeds: p.seeds,
-            birth: Birth(birth),
+            id: place.node,
+            role: place.role,
+            addr: place.cohort,
+            http: place.http,
+            zone: place.zone,
+            seeds: place.seeds,
+            birth,
             life: runtime::life(),
             lease: self.env.limits.lease,
             serve_on: false,
@@ -63,131 +84,145 @@
     }
 
     fn net(&self, counts: &Arc<Counts>) -> Net {
-        let (env, me, on) = (self.env.clone(), self.place.zone.clone(), self.simulate);
-        let zone = move |a: &Addr| env.nodes.iter().find(|p| p.cohort == *a).map(|p| env.away(&me, &p.zone));
-        let far = move |a: &Addr| zone(a).filter(|_| on).unwrap_or_default();
-        Net::new(self.place.cohort, Arc::new(far), counts.clone())
+        let (env, own_zone, simulate) = (self.env.clone(), self.place.zone.clone(), self.simulate);
+        let delay = move |addr: &Addr| {
+            let place = env.nodes.iter().find(|place| place.cohort == *addr).filter(|_| simulate);
+            place.map(|place| env.away(&own_zone, &place.zone)).unwrap_or_default()
+        };
+        Net::new(self.place.cohort, Arc::new(delay), counts.clone())
     }
 
-    fn disk(&self) -> Result<(Ring, Vec<Vec<u8>>)> {
+    /// Opens the ring of this node and decodes its records.
+    fn disk<T>(&self, decode: fn(&[u8]) -> Option<T>) -> Result<(Ring, Vec<T>)> {
         let dir = self.data.join(format!("node-{}", self.place.node));
-        let (ring, recs) = Ring::open(&dir, 4, (self.env.limits.ring_mb << 20) as u64 / 4)?;
-        shell::unpack(recs).map(|e| (ring, e)).ok_or(StartProblem::Undecodable)
+        let file_size = (self.env.limits.ring_mb << 20) as u64 / RING_FILES as u64;
+        let (ring, records) = Ring::open(&dir, RING_FILES, file_size)?;
+        let entries = shell::unpack(records).context(UndecodableSnafu)?;
+        let kept = entries.iter().map(|entry| decode(entry)).collect::<Option<Vec<T>>>();
+        Ok((ring, kept.context(UndecodableSnafu)?))
     }
 
+    /// Runs a part until this process is told to end.
     fn run(self, part: Box<dyn Part>, first: Vec<Out>, ring: Option<Ring>) -> Result<()> {
         let logs = LogRing::default();
         on_panic(logs.clone());
-        let role = runtime::env::role_name(self.place.role);
+        let role = role_name(self.place.role);
         let log = logs.logger().new(slog::o!("role" => role, "node" => self.place.node.0));
         let counts = Arc::new(Counts::default());
         let net = self.net(&counts);
         let cohort = bind(self.place.cohort)?;
         let http = bind(self.place.http)?;
-        let edge = self.place.role == Role::Edge;
-        let l = self.env.limits.clone();
-        let room = Room::new(l.memory_mb << 20);
-        let (tx, start) = runtime::exec::rounds(ExecEnv {
-            answer: l.answer_kb << 10,
-            room: room.clone(),
-            manner: Default::default(),
-        });
-        let front =
-            FrontEnv { callers: l.callers, body: l.body_kb << 10, room, patience: Default::default() };
-        let frame = Frame { part, first, ring, net, rounds: Some(tx), log: log.clone() };
-        let mut signals = signal_hook::iterator::Signals::new([15, 2]).context(SignalsSnafu)?;
-        let (patience, grace) = (l.patience, l.grace);
-        let c = counts.clone();
-        shell::run(frame, cohort, counts, move |h| {
-            let hh = h.clone();
-            let open = front::serve(http, front, move |call| desk::answer(&hh, role, &c, call));
-            if edge {
-                start(h.clone());
-                runtime::exec::probe(h.clone());
+        let limits = self.env.limits.clone();
+        let room = Room::new(limits.memory_mb << 20);
+        let (rounds, start_executor) = runtime::exec::rounds(executor_env(&limits, &room));
+        let front_env = front_env(&limits, room);
+        let frame = Frame { part, first, ring, net, rounds: Some(rounds), log: log.clone() };
+        let signals = Signals::new([SIGTERM, SIGINT]).context(SignalsSnafu)?;
+        let is_edge = self.place.role == Role::Edge;
+        let api_counts = counts.clone();
+        shell::run(frame, cohort, counts, move |handle| {
+            let api = handle.clone();
+            let answer = move |call| http_api::answer(&api, role, &api_counts, call);
+            let open = front::serve(http, front_env, answer);
+            if is_edge {
+                start_executor(handle.clone());
+                runtime::exec::probe(handle.clone());
             }
-            thread::spawn(move || {
-                if let Some(s) = signals.forever().next() {
-                    info!(log, "leaving"; "signal" => s);
-                    leave(&h, &open, patience, grace);
-                    open.shut_idle();
-                    h.stop();
-                }
-            });
+            leave_on_signal(signals, handle, open, limits, log);
         });
         Ok(())
     }
 }
 
-/// Is not ready any more, takes requests for the grace, then waits for what is in
-/// hand, so that no request that an origin still works on is cut off.
-fn leave(h: &Handle, open: &Open, patience: Span, grace: Span) {
-    let tick = Duration::from_millis(50);
-    let most = Duration::from(patience.times(3) + grace).as_millis() / tick.as_millis();
-    let mut calm = 0;
-    for _ in 0..most {
-        let busy = match h.ask(Ask::Drain, Duration::from_secs(1)) {
-            Some(Receipt::Health(x)) => x.in_hand > 0 || x.taking,
+fn executor_env(limits: &Limits, room: &Arc<Room>) -> ExecEnv {
+    ExecEnv { answer: limits.answer_kb << 10, room: room.clone(), manner: Default::default() }
+}
+
+fn front_env(limits: &Limits, room: Arc<Room>) -> FrontEnv {
+    FrontEnv { callers: limits.callers, body: limits.body_kb << 10, room, patience: Default::default() }
+}
+
+fn leave_on_signal(mut signals: Signals, handle: Handle, open: Arc<Open>, limits: Limits, log: slog::Logger) {
+    thread::spawn(move || {
+        if let Some(signal) = signals.forever().next() {
+            info!(log, "leaving"; "signal" => signal);
+            leave(&handle, &open, limits.patience, limits.grace);
+            open.shut_idle();
+            handle.stop();
+        }
+    });
+}
+
+/// Drains this process: it is not ready any more, takes requests for the grace period, and
+/// then waits for those in hand, so that no request that an origin works on is cut off.
+fn leave(handle: &Handle, open: &Open, patience: Span, grace: Span) {
+    let longest = Duration::from(patience.times(3) + grace);
+    let mut idle_polls = 0;
+    for _ in 0..longest.as_millis() / LEAVE_POLL.as_millis() {
+        let busy = match handle.ask(Ask::Drain, DRAIN_TIMEOUT) {
+            Some(Receipt::Health(health)) => health.in_hand > 0 || health.taking,
             _ => false,
         };
-        calm = if busy || open.any() { 0 } else { calm + 1 };
-        if calm > 3 {
+        idle_polls = if busy || open.any() { 0 } else { idle_polls + 1 };
+        if idle_polls >= IDLE_POLLS {
             return;
         }
-        thread::sleep(tick);
+        thread::sleep(LEAVE_POLL);
     }
 }
 
-pub fn controller(s: Start) -> Result<()> {
-    let (ring, recs) = s.disk()?;
-    let kept = recs.iter().map(|r| controller::Kept::decode(r)).collect::<Option<Vec<_>>>();
-    let kept = kept.ok_or(StartProblem::Undecodable)?;
-    let (l, p) = (s.env.limits.clone(), s.place.clone());
+/// Runs a controller.
+pub fn controller(start: Start) -> Result<()> {
+    let (ring, kept) = start.disk(controller::Kept::decode)?;
+    let (limits, place) = (start.env.limits.clone(), start.place.clone());
     let env = controller::ControllerEnv {
-        addr: p.cohort,
-        http: p.http,
-        zone: p.zone,
-        seeds: p.seeds,
+        addr: place.cohort,
+        http: place.http,
+        zone: place.zone,
+        seeds: place.seeds,
         found: true,
         open: None,
-        lease: l.lease,
-        cut_at: l.cut_at,
-        window: l.window,
-        vanish: l.vanish,
-        base_after: l.ring_mb << 18,
+        lease: limits.lease,
+        cut_at: limits.cut_at,
+        window: limits.window,
+        vanish: limits.vanish,
+        base_after: limits.ring_mb << 18,
         pace: caesar::Pace::default(),
     };
-    let mut out = vec![];
-    let k = controller::Controller::start(env, kept, runtime::life(), runtime::now(), &mut out);
-    s.run(Box::new(k), out, Some(ring))
+    let mut first = vec![];
+    let part = controller::Controller::start(env, kept, runtime::life(), runtime::now(), &mut first);
+    start.run(Box::new(part), first, Some(ring))
 }
 
-pub fn edge(s: Start) -> Result<()> {
-    let l = s.env.limits.clone();
+/// Runs an edge.
+pub fn edge(start: Start) -> Result<()> {
+    let limits = start.env.limits.clone();
     let env = edge::EdgeEnv {
-        follow: s.follow(runtime::life()),
-        fresh: l.fresh,
-        patience: l.patience,
-        copies: l.copies_mb << 20,
+        follow: start.follow(Birth(runtime::life())),
+        fresh: limits.fresh,
+        patience: limits.patience,
+        copies: limits.copies_mb << 20,
         // A quarter for one service: two that hang leave half to the others.
-        hands: (l.callers / 4, l.callers),
-        grace: l.grace,
+        hands: (limits.callers / 4, limits.callers),
+        grace: limits.grace,
         policy: edge::EdgePolicy::default(),
         losses: 1,
         stock: true,
         leave: LEAVE,
     };
-    s.run(Box::new(edge::Edge::new(env)), vec![], None)
+    start.run(Box::new(edge::Edge::new(env)), vec![], None)
 }
 
-pub fn ledger(s: Start) -> Result<()> {
-    let (ring, recs) = s.disk()?;
-    let kept = recs.iter().map(|r| ledger::Kept::decode(r)).collect::<Option<Vec<_>>>();
-    let kept = kept.ok_or(StartProblem::Undecodable)?;
-    let base_after = s.env.limits.ring_mb << 18;
-    let room = s.env.limits.ring_mb << 16;
+/// Runs a ledger.
+pub fn ledger(start: Start) -> Result<()> {
+    let (ring, kept) = start.disk(ledger::Kept::decode)?;
+    let limits = &start.env.limits;
+    let base_after = limits.ring_mb << 18;
+    let room = limits.ring_mb << 16;
     let env = ledger::LedgerEnv {
-        follow: s.follow(0),
-        window: s.env.limits.window,
+        // Its birth is that of its disk.
+        follow: start.follow(Birth(0)),
+        window: limits.window,
         base_after,
         room,
         // One file of the ring, less the copies and an eighth to spare.
@@ -197,7 +232,7 @@
         leave: LEAVE,
         sparing: false,
     };
-    let mut out = vec![];
-    let c = ledger::Ledger::start(env, kept, runtime::life(), runtime::now(), &mut out);
-    s.run(Box::new(c), out, Some(ring))
+    let mut first = vec![];
+    let part = ledger::Ledger::start(env, kept, runtime::life(), runtime::now(), &mut first);
+    start.run(Box::new(part), first, Some(ring))
 }
