--- a/crates/scale-model/src/lib.rs
+++ b/crates/scale-model/src/lib.rs
@@ -1,25 +1,33 @@
-//! A scale_model fleet: the real controllers, edges and ledgers in one process and in virtual time,
-//! with every message framed, to measure what control costs at growing sizes. Requests of
-//! callers are no part of it.
-mod carry;
+//! The scale model: real controllers, edges and ledgers in one process and in virtual time,
+//! with every message encoded and framed, to measure what control costs at growing sizes.
+//! Callers' requests are no part of it.
+#![deny(missing_docs)]
+#![deny(clippy::too_many_lines)]
+
+mod delivery;
 mod fleet;
-mod level;
-mod lookup;
+mod growth;
+mod lookup_cost;
 mod meter;
+mod part;
+mod phases;
 mod plan;
 mod plot;
 mod relay;
+mod relay_cost;
+mod relay_level;
 mod row;
-mod slope;
-mod stretch;
+mod state;
+mod table;
 mod world;
 
-pub use level::relays;
-pub use lookup::lookups;
+pub use growth::{spread, Growth, Line};
+pub use lookup_cost::lookups;
 pub use meter::{resident, Meter, Tally};
+pub use phases::run;
 pub use plan::{Plan, Result, ScaleModelProblem, CONTROLLERS};
 pub use plot::plot;
 pub use relay::{Bundle, Relay, Word};
-pub use row::{table, Row};
-pub use slope::{spread, Growth, Line};
-pub use stretch::run;
+pub use relay_cost::relays;
+pub use row::Row;
+pub use table::table;
