--- a/crates/lanewing/src/desk.rs
+++ b/crates/lanewing/src/desk.rs
@@ -38,6 +38,7 @@
         ("received", get(&n.received)),
         ("dropped", get(&n.dropped)),
         ("bad_frames", get(&n.bad_frames)),
+        ("other_versions", get(&n.other_versions)),
     ];
     Reply::json(200, obj(v))
 }
@@ -155,6 +156,10 @@
     };
     // The body's room is given back once the request is over.
     let _hold = c.hold;
+    // Looked at first: what was handed over before the node stopped may have left.
+    if h.stopping() {
+        return Reply::problem(503, "denied", "this node is leaving").after(1);
+    }
     match h.ask(Ask::Begin(req), REQUEST) {
         Some(Receipt::Step(Step::Serve(w, from, until))) => fit(&c.method, &c.heads, served(&w, from, until)),
         Some(Receipt::Step(Step::Deny(d, wait))) => {
@@ -170,7 +175,6 @@
             let why = "sent to an origin, whose answer was lost or is not known yet";
             Reply::problem(504, "in doubt", why).after(wait.0.div_ceil(1_000_000))
         }
-        _ if h.stopping() => Reply::problem(503, "denied", "this node is leaving").after(1),
         _ => Reply::problem(504, "in doubt", "this node lost track of the request").after(2),
     }
 }
