--- a/crates/runtime/src/exec.rs
+++ b/crates/runtime/src/exec.rs
@@ -10,7 +10,8 @@
 use std::thread;
 use std::time::Duration;
 use ureq::http::{Request, Response};
-use ureq::Agent;
+use ureq::typestate::WithoutBody;
+use ureq::{Agent, RequestBuilder};
 
 type Dress = dyn Fn(&Round, Span) -> Vec<(String, Vec<u8>)> + Send + Sync;
 type Judge = dyn Fn(&Round, Whole) -> Fetched + Send + Sync;
@@ -67,8 +68,8 @@
     let heads = r.req.heads.iter().map(|(n, v)| (n.to_string(), v.to_vec()));
     let all = own.into_iter().chain(heads);
     let body: &[u8] = &r.req.body;
-    if r.req.method == "DELETE" && !body.is_empty() {
-        let q = all.fold(agent.delete(uri), |b, (n, v)| b.header(n, v));
+    if let Some(q) = seldom_with_body(agent, &r.req.method, &uri).filter(|_| !body.is_empty()) {
+        let q = all.fold(q, |b, (n, v)| b.header(n, v));
         return Some(q.force_send_body().send(body));
     }
     let b = all.fold(Request::builder().method(r.req.method.as_str()).uri(uri), |b, (n, v)| b.header(n, v));
@@ -79,9 +80,21 @@
     }
 }
 
+/// A request by a method that the library sends no body with unless told to.
+fn seldom_with_body(agent: &Agent, method: &str, uri: &str) -> Option<RequestBuilder<WithoutBody>> {
+    match method {
+        "GET" => Some(agent.get(uri)),
+        "HEAD" => Some(agent.head(uri)),
+        "OPTIONS" => Some(agent.options(uri)),
+        "DELETE" => Some(agent.delete(uri)),
+        _ => None,
+    }
+}
+
 /// A whole answer, or why there is none.
 pub fn run(env: &ExecEnv, r: &Round) -> Fetched {
-    may_leave(r.until);
+    // A round that is given up has no business leaving any more.
+    may_leave(r.until.min(r.horizon));
     let left = || if has_left() { Fetched::Lost } else { Fetched::NotSent };
     let most = (r.horizon - crate::now()).max(Span::ms(1));
     let own = (env.manner.dress)(r, most);
--- a/crates/runtime/src/whole.rs
+++ b/crates/runtime/src/whole.rs
@@ -1,4 +1,5 @@
 //! Reading an origin's answer: whole, or not at all.
+use crate::wire::has_ended;
 use control_state::{agrees, Heads, Whole};
 use std::io::Read;
 use std::sync::Arc;
@@ -77,8 +78,9 @@
             Ok(_) => (),
         }
     }
-    let sized = size.is_none_or(|n| n == body.len());
-    if sized && agrees(&heads, status, &body) {
+    // Past its last chunk the library takes the connection's end for the answer's.
+    let complete = size.map_or(!has_ended(), |n| n == body.len());
+    if complete && agrees(&heads, status, &body) {
         end(body, &heads)
     } else {
         Came::Broken
--- a/crates/runtime/src/wire.rs
+++ b/crates/runtime/src/wire.rs
@@ -13,6 +13,8 @@
 thread_local! {
     /// Until when this thread's round may leave, and whether any of it did.
     static LEAVE: Cell<(Mono, bool)> = const { Cell::new((Mono(0), false)) };
+    /// Whether the origin's end of this thread's connection was seen.
+    static ENDED: Cell<bool> = const { Cell::new(false) };
 }
 
 /// Looks at the clock right before bytes leave: after a freeze nothing goes out
@@ -43,7 +45,11 @@
         self.0.transmit_output(amount, timeout)
     }
     fn await_input(&mut self, timeout: NextTimeout) -> Result<bool, ureq::Error> {
-        self.0.await_input(timeout)
+        let more = self.0.await_input(timeout)?;
+        if !more {
+            ENDED.set(true);
+        }
+        Ok(more)
     }
     fn is_open(&mut self) -> bool {
         self.0.is_open()
@@ -75,9 +81,15 @@
 /// From now on this thread's round may leave until then.
 pub(crate) fn may_leave(until: Mono) {
     LEAVE.set((until, false));
+    ENDED.set(false);
 }
 
 /// Whether a byte of this thread's round has left.
 pub(crate) fn has_left() -> bool {
     LEAVE.get().1
 }
+
+/// Whether all that the origin of this thread's round sends was read to its connection's end.
+pub(crate) fn has_ended() -> bool {
+    ENDED.get()
+}
--- a/crates/runtime/tests/exec.rs
+++ b/crates/runtime/tests/exec.rs
@@ -150,3 +150,54 @@
     let gone = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("loopback");
     assert_eq!(run(&env(), &round(Addr(gone), "POST", Heads::default(), b"x")), Fetched::NotSent);
 }
+
+/// What an origin reads of a request, head and body.
+fn received(method: &str, body: &[u8]) -> String {
+    let l = TcpListener::bind("127.0.0.1:0").expect("loopback");
+    let at = Addr(l.local_addr().expect("bound"));
+    let length = body.len();
+    let reader = thread::spawn(move || {
+        let (mut s, _) = l.accept().expect("asked");
+        s.set_read_timeout(Some(std::time::Duration::from_millis(300))).expect("a socket");
+        let (mut got, mut byte) = (vec![], [0u8; 1]);
+        while !got.ends_with(b"\r\n\r\n") && s.read(&mut byte).is_ok_and(|n| n == 1) {
+            got.push(byte[0]);
+        }
+        let mut body = vec![0; length];
+        let read = s.read_exact(&mut body);
+        let _ = s.write_all(b"HTTP/1.1 204 No Content\r\n\r\n");
+        got.extend(read.map(|()| body).unwrap_or_default());
+        String::from_utf8_lossy(&got).to_ascii_lowercase()
+    });
+    run(&env(), &round(at, method, Heads::default(), body));
+    reader.join().expect("read")
+}
+
+#[test]
+fn given_a_body_with_any_method_then_the_origin_gets_it_unchanged() {
+    for method in ["GET", "OPTIONS", "DELETE", "POST", "PUT", "PATCH"] {
+        let got = received(method, b"five!");
+        assert!(got.contains("content-length: 5\r\n") && got.ends_with("five!"), "{method}: {got}");
+    }
+}
+
+#[test]
+fn given_a_length_that_is_no_plain_number_or_a_round_past_its_horizon_then_it_is_not_taken() {
+    for length in ["+5", "5,5", "0x5", "5 5", "-5", ""] {
+        let say = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\nhello");
+        assert_eq!(fetch("GET", say.as_bytes()), Fetched::Lost, "{length}");
+    }
+    let (at, seen) = origin(b"HTTP/1.1 204 No Content\r\n\r\n".to_vec());
+    let late = Round { horizon: Mono(1), ..round(at, "POST", Heads::default(), b"x") };
+    assert_eq!(run(&env(), &late), Fetched::NotSent);
+    assert_eq!(seen.recv_timeout(std::time::Duration::from_secs(1)).unwrap_or_default(), "");
+}
+
+#[test]
+fn given_a_chunked_answer_cut_anywhere_before_its_very_end_then_it_is_never_whole() {
+    let all = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nA: b\r\n\r\n";
+    for cut in 0..all.len() {
+        assert_eq!(fetch("GET", &all[..cut]), Fetched::Lost, "cut after {cut} bytes");
+    }
+    assert!(matches!(fetch("GET", all), Fetched::Whole(_)));
+}
