--- a/crates/control-state/src/lib.rs
+++ b/crates/control-state/src/lib.rs
@@ -1,5 +1,6 @@
 //! The control state that controllers decide and edges obey, and every message
 //! between lanewing's processes.
+mod ask;
 mod call;
 mod cmd;
 mod follow;
@@ -18,6 +19,7 @@
 mod state;
 mod whole;
 
+pub use ask::*;
 pub use call::*;
 pub use cmd::*;
 pub use follow::*;
--- a/crates/control-state/src/msg.rs
+++ b/crates/control-state/src/msg.rs
@@ -1,4 +1,5 @@
 //! Every message between lanewing's own processes.
+use crate::ask::AskId;
 use crate::call::{Call, Said};
 use crate::cmd::Cmd;
 use crate::heads::{Heads, Print};
@@ -93,8 +94,8 @@
     /// The one blank controller that is to found the deployment.
     Found(Birth),
     /// A node passes on what it was asked, under a number of its own.
-    Call(u64, Box<Call>),
-    Called(u64, Box<Said>),
+    Call(AskId, Box<Call>),
+    Called(AskId, Box<Said>),
     /// Beats and their ages, as of a moment after the receiver's own one given last:
     /// the sender's clock now, and the receiver's as it was last heard.
     Beats(Vec<(Beat, Span)>, Mono, Option<Mono>),
@@ -118,7 +119,7 @@
     },
     // between edges
     CopyAsk {
-        ask: u64,
+        ask: AskId,
         svc: Svc,
         lane: Lane,
         path: String,
@@ -126,15 +127,15 @@
         heads: Heads,
     },
     /// The home edge is at it.
-    CopyWait(u64),
+    CopyWait(AskId),
     CopyGot {
-        ask: u64,
+        ask: AskId,
         said: CopySaid,
     },
     // edges and ledgers
-    StockOffer(u64),
+    StockOffer(AskId),
     StockWant {
-        ask: u64,
+        ask: AskId,
         at: Mono,
     },
     StockPut(Mono, Box<StockPut>),
--- a/crates/controller/src/calls.rs
+++ b/crates/controller/src/calls.rs
@@ -9,7 +9,7 @@
 const MOST: usize = 4096;
 
 impl Controller {
-    pub(crate) fn on_call(&mut self, now: Mono, from: Addr, n: u64, c: Call, out: &mut Vec<Out>) {
+    pub(crate) fn on_call(&mut self, now: Mono, from: Addr, n: AskId, c: Call, out: &mut Vec<Out>) {
         self.next_call += 1;
         let t = Token(OURS + self.next_call);
         self.calls.insert(t, (from, n));
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -56,7 +56,7 @@
     near: bool,
     pub(crate) cutting: Option<Mono>,
     /// Callers through other nodes, by the tokens given to their calls.
-    pub(crate) calls: BTreeMap<Token, (Addr, u64)>,
+    pub(crate) calls: BTreeMap<Token, (Addr, AskId)>,
     pub(crate) next_call: u64,
     /// The blank controller named to found, and since when blanks are heard.
     pub(crate) named: Option<(Birth, Mono)>,
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -83,8 +83,8 @@
             mute: BTreeMap::new(),
             errands: Errands::default(),
             swept: Mono(0),
-            // Numbers of an earlier life must mean nothing in this one: answers to
-            // its askings may still be on their way.
+            // Lives begin at different numbers, for some choices are spread by them.
+            // Answers find their questions by the life as well, see `answers`.
             next: env.follow.birth.0 << 20,
             leaving: None,
             counts: BTreeMap::new(),
@@ -209,7 +209,7 @@
                 Msg::CopyAsk { ask, svc, lane, path, heads } => {
                     self.on_copy_ask(now, (from, ask), (svc, lane, path), heads, out)
                 }
-                Msg::CopyWait(ask) => self.on_copy_wait(ask),
+                Msg::CopyWait(ask) => self.on_copy_wait(from, ask),
                 Msg::CopyGot { ask, said } => self.on_copy_got(now, from, ask, said, out),
                 Msg::StockWant { ask, at } => self.on_stock_want(now, from, ask, at, out),
                 Msg::Claimed { round, said, .. } => self.on_claimed(now, from, round, said, out),
--- a/crates/edge/src/errand.rs
+++ b/crates/edge/src/errand.rs
@@ -62,13 +62,14 @@
         });
         if let Some(a) = to {
             e.asked.push(a);
-            out.push(Out::Send(a, Msg::Call(n, Box::new(e.call.clone()))));
+            out.push(Out::Send(a, Msg::Call(self.ask_id(n), Box::new(e.call.clone()))));
         }
         e.sent = now;
         self.errands.open.insert(n, e);
     }
 
-    pub(crate) fn on_called(&mut self, now: Mono, from: Addr, n: u64, said: Said, out: &mut Vec<Out>) {
+    pub(crate) fn on_called(&mut self, now: Mono, from: Addr, ask: AskId, said: Said, out: &mut Vec<Out>) {
+        let Some(n) = self.own_number(ask) else { return };
         self.errands.heard.insert(from, now);
         let Some(e) = self.errands.open.get_mut(&n) else { return };
         if let Said::NotNow(_) = said {
--- a/crates/edge/src/jobs.rs
+++ b/crates/edge/src/jobs.rs
@@ -10,8 +10,8 @@
 #[derive(Clone, Debug)]
 pub(crate) enum Caller {
     Local(Token, Arc<Req>),
-    /// Another edge, and its number for the asking.
-    Edge(Addr, u64),
+    /// Another edge, and its name for the question.
+    Edge(Addr, AskId),
 }
 
 #[derive(Debug)]
--- a/crates/edge/src/keyed.rs
+++ b/crates/edge/src/keyed.rs
@@ -1,5 +1,6 @@
 //! Keyed requests: a quorum of the key's ledgers must grant it, synced, before
 //! anything leaves.
+use crate::answers::UNASKED;
 use crate::edge::Edge;
 use crate::jobs::*;
 use control_state::*;
@@ -98,10 +99,15 @@
         said: Claimed,
         out: &mut Vec<Out>,
     ) {
-        let job = self.jobs.get_mut(&round.n).filter(|_| round.birth == self.follow.env.birth);
-        if let Some(Stage::Claim(votes)) = job.map(|j| &mut j.stage) {
-            votes.insert(from, said);
-            self.count_votes(now, round.n, false, out);
+        let Some(id) = self.own_round(round) else { return };
+        let Some(j) = self.jobs.get_mut(&id) else { return self.count(UNASKED) };
+        let asked = j.claim.as_ref().is_some_and(|c| c.round == round && c.ledgers().contains(&from));
+        match &mut j.stage {
+            Stage::Claim(votes) if asked => {
+                votes.insert(from, said);
+                self.count_votes(now, id, false, out);
+            }
+            _ => self.count(UNASKED),
         }
     }
 
@@ -191,6 +197,9 @@
     }
 
     pub(crate) fn on_kept(&mut self, from: Addr, round: RoundId) {
+        if self.own_round(round).is_none() {
+            return;
+        }
         for o in self.outgoing.iter_mut().filter(|o| o.round == round) {
             o.to.remove(&from);
         }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -1,4 +1,5 @@
 //! The edge, a pure part: the decision object that executors ask and obey.
+mod answers;
 mod choice;
 mod copies;
 mod edge;
--- a/crates/edge/src/read.rs
+++ b/crates/edge/src/read.rs
@@ -9,11 +9,11 @@
 
 /// A copy good when it was decided on may still leave for so long, half of what a
 /// copy may outlive its life by.
-const WAY_OUT: Span = Span::secs(1);
+pub(crate) const WAY_OUT: Span = Span::secs(1);
 /// Copies that live shorter are not worth a ledger's disk.
 const WORTH: Span = Span::secs(1);
 
-fn copy_ask(to: Addr, ask: u64, obj: &(Svc, Lane, String), heads: Heads) -> Out {
+fn copy_ask(to: Addr, ask: AskId, obj: &(Svc, Lane, String), heads: Heads) -> Out {
     let (svc, lane, path) = obj.clone();
     Out::Send(to, Msg::CopyAsk { ask, svc, lane, path, heads })
 }
@@ -46,7 +46,7 @@
         match home.filter(|a| *a != self.follow.env.addr) {
             Some(a) => {
                 let heads = self.jobs[&id].req.heads.clone();
-                out.push(copy_ask(a, id, &obj, heads));
+                out.push(copy_ask(a, self.ask_id(id), &obj, heads));
                 self.stage(now, id, Stage::Home(a, now, false));
                 self.fills.insert(obj, id);
             }
@@ -80,7 +80,7 @@
             self.fills.insert(obj.clone(), id);
             match self.stock_of(now, &obj).filter(|_| first) {
                 Some(a) => {
-                    out.push(copy_ask(a, id, &obj, Heads::default()));
+                    out.push(copy_ask(a, self.ask_id(id), &obj, Heads::default()));
                     self.stage(now, id, Stage::Home(a, now, false));
                 }
                 None => self.line_up(now, id, out),
@@ -100,24 +100,10 @@
         ranked.into_iter().map(|c| c.1).next().filter(speaks)
     }
 
-    /// A ledger takes the copy: with what is left of its life at this moment.
-    pub(crate) fn on_stock_want(&mut self, now: Mono, from: Addr, ask: u64, at: Mono, out: &mut Vec<Out>) {
-        let Some(object) = self.offers.remove(&ask) else { return };
-        let copy = self.copies.get(now, &object).filter(|_| self.leased(now));
-        if let Some(c) = copy {
-            let mark = mark(&self.follow.items, &object);
-            let shown = c.show(now, c.until);
-            out.push(Out::Send(
-                from,
-                Msg::StockPut(at, Box::new(StockPut { object, shown, mark, sure: self.follow.sure })),
-            ));
-        }
-    }
-
     pub(crate) fn on_copy_ask(
         &mut self,
         now: Mono,
-        (from, ask): (Addr, u64),
+        (from, ask): (Addr, AskId),
         obj: (Svc, Lane, String),
         heads: Heads,
         out: &mut Vec<Out>,
@@ -156,52 +142,7 @@
         }
     }
 
-    pub(crate) fn on_copy_wait(&mut self, ask: u64) {
-        if let Some(Stage::Home(_, _, at_it)) = self.jobs.get_mut(&ask).map(|j| &mut j.stage) {
-            *at_it = true;
-        }
-    }
-
-    pub(crate) fn on_copy_got(
-        &mut self,
-        now: Mono,
-        from: Addr,
-        ask: u64,
-        said: CopySaid,
-        out: &mut Vec<Out>,
-    ) {
-        let Some(j) = self.jobs.get(&ask) else { return };
-        let Stage::Home(whom, asked, _) = j.stage else { return };
-        // A job may have asked two, one after the other; only the last one's word
-        // is younger than the asking its life is counted from.
-        if whom != from {
-            return;
-        }
-        let good = !j.spoiled && self.leased(now);
-        // The copy's rest of life counts from when it was asked for.
-        match said {
-            CopySaid::Got(c) if good && asked + c.left > now => {
-                let (obj, stocked, since) = (j.object(), j.stocked, asked - c.aged);
-                let until = (asked + c.left).min(self.leased_until());
-                self.count(if stocked { "filled from ledgers" } else { "filled from homes" });
-                let whole = Arc::new(c.whole);
-                if !self.env.policy.near {
-                    self.keep(now, obj, Copy { whole: whole.clone(), public: c.public, since, until });
-                }
-                let out_by = (until + WAY_OUT).min(self.leased_until());
-                let s = Step::Serve(whole, Shared::Copy(now - since), out_by);
-                self.finish(now, ask, s, out);
-            }
-            CopySaid::Personal => self.part_ways(now, ask, None, out),
-            CopySaid::Own(w) => {
-                let s = Step::Serve(Arc::new(*w), Shared::Own, Mono(u64::MAX));
-                self.finish(now, ask, s, out);
-            }
-            _ => self.fill_here(now, ask, out),
-        }
-    }
-
-    fn keep(&mut self, now: Mono, obj: (Svc, Lane, String), c: Copy) {
+    pub(crate) fn keep(&mut self, now: Mono, obj: (Svc, Lane, String), c: Copy) {
         if c.until > now && c.whole.size() <= self.env.copies {
             self.copies.put(obj, c);
         }
@@ -221,7 +162,7 @@
             self.keep(now, obj.clone(), Copy { whole, public: says.public, since, until });
             if until - now >= WORTH {
                 if let Some(a) = self.stock_of(now, &obj) {
-                    out.push(Out::Send(a, Msg::StockOffer(id)));
+                    out.push(Out::Send(a, Msg::StockOffer(self.ask_id(id))));
                     self.offers.insert(id, obj);
                 }
             }
--- a/crates/ledger/src/stock.rs
+++ b/crates/ledger/src/stock.rs
@@ -38,7 +38,7 @@
 impl Ledger {
     /// An edge has a copy to leave here. The asking's time is this ledger's, so a
     /// word read late makes the copy's life shorter, never longer.
-    pub(crate) fn on_stock_offer(&self, now: Mono, from: Addr, ask: u64, out: &mut Vec<Out>) {
+    pub(crate) fn on_stock_offer(&self, now: Mono, from: Addr, ask: AskId, out: &mut Vec<Out>) {
         if self.env.room > 0 && self.follow.leased(now) {
             out.push(Out::Send(from, Msg::StockWant { ask, at: now }));
         }
@@ -63,7 +63,7 @@
         &mut self,
         now: Mono,
         from: Addr,
-        ask: u64,
+        ask: AskId,
         object: Object,
         out: &mut Vec<Out>,
     ) {
--- /dev/null
+++ b/crates/runtime/src/frame.rs
@@ -0,0 +1,65 @@
+//! Frames between nodes: what they are, their version, length and checksum, then a message.
+use serde::de::DeserializeOwned;
+use snafu::Snafu;
+use std::io::{self, Read};
+
+const MAGIC: [u8; 2] = *b"LW";
+/// The version of everything that nodes say to one another. Raised with every change of a
+/// message; a frame of another version is refused, and its connection ends.
+pub const VERSION: u8 = 2;
+/// Larger frames are never sent and close the connection when received.
+const LARGEST: usize = 16 << 20;
+/// Magic, version, length and checksum.
+const HEAD: usize = 11;
+
+#[derive(Debug, Snafu)]
+pub enum FrameProblem {
+    #[snafu(display("connection: {source}"), context(false))]
+    Link { source: io::Error },
+    #[snafu(display("not a frame of this system"))]
+    Alien,
+    #[snafu(display("frame of version {version}, this node speaks {VERSION}"))]
+    OtherVersion { version: u8 },
+    #[snafu(display("frame of {size} bytes"))]
+    TooLarge { size: usize },
+    #[snafu(display("frame fails its checksum or does not decode"))]
+    Garbled,
+}
+
+/// One frame around these bytes.
+pub fn frame(b: &[u8]) -> Vec<u8> {
+    let mut f = MAGIC.to_vec();
+    f.push(VERSION);
+    f.extend((b.len() as u32).to_le_bytes());
+    f.extend(crc32fast::hash(b).to_le_bytes());
+    f.extend(b);
+    f
+}
+
+/// The bytes of the frame that comes next.
+pub fn read_frame(r: &mut impl Read) -> Result<Vec<u8>, FrameProblem> {
+    let mut h = [0u8; HEAD];
+    r.read_exact(&mut h)?;
+    if h[..2] != MAGIC {
+        return AlienSnafu.fail();
+    }
+    if h[2] != VERSION {
+        return OtherVersionSnafu { version: h[2] }.fail();
+    }
+    let size = u32::from_le_bytes([h[3], h[4], h[5], h[6]]) as usize;
+    if size > LARGEST {
+        return TooLargeSnafu { size }.fail();
+    }
+    let mut b = vec![0; size];
+    r.read_exact(&mut b)?;
+    let sum = u32::from_le_bytes([h[7], h[8], h[9], h[10]]);
+    (crc32fast::hash(&b) == sum).then_some(b).ok_or(FrameProblem::Garbled)
+}
+
+/// What a frame holds, if it is that and nothing beside it.
+pub fn decode<T: DeserializeOwned>(b: &[u8]) -> Result<T, FrameProblem> {
+    match postcard::take_from_bytes(b) {
+        Ok((t, [])) => Ok(t),
+        _ => GarbledSnafu.fail(),
+    }
+}
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod door;
 pub mod env;
 pub mod exec;
+pub mod frame;
 pub mod front;
 pub mod intake;
 pub mod logs;
--- a/crates/runtime/src/net.rs
+++ b/crates/runtime/src/net.rs
@@ -1,73 +1,47 @@
 //! Held connections between lanewing's processes: one way each, framed, checked.
+use crate::frame::decode;
+pub use crate::frame::{frame, read_frame, FrameProblem};
 use control_state::Msg;
 use nix::errno::Errno;
 use nix::sys::socket::{recv, MsgFlags};
 use primitives::Addr;
-use snafu::Snafu;
+use slog::{warn, Logger};
 use std::collections::HashMap;
-use std::io::{self, Read, Write};
+use std::io::{self, Write};
 use std::net::{TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{sync_channel, Receiver, SyncSender, TrySendError};
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::thread;
 use std::time::{Duration, Instant};
 
-const MAGIC: [u8; 2] = *b"LW";
-const VERSION: u8 = 1;
-/// Larger frames are never sent and close the connection when received.
-const LARGEST: usize = 16 << 20;
 const LINE: usize = 4096;
 
-#[derive(Debug, Snafu)]
-pub enum FrameProblem {
-    #[snafu(display("connection: {source}"), context(false))]
-    Link { source: io::Error },
-    #[snafu(display("not a frame of this system"))]
-    Alien,
-    #[snafu(display("frame of version {version}"))]
-    OtherVersion { version: u8 },
-    #[snafu(display("frame of {size} bytes"))]
-    TooLarge { size: usize },
-    #[snafu(display("frame fails its checksum or does not decode"))]
-    Garbled,
-}
-
-pub fn frame(b: &[u8]) -> Vec<u8> {
-    let mut f = MAGIC.to_vec();
-    f.push(VERSION);
-    f.extend((b.len() as u32).to_le_bytes());
-    f.extend(crc32fast::hash(b).to_le_bytes());
-    f.extend(b);
-    f
-}
-
-pub fn read_frame(r: &mut impl Read) -> Result<Vec<u8>, FrameProblem> {
-    let mut h = [0u8; 11];
-    r.read_exact(&mut h)?;
-    if h[..2] != MAGIC {
-        return AlienSnafu.fail();
-    }
-    if h[2] != VERSION {
-        return OtherVersionSnafu { version: h[2] }.fail();
-    }
-    let size = u32::from_le_bytes([h[3], h[4], h[5], h[6]]) as usize;
-    if size > LARGEST {
-        return TooLargeSnafu { size }.fail();
-    }
-    let mut b = vec![0; size];
-    r.read_exact(&mut b)?;
-    let sum = u32::from_le_bytes([h[7], h[8], h[9], h[10]]);
-    (crc32fast::hash(&b) == sum).then_some(b).ok_or(FrameProblem::Garbled)
-}
-
 #[derive(Default, Debug)]
 pub struct Counts {
     pub sent: AtomicU64,
     pub received: AtomicU64,
     pub dropped: AtomicU64,
+    /// Connections ended for what came on them, and
     pub bad_frames: AtomicU64,
+    /// those among them that spoke another version.
+    pub other_versions: AtomicU64,
+    /// Where the first frame of another version is named.
+    pub log: OnceLock<Logger>,
+}
+
+impl Counts {
+    fn refused(&self, p: &FrameProblem) {
+        self.bad_frames.fetch_add(1, Ordering::Relaxed);
+        if !matches!(p, FrameProblem::OtherVersion { .. }) {
+            return;
+        }
+        let first = self.other_versions.fetch_add(1, Ordering::Relaxed) == 0;
+        if let Some(log) = self.log.get().filter(|_| first) {
+            warn!(log, "link refused"; "problem" => %p);
+        }
+    }
 }
 
 type Far = dyn Fn(&Addr) -> Duration + Send + Sync;
@@ -149,11 +123,9 @@
     thread::spawn(move || {
         for s in l.incoming().flatten() {
             let (counts, take) = (counts.clone(), take.clone());
-            thread::spawn(move || {
-                let p = read_all(s, &counts, take);
-                if !matches!(p, Err(FrameProblem::Link { .. }) | Ok(())) {
-                    counts.bad_frames.fetch_add(1, Ordering::Relaxed);
-                }
+            thread::spawn(move || match read_all(s, &counts, take) {
+                Ok(()) | Err(FrameProblem::Link { .. }) => (),
+                Err(p) => counts.refused(&p),
             });
         }
     });
@@ -162,9 +134,9 @@
 fn read_all(s: TcpStream, counts: &Counts, take: impl Fn(Addr, Msg) -> bool) -> Result<(), FrameProblem> {
     s.set_nodelay(true)?;
     let mut r = io::BufReader::new(s);
-    let from: Addr = postcard::from_bytes(&read_frame(&mut r)?).map_err(|_| FrameProblem::Garbled)?;
+    let from: Addr = decode(&read_frame(&mut r)?)?;
     loop {
-        let m: Msg = postcard::from_bytes(&read_frame(&mut r)?).map_err(|_| FrameProblem::Garbled)?;
+        let m: Msg = decode(&read_frame(&mut r)?)?;
         counts.received.fetch_add(1, Ordering::Relaxed);
         if !take(from, m) {
             return Ok(());
--- a/crates/runtime/src/shell.rs
+++ b/crates/runtime/src/shell.rs
@@ -228,6 +228,7 @@
         thread::spawn(move || keep_disk(r, rx, tell, dlog));
     }
     let take = chan.clone();
+    let _ = counts.log.set(log.clone());
     net::listen(listener, counts, move |from, m| take.send(Event::Msg(from, m)));
     front(Handle(chan, Arc::default()));
     info!(log, "serving");
