--- a/crates/simulator/tests/lives.rs
+++ b/crates/simulator/tests/lives.rs
@@ -115,3 +115,44 @@
         clean(&mut w);
     }
 }
+
+/// Routes come, go and are renamed; a caller's key is the same operation all the while.
+#[test]
+fn given_a_key_that_ran_when_its_route_is_replaced_by_another_of_the_host_then_it_does_not_run_again() {
+    for seed in 5130..5134 {
+        let (mut w, f) = World::standing_open(Plan::open(), seed);
+        let first = w.charge(f.edges[0], "sum", "k1");
+        w.run(Span::secs(1));
+        assert!(is_served(&w, first), "{:?}", told(&w, first));
+        w.allow("pay2", "desk", u32::MAX, Span(0));
+        let next = LaneEntry { prefix: "/pay/".into(), ..lane_entry("pay2", Kind::Keyed, "desk", Span(0)) };
+        let gone = edit(Section::Lanes, "pay", 2, None);
+        edited(&mut w, f.edges[1], vec![gone, lane_edit("pay2", 2, next)]);
+        w.run(Span::secs(1));
+        for g in f.edges.clone() {
+            let again = w.charge(g, "sum", "k1");
+            w.run(Span::secs(1));
+            let step = step(&w, again);
+            let record = matches!(step, Some(Step::Serve(_, Shared::Record, _)));
+            assert!(record, "{step:?}, seed {seed}");
+        }
+        assert_eq!(common::runs(&w, "/pay/sum"), 1, "seed {seed}");
+        clean(&mut w);
+    }
+}
+
+#[test]
+fn given_two_reads_with_bodies_at_once_then_neither_gets_the_others_answer() {
+    let (mut w, f) = World::standing_open(Plan::open(), 5140);
+    let edge = f.edges[0];
+    let with = |body: &[u8]| Req {
+        body: std::sync::Arc::new(body.to_vec()),
+        ..hosted("GET", "read", "red-1", None)
+    };
+    let bodies: [&[u8]; 3] = [b"one", b"two", b"three"];
+    let all: Vec<_> = bodies.iter().map(|b| w.ask(edge, Want::Request(with(b)))).collect();
+    w.run(Span::secs(1));
+    assert!(all.iter().all(|t| is_served(&w, *t)));
+    assert_eq!(common::runs(&w, "/read/red-1"), 3, "each is asked of the origin by itself");
+    clean(&mut w);
+}
