--- a/crates/edge/src/read.rs
+++ b/crates/edge/src/read.rs
@@ -31,6 +31,7 @@
         }
         // What is this caller's own is asked of the origin, for this caller alone.
         let asks = ["if-match", "if-unmodified-since"].iter().any(|n| j.req.heads.has(n));
+        let asks = asks || !j.req.body.is_empty();
         if own || asks || self.solo.get(&obj).is_some_and(|t| *t > now) {
             j.solo = true;
             self.launch(now, j, out);
--- a/crates/simulator/src/people.rs
+++ b/crates/simulator/src/people.rs
@@ -144,13 +144,15 @@
 }
 
 pub fn req(method: &str, lane: &str, path: &str, key: Option<&str>) -> Req {
+    let reads = ["GET", "HEAD"].contains(&method);
+    let body = if reads { vec![] } else { path.as_bytes().to_vec() };
     Req {
         method: method.into(),
         lane: lane.into(),
         path: path.into(),
         key: key.map(str::to_string),
         heads: Heads::default(),
-        body: Arc::new(path.as_bytes().to_vec()),
+        body: Arc::new(body),
         ..Req::default()
     }
 }
