--- a/crates/edge/src/keyed.rs
+++ b/crates/edge/src/keyed.rs
@@ -1,5 +1,6 @@
 //! Keyed requests: a quorum of the key's ledgers must grant it, synced, before
 //! anything leaves.
+use crate::answers::UNASKED;
 use crate::edge::Edge;
 use crate::jobs::*;
 use control_state::*;
@@ -60,7 +61,7 @@
             let back = self.come_back(Denied::NoLease);
             return self.tell(now, &c, Step::Deny(Denied::NoLease, back), out);
         }
-        let key = format!("{}/{}", j.req.lane, j.req.key.as_deref().unwrap_or(""));
+        let key = format!("{}/{}", self.key_space(&j.req.lane), j.req.key.as_deref().unwrap_or(""));
         let print = Print::of(&j.req.method, &j.req.path, &j.req.heads, &j.req.body);
         let n = self.number();
         let round = RoundId { node: self.follow.env.id, birth: self.follow.env.birth, n };
@@ -76,6 +77,13 @@
         self.count_votes(now, n, false, out);
     }
 
+    /// Within which a key names one operation: the lane's host, for lanes of a host come,
+    /// go and are renamed while their callers' keys stay the same.
+    fn key_space(&self, lane: &Lane) -> String {
+        let host = self.table.entries.get(lane).map(|e| e.host.to_ascii_lowercase());
+        host.unwrap_or_else(|| lane.to_string())
+    }
+
     /// A claim or its answer may be lost with a link; asking again changes nothing.
     pub(crate) fn claim_again(&mut self, now: Mono, id: u64, out: &mut Vec<Out>) {
         let Some(j) = self.jobs.get_mut(&id) else { return };
@@ -98,10 +106,15 @@
         said: Claimed,
         out: &mut Vec<Out>,
     ) {
-        let job = self.jobs.get_mut(&round.n).filter(|_| round.birth == self.follow.env.birth);
-        if let Some(Stage::Claim(votes)) = job.map(|j| &mut j.stage) {
-            votes.insert(from, said);
-            self.count_votes(now, round.n, false, out);
+        let Some(id) = self.own_round(round) else { return };
+        let Some(j) = self.jobs.get_mut(&id) else { return self.count(UNASKED) };
+        let asked = j.claim.as_ref().is_some_and(|c| c.round == round && c.ledgers().contains(&from));
+        match &mut j.stage {
+            Stage::Claim(votes) if asked => {
+                votes.insert(from, said);
+                self.count_votes(now, id, false, out);
+            }
+            _ => self.count(UNASKED),
         }
     }
 
@@ -191,6 +204,9 @@
     }
 
     pub(crate) fn on_kept(&mut self, from: Addr, round: RoundId) {
+        if self.own_round(round).is_none() {
+            return;
+        }
         for o in self.outgoing.iter_mut().filter(|o| o.round == round) {
             o.to.remove(&from);
         }
