--- /dev/null
+++ b/crates/control-state/src/leaving.rs
@@ -0,0 +1,55 @@
+//! Origins by the names of their lives, and what becomes of them when they leave.
+use crate::items::*;
+use crate::state::{Picture, Verdict, Void};
+use primitives::{Addr, Birth};
+
+impl Origin {
+    /// As a heartbeat describes it, serving.
+    pub fn of(beat: Beat) -> Origin {
+        Origin {
+            svc: beat.svc,
+            birth: beat.birth,
+            zone: beat.zone,
+            cap: beat.cap,
+            tag: beat.tag,
+            standing: Standing::Serving,
+        }
+    }
+}
+
+impl Picture {
+    /// Where the life of that name is, and which one it is.
+    pub fn named_origin(&self, name: &str) -> Option<(Addr, Birth)> {
+        self.items.iter().find_map(|(key, item)| match (key, &item.body) {
+            (Key::Origin(addr), Some(Body::Origin(o))) if o.tag == name => Some((*addr, o.birth)),
+            _ => None,
+        })
+    }
+
+    pub(crate) fn drain(&mut self, addr: Addr, birth: Birth) -> Verdict {
+        match self.origin(&addr).filter(|o| o.birth == birth).cloned() {
+            None => Verdict::Void(Void::OtherLife),
+            Some(o) if o.standing == Standing::Leaving => Verdict::Void(Void::NothingNew),
+            Some(o) => {
+                let leaving = Origin { standing: Standing::Leaving, ..o };
+                self.put(Key::Origin(addr), Some(Body::Origin(leaving)))
+            }
+        }
+    }
+
+    pub(crate) fn sign_off(&mut self, addr: Addr, birth: Birth) -> Verdict {
+        self.gone.insert(addr, birth);
+        if self.origin(&addr).is_some_and(|o| o.birth != birth) {
+            return Verdict::Void(Void::OtherLife);
+        }
+        self.put(Key::Origin(addr), None)
+    }
+
+    /// Signs off whoever has that name at this place of the order.
+    pub(crate) fn deregister(&mut self, name: &str) -> Verdict {
+        match self.named_origin(name) {
+            Some((addr, birth)) => self.sign_off(addr, birth),
+            None => Verdict::Void(Void::Absent),
+        }
+    }
+}
--- a/crates/control-state/src/lib.rs
+++ b/crates/control-state/src/lib.rs
@@ -5,6 +5,7 @@
 mod follow;
 mod heads;
 mod items;
+mod leaving;
 mod msg;
 mod pair;
 mod part;
--- a/crates/control-state/src/state.rs
+++ b/crates/control-state/src/state.rs
@@ -105,12 +105,7 @@
                     .map(Verdict::Void)
                     .unwrap_or_else(|| self.put(Key::Origin(*a), Some(Body::Origin(o.clone()))))
             }
-            Op::Drain(a, b) => {
-                let is = self.origin(a).filter(|o| o.birth == *b).cloned();
-                is.map(|o| Origin { standing: Standing::Leaving, ..o })
-                    .map(|o| self.put(Key::Origin(*a), Some(Body::Origin(o))))
-                    .unwrap_or(Verdict::Void(Void::OtherLife))
-            }
+            Op::Drain(a, b) => self.drain(*a, *b),
             Op::Remove(a, b) => {
                 let is = self.origin(a).is_some_and(|o| o.birth == *b);
                 if is {
@@ -119,15 +114,8 @@
                     Verdict::Void(Void::OtherLife)
                 }
             }
-            Op::SignOff(a, b) => {
-                self.gone.insert(*a, *b);
-                let other = self.origin(a).is_some_and(|o| o.birth != *b);
-                if other {
-                    Verdict::Void(Void::OtherLife)
-                } else {
-                    self.put(Key::Origin(*a), None)
-                }
-            }
+            Op::SignOff(a, b) => self.sign_off(*a, *b),
+            Op::Deregister(name) => self.deregister(name),
             Op::Join(id, n) => self.join(*id, n),
             Op::DrainNode(id) => self
                 .node(id)
--- a/crates/controller/src/beats.rs
+++ b/crates/controller/src/beats.rs
@@ -2,7 +2,7 @@
 //! commands.
 use crate::controller::Controller;
 use control_state::*;
-use primitives::{Addr, Mono, Span, Token};
+use primitives::{Addr, Birth, Mono, Span, Token};
 use std::collections::BTreeMap;
 
 /// Beats older than this are forgotten.
@@ -58,56 +58,35 @@
         mark: Option<Mono>,
         out: &mut Vec<Out>,
     ) {
-        let heard = |out: &mut Vec<Out>| out.push(Out::Tell(t, Receipt::Took));
         let known = mark.filter(|m| *m <= now).unwrap_or(now);
         let said = known.min(self.pulse.since(now));
         self.hear(b.clone(), said);
-        // Of two lives at an address the later heard is the one there now.
-        let there = self.beats.get(&b.addr).is_some_and(|(w, _)| w.birth == b.birth);
-        if self.mach.is_none() || !there || now - said > PAUSE.times(4) {
-            return heard(out);
+        if self.mach.is_none() || now - said > PAUSE.times(4) {
+            return out.push(Out::Tell(t, Receipt::NotNow("the heartbeat waited too long")));
         }
-        let known = self.pic.origin(&b.addr).cloned();
-        let mine = known.as_ref().filter(|o| o.birth == b.birth);
-        let op = match (b.mood, mine) {
-            (Mood::Warming | Mood::Serving, None) => Some(Op::Register(
-                b.addr,
-                Origin {
-                    svc: b.svc,
-                    birth: b.birth,
-                    zone: b.zone,
-                    cap: b.cap,
-                    tag: b.tag,
-                    standing: Standing::Serving,
-                },
-            )),
-            (Mood::Leaving, Some(o)) if o.standing == Standing::Serving => Some(Op::Drain(b.addr, b.birth)),
-            (Mood::Gone, _) => Some(Op::SignOff(b.addr, b.birth)),
-            _ => None,
-        };
-        match op {
-            Some(op) if b.mood.ends() => self.farewell(now, t, op, out),
-            op => {
-                op.into_iter().for_each(|op| self.derive(now, op, out));
-                heard(out);
+        match b.mood {
+            Mood::Leaving => self.drain(now, t, b, out),
+            Mood::Gone => self.farewell(now, t, Op::SignOff(b.addr, b.birth), out),
+            Mood::Warming | Mood::Serving => {
+                self.register(now, b, out);
+                out.push(Out::Tell(t, Receipt::Took));
             }
         }
     }
 
-    /// An origin's last word, by the name of its life; one that nobody knows has
-    /// nothing to sign off from.
-    pub(crate) fn sign_off(&mut self, now: Mono, t: Token, tag: &str, out: &mut Vec<Out>) {
-        let known = self.pic.items.iter().find_map(|(k, it)| match (k, &it.body) {
-            (Key::Origin(a), Some(Body::Origin(o))) if o.tag == tag => Some((*a, o.birth)),
-            _ => None,
-        });
-        let heard = self.beats.values().find(|(b, _)| b.tag == tag).map(|(b, _)| (b.addr, b.birth));
-        match known.or(heard) {
-            Some((a, b)) => self.farewell(now, t, Op::SignOff(a, b), out),
-            None => out.push(Out::Tell(t, Receipt::Took)),
+    /// Enters an origin that is not known yet.
+    fn register(&mut self, now: Mono, b: Beat, out: &mut Vec<Out>) {
+        let known = self.pic.origin(&b.addr).is_some_and(|o| o.birth == b.birth);
+        if !known && self.heard_last(b.addr, b.birth) {
+            self.derive(now, Op::Register(b.addr, Origin::of(b)), out);
         }
     }
 
+    /// Of two lives at an address the later heard is the one there now.
+    pub(crate) fn heard_last(&self, addr: Addr, birth: Birth) -> bool {
+        self.beats.get(&addr).is_some_and(|(b, _)| b.birth == birth)
+    }
+
     /// Beats passed on by another controller, no older than `echo`, this one's own clock.
     pub(crate) fn on_relay(
         &mut self,
@@ -119,6 +98,7 @@
     ) {
         self.pulse.clocks.insert(from, at);
         if let Some(then) = echo.filter(|e| *e <= now) {
+            self.contact.note(now, from, then);
             bs.into_iter().for_each(|(b, age)| self.hear(b, then - age));
         }
     }
--- /dev/null
+++ b/crates/controller/src/contact.rs
@@ -0,0 +1,113 @@
+//! Contact with the other members, proved by echoes.
+//!
+//! Every relay of heartbeats carries its sender's clock and the receiver's clock as
+//! the sender last heard it. Such an echo proves a round trip: whatever this
+//! controller sent at the echoed moment has arrived, and the answer has come back. That a
+//! member is *heard* proves one direction only, and of a message that waited out a freeze
+//! not even when it was sent.
+use crate::controller::Controller;
+use caesar::{classic, Kid};
+use control_state::*;
+use primitives::{Addr, Mono, Span};
+use std::collections::BTreeMap;
+
+/// A heartbeat is acknowledged by contact no older than this: an origin that goes on
+/// reporting here is then known to a majority well before it counts as silent.
+const HEARTBEAT_LEASE: Span = Span::ms(500);
+
+/// For each member the latest moment of this controller's own clock that it has heard.
+#[derive(Debug)]
+pub(crate) struct Contact {
+    started: Mono,
+    echoes: BTreeMap<Addr, Mono>,
+}
+
+impl Contact {
+    pub(crate) fn new(now: Mono) -> Contact {
+        Contact { started: now, echoes: BTreeMap::new() }
+    }
+
+    /// A member has heard this controller's clock say `echo`. What an earlier process sent
+    /// proves nothing of this one.
+    pub(crate) fn note(&mut self, now: Mono, from: Addr, echo: Mono) {
+        if echo < self.started || echo > now {
+            return;
+        }
+        let latest = self.echoes.entry(from).or_insert(echo);
+        *latest = echo.max(*latest);
+    }
+
+    fn reached(&self, member: &Addr) -> Option<Mono> {
+        self.echoes.get(member).copied()
+    }
+
+    /// The latest moment as of which a majority of the members, `me` counted as of now, has
+    /// heard this controller.
+    fn majority(&self, now: Mono, me: Addr, members: &[Member]) -> Option<Mono> {
+        let heard = |m: &Member| if m.addr == me { Some(now) } else { self.reached(&m.addr) };
+        let mut moments: Vec<Mono> = members.iter().filter_map(heard).collect();
+        moments.sort();
+        moments.into_iter().rev().nth(classic(members.len()) - 1)
+    }
+}
+
+impl Controller {
+    /// In contact with enough members to decide anything, as of a moment ago.
+    pub(crate) fn connected(&self, now: Mono) -> bool {
+        self.in_contact(now, self.env.pace.suspect)
+    }
+
+    /// Whether a heartbeat may be acknowledged.
+    pub(crate) fn takes_heartbeats(&self, now: Mono) -> bool {
+        self.in_contact(now, HEARTBEAT_LEASE)
+    }
+
+    fn in_contact(&self, now: Mono, lease: Span) -> bool {
+        if self.mach.is_none() {
+            return false;
+        }
+        if !self.env.contact_by_echo {
+            return self.hears_majority(now);
+        }
+        let latest = self.contact.majority(now, self.env.addr, &self.base.members);
+        latest.is_some_and(|t| now - t < lease)
+    }
+
+    /// A round trip to that member ended lately.
+    pub(crate) fn reaches(&self, now: Mono, kid: Kid) -> bool {
+        if !self.env.contact_by_echo {
+            return self.hears(now, kid);
+        }
+        let member = self.base.member(kid);
+        let latest = member.and_then(|m| self.contact.reached(&m.addr));
+        latest.is_some_and(|t| now - t < self.env.pace.suspect)
+    }
+
+    /// Some message of that member in this era was taken in lately.
+    pub(crate) fn hears(&self, now: Mono, kid: Kid) -> bool {
+        let heard = self.mach.as_ref().and_then(|m| m.heard_of(kid));
+        heard.is_some_and(|t| now - t < self.env.pace.suspect)
+    }
+
+    fn hears_majority(&self, now: Mono) -> bool {
+        let members = &self.base.members;
+        let heard = members.iter().filter(|m| m.kid == self.kid || self.hears(now, m.kid));
+        heard.count() >= classic(members.len())
+    }
+
+    /// Contact was lost: whoever waits is told at once that there is no clear answer. What
+    /// was proposed may still be decided; what only waited in line is dropped.
+    pub(crate) fn release_callers(&mut self, out: &mut Vec<Out>) {
+        let mut tokens: Vec<_> = std::mem::take(&mut self.looks).into_values().collect();
+        let (waiting, derived) = std::mem::take(&mut self.line).into_iter().partition(|(t, _)| t.is_some());
+        self.line = derived;
+        let waiting: Vec<_> = waiting;
+        tokens.extend(waiting.into_iter().filter_map(|(t, _)| t));
+        for pending in self.pending.values_mut() {
+            tokens.extend(pending.asked.iter_mut().filter_map(|(t, _)| t.take()));
+            tokens.append(&mut pending.more);
+        }
+        let lost = Receipt::NotNow("contact with the other controllers was lost");
+        out.extend(tokens.into_iter().map(|t| Out::Tell(t, lost.clone())));
+    }
+}
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -1,4 +1,5 @@
 use crate::beats::Pulse;
+use crate::contact::Contact;
 use crate::duty::Duty;
 use crate::feeds::Feed;
 use crate::force::Pending;
@@ -7,7 +8,7 @@
 use crate::roll::RollWatch;
 pub use crate::settings::{ControllerEnv, Open};
 use crate::show::Hidden;
-use caesar::{classic, Cid, Kid, Machine};
+use caesar::{Cid, Kid, Machine};
 use control_state::*;
 use primitives::{Addr, Birth, Mono, NodeId, Span, Token};
 use std::collections::{BTreeMap, BTreeSet};
@@ -31,6 +32,9 @@
     pub(crate) newcomers: BTreeMap<NodeId, Mono>,
     pub(crate) beats: BTreeMap<Addr, (Beat, Mono)>,
     pub(crate) pulse: Pulse,
+    pub(crate) contact: Contact,
+    /// Lives of origins whose drain this controller knows to be in force.
+    pub(crate) drained: BTreeMap<Addr, Birth>,
     /// Beats heard up to then were passed on.
     pub(crate) relayed: Mono,
     /// What was lately proposed without an operator, so as not to repeat it.
@@ -52,8 +56,8 @@
     pub(crate) duty: Duty,
     pub(crate) roll: RollWatch,
     pub(crate) said: BTreeMap<Addr, Mono>,
-    /// Heard enough of the others when last looked at.
-    near: bool,
+    /// In contact with enough of the others when last looked at.
+    in_touch: bool,
     pub(crate) cutting: Option<Mono>,
     /// Callers through other nodes, by the tokens given to their calls.
     pub(crate) calls: BTreeMap<Token, (Addr, u64)>,
@@ -88,6 +92,8 @@
             newcomers: BTreeMap::new(),
             beats: BTreeMap::new(),
             pulse: Pulse::new(now),
+            contact: Contact::new(now),
+            drained: BTreeMap::new(),
             relayed: Mono(0),
             derived: BTreeMap::new(),
             pending: BTreeMap::new(),
@@ -101,7 +107,7 @@
             duty: Duty::new(now),
             roll: RollWatch::default(),
             said: BTreeMap::new(),
-            near: false,
+            in_touch: false,
             cutting: None,
             calls: BTreeMap::new(),
             next_call: 0,
@@ -147,15 +153,6 @@
         self.mach.as_ref().map(|_| self.kid)
     }
 
-    /// Hears enough of the others to decide anything.
-    pub(crate) fn connected(&self, now: Mono) -> bool {
-        self.mach.as_ref().is_some_and(|m| {
-            let near = |k: &Kid| m.heard_of(*k).is_some_and(|t| now - t < self.env.pace.suspect);
-            let n = m.roster().len();
-            m.roster().iter().filter(|k| **k == self.kid || near(k)).count() >= classic(n)
-        })
-    }
-
     /// True at most once per `every` for each name.
     pub(crate) fn due(&mut self, name: &'static str, every: Span, now: Mono) -> bool {
         let was = self.last.entry(name).or_default();
@@ -175,13 +172,14 @@
         let r = match ask {
             Ask::Change(c) if ready && self.gathered(now, &c) => return self.submit(now, Some(t), c, out),
             Ask::Change(_) => Receipt::NotNow("no quorum of controllers in reach"),
-            Ask::Beat(b, mark) if ready => return self.first_hand(now, t, b, mark, out),
+            Ask::Beat(b, mark) if self.takes_heartbeats(now) => return self.first_hand(now, t, b, mark, out),
             Ask::SignOff(tag) if ready => return self.sign_off(now, t, &tag, out),
             Ask::Beat(..) | Ask::SignOff(_) => Receipt::NotNow("no quorum of controllers in reach"),
             Ask::Replace { old, new } => self.replace(now, old, new, out),
             Ask::Table if ready => return self.look(now, t, out),
             Ask::Table => Receipt::NotNow("no quorum of controllers in reach"),
             Ask::Ready => Receipt::Health(self.health(now)),
+            Ask::Read => Receipt::NotNow("controllers are read by their table"),
             _ => Receipt::Took,
         };
         out.push(Out::Tell(t, r));
@@ -193,11 +191,12 @@
         }
         self.mind_roster(now, out);
         self.with_machine(now, out, |m, o| m.tick(now, o));
-        let near = self.connected(now);
-        if self.near && !near {
-            out.push(Out::Alarm("too few other controllers are heard: nothing can be decided"));
+        let in_touch = self.connected(now);
+        if self.in_touch && !in_touch {
+            out.push(Out::Alarm("out of contact with most controllers: nothing can be decided"));
+            self.release_callers(out);
         }
-        self.near = near;
+        self.in_touch = in_touch;
         self.send_line(now, out);
         self.land(now, out);
         self.force(now, out);
--- a/crates/controller/src/duty.rs
+++ b/crates/controller/src/duty.rs
@@ -8,6 +8,13 @@
 
 /// How long a controller's word for a holder stands.
 pub(crate) const TERM: Span = Span::ms(1500);
+/// An epoch that finds no quorum is given up after so long. Invariant: longer than any
+/// word stands, or of a vote once split each half's words would end as the next epoch is
+/// already refused by the other half, for ever.
+const RAISE: Span = Span::ms(3500);
+/// A member within reach that does not ask for the leadership for so long cannot hold it:
+/// it is out of contact with a majority.
+const STEP_IN: Span = Span::secs(3);
 
 pub(crate) struct Duty {
     /// Invariant: never goes down; nobody below it is served.
@@ -19,6 +26,9 @@
     mine: Option<Epoch>,
     since: Mono,
     words: BTreeMap<Kid, Mono>,
+    /// When each member last asked for the leadership, and when this process began.
+    asks: BTreeMap<Kid, Mono>,
+    began: Mono,
     need: usize,
     purses: BTreeMap<Svc, Purse>,
 }
@@ -40,6 +50,8 @@
             mine: None,
             since: now,
             words: BTreeMap::new(),
+            asks: BTreeMap::new(),
+            began: now,
             need: usize::MAX,
             purses: BTreeMap::new(),
         }
@@ -56,16 +68,25 @@
         self.mine.is_some() && self.carried() > now
     }
 
+    fn last_ask(&self, kid: Kid) -> Mono {
+        self.asks.get(&kid).copied().unwrap_or(self.began)
+    }
+
     pub(crate) fn epoch(&self) -> Epoch {
         self.mine.unwrap_or(Epoch(0))
     }
 }
 
 impl Controller {
+    /// Every member before this one in the order is out of reach, or has not asked for the
+    /// leadership for so long that it must be unable to.
     fn first_live(&self, now: Mono) -> bool {
-        let heard = |k: &Kid| self.mach.as_ref().and_then(|m| m.heard_of(*k));
-        let live = |k: &Kid| *k == self.kid || heard(k).is_some_and(|t| now - t < self.env.pace.suspect);
-        order(&self.pic).into_iter().find(live) == Some(self.kid)
+        // Who has just got its seat cannot have reached anybody yet.
+        let settled = now - self.seated > self.env.pace.suspect;
+        let idle = |k: &Kid| now - self.duty.last_ask(*k) > STEP_IN;
+        let passed_over = |k: &Kid| settled && (!self.reaches(now, *k) || idle(k));
+        let members = order(&self.pic);
+        members.contains(&self.kid) && members.iter().take_while(|k| **k != self.kid).all(passed_over)
     }
 
     pub(crate) fn do_duty(&mut self, now: Mono, out: &mut Vec<Out>) {
@@ -77,7 +98,7 @@
         if self.due("duty", Span::ms(300), now) {
             let d = &mut self.duty;
             d.need = classic(self.base.members.len());
-            if d.mine.is_none_or(|e| e < d.seen) || (d.carried() <= now && d.since + TERM < now) {
+            if d.mine.is_none_or(|e| e < d.seen) || (d.carried() <= now && d.since + RAISE < now) {
                 d.mine = Some(Epoch(d.seen.0 + 1));
                 d.seen = Epoch(d.seen.0 + 1);
                 d.since = now;
@@ -110,6 +131,7 @@
         out: &mut Vec<Out>,
     ) {
         let d = &mut self.duty;
+        d.asks.insert(kid, now);
         let same = d.word == Some((kid, e));
         let free = d.until <= now && e >= d.seen;
         let yes = same || free;
--- a/crates/controller/src/force.rs
+++ b/crates/controller/src/force.rs
@@ -16,12 +16,13 @@
     pub asked: Vec<(Option<Token>, Change)>,
     /// In the order of `asked`, once delivered.
     pub verdicts: Option<Vec<Verdict>>,
-    /// Who asked for the same while it was under way; told as the first one is.
+    /// Who asked for the same while it was under way; told as the last one is.
     pub more: Vec<Token>,
     pub yes: BTreeSet<Kid>,
     pub began: Mono,
 }
 
+const NOT_A_MEMBER: Receipt = Receipt::NotNow("not a member any more");
 const FORGET: Span = Span::secs(60);
 /// Purges in one command.
 const BATCH: usize = 100;
@@ -37,10 +38,19 @@
         }
     }
 
-    /// What did not come through in an era, or was overtaken, is proposed anew.
-    pub(crate) fn again(&mut self, now: Mono, p: Pending, out: &mut Vec<Out>) {
-        out.extend(p.more.into_iter().map(|t| Out::Tell(t, Receipt::Took)));
-        self.propose(now, p.asked, out);
+    /// What did not come through in an era, or was overtaken, is proposed anew; whoever
+    /// joined goes on waiting. A removal is not: its origin may have been heard since.
+    pub(crate) fn again(&mut self, now: Mono, mut p: Pending, out: &mut Vec<Out>) {
+        p.asked.retain(|(t, c)| t.is_some() || !matches!(c.op, Op::Remove(..)));
+        if p.asked.is_empty() {
+            return;
+        }
+        match self.propose(now, p.asked, out) {
+            Some(cid) => {
+                self.pending.entry(cid).and_modify(|next| next.more = p.more);
+            }
+            None => out.extend(p.more.into_iter().map(|t| Out::Tell(t, NOT_A_MEMBER))),
+        }
     }
 
     /// One such command is under way at a time; the rest gathers.
@@ -65,10 +75,16 @@
         }
     }
 
-    fn propose(&mut self, now: Mono, asked: Vec<(Option<Token>, Change)>, out: &mut Vec<Out>) {
+    pub(crate) fn propose(
+        &mut self,
+        now: Mono,
+        asked: Vec<(Option<Token>, Change)>,
+        out: &mut Vec<Out>,
+    ) -> Option<Cid> {
         let cmd = Cmd::Changes(asked.iter().map(|(_, c)| c.clone()).collect());
         let mut o = vec![];
-        match self.mach.as_mut().map(|m| m.propose(now, cmd, &mut o)) {
+        let cid = self.mach.as_mut().map(|m| m.propose(now, cmd, &mut o));
+        match cid {
             Some(c) => {
                 self.pending.insert(
                     c,
@@ -76,27 +92,29 @@
                 );
             }
             None => {
-                let no = |t| Out::Tell(t, Receipt::NotNow("not a member any more"));
+                let no = |t| Out::Tell(t, NOT_A_MEMBER);
                 out.extend(asked.into_iter().filter_map(|(t, _)| t).map(no));
             }
         }
         self.carry(now, o, out);
+        cid
     }
 
     /// A word of leaving, which its origin repeats until it is answered: one command
     /// of it is under way at a time, or those of a slow core would pile up.
     pub(crate) fn farewell(&mut self, now: Mono, t: Token, op: Op, out: &mut Vec<Out>) {
-        let same = |p: &&mut Pending| p.asked.iter().any(|(_, c)| c.id.is_none() && c.op == op);
-        if let Some(p) = self.pending.values_mut().find(same) {
-            return p.more.push(t);
-        }
-        if self.newly(now, &op) {
+        if !self.join_pending(t, &op) {
             self.submit(now, Some(t), Change { id: None, op }, out);
-        } else {
-            out.push(Out::Tell(t, Receipt::Took));
         }
     }
 
+    /// Whether the same is under way, so that its answer will be this caller's too.
+    pub(crate) fn join_pending(&mut self, t: Token, op: &Op) -> bool {
+        let same = |p: &&mut Pending| p.asked.iter().any(|(_, c)| c.id.is_none() && c.op == *op);
+        let pending = self.pending.values_mut().find(same);
+        pending.map(|p| p.more.push(t)).is_some()
+    }
+
     /// Whether the same was not proposed a moment ago.
     fn newly(&mut self, now: Mono, op: &Op) -> bool {
         let print = primitives::hash(&format!("{op:?}"));
@@ -176,16 +194,22 @@
         let need = classic(self.base.members.len());
         let Some(p) = self.pending.get(&cid) else { return };
         let Some(vs) = &p.verdicts else { return };
-        let asked = |t: &Option<Token>, c: &Change| t.is_some() || matches!(c.op, Op::Seats { .. });
-        let waits =
-            |((t, c), v): (&(Option<Token>, Change), &Verdict)| asked(t, c) && matches!(v, Verdict::Done(_));
+        let joined = !p.more.is_empty();
+        let asked = |t: &Option<Token>, c: &Change| t.is_some() || joined || matches!(c.op, Op::Seats { .. });
+        // What is void is so because of something earlier, which must be in force as well.
+        let refused =
+            |v: &Verdict| matches!(v, Verdict::Stale(..) | Verdict::Flawed(_) | Verdict::Void(Void::IdTaken));
+        let waits = |((t, c), v): (&(Option<Token>, Change), &Verdict)| asked(t, c) && !refused(v);
         let open = p.asked.iter().zip(vs).any(waits);
         if !open || p.yes.len() >= need {
             let p = self.pending.remove(&cid).expect("found above");
             let each: Vec<_> = p.asked.into_iter().zip(p.verdicts.unwrap_or_default()).collect();
             each.iter().for_each(|((_, c), v)| self.roll.forced(now, c, v));
-            let first = each.first().map_or(Receipt::Took, |(_, v)| Receipt::Change(v.clone()));
-            out.extend(p.more.into_iter().map(|t| Out::Tell(t, first.clone())));
+            if p.yes.len() >= need {
+                each.iter().for_each(|((_, c), _)| self.note_drained(c));
+            }
+            let last = each.last().map_or(Receipt::Took, |(_, v)| Receipt::Change(v.clone()));
+            out.extend(p.more.into_iter().map(|t| Out::Tell(t, last.clone())));
             out.extend(
                 each.into_iter().filter_map(|((t, _), v)| t.map(|t| Out::Tell(t, Receipt::Change(v)))),
             );
--- a/crates/controller/src/landing.rs
+++ b/crates/controller/src/landing.rs
@@ -5,7 +5,7 @@
 //! to an edge that does not know the newer one. An edge that goes by the old roster
 //! needs a renewal from each of its classic quorums, so there is then none that serves.
 use crate::controller::Controller;
-use caesar::{classic, Kid, Machine};
+use caesar::{classic, Kid};
 use control_state::*;
 use primitives::{Mono, Span};
 use std::collections::{BTreeMap, BTreeSet};
@@ -40,13 +40,12 @@
         mine(m) || (outlived && self.base.members.get(seat).is_some_and(mine))
     }
 
-    /// Another member was lately heard in this era: without, this controller may have been
-    /// replaced and not know it.
+    /// Another member was lately heard in this era, and a round trip to it ended lately:
+    /// without, this controller may have been replaced and not know it. What waited out a
+    /// freeze is heard, and proves nothing.
     pub(crate) fn in_company(&self, now: Mono) -> bool {
-        let near = |m: &Machine<Cmd>, k: &Kid| {
-            *k != self.kid && m.heard_of(*k).is_some_and(|t| now - t < self.env.pace.suspect)
-        };
-        self.mach.as_ref().is_some_and(|m| m.roster().len() == 1 || m.roster().iter().any(|k| near(m, k)))
+        let near = |k: &Kid| *k != self.kid && self.hears(now, *k) && self.reaches(now, *k);
+        self.mach.as_ref().is_some_and(|m| m.roster().len() == 1 || m.roster().iter().any(near))
     }
 
     /// Says what it knows at first hand, as long as there is any roster left.
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -2,6 +2,7 @@
 mod apply;
 mod beats;
 mod calls;
+mod contact;
 mod controller;
 mod duty;
 mod era;
@@ -9,6 +10,7 @@
 mod force;
 mod found;
 mod landing;
+mod leaving;
 mod open;
 mod recs;
 mod roll;
--- a/crates/controller/src/settings.rs
+++ b/crates/controller/src/settings.rs
@@ -37,5 +37,7 @@
     pub vanish: Span,
     /// Bytes of records after which all is written anew in short.
     pub base_after: usize,
+    /// Contact is proved by echoes; switched off only to show what hearing alone leads to.
+    pub contact_by_echo: bool,
     pub pace: Pace,
 }
--- a/crates/lanewing/src/roles.rs
+++ b/crates/lanewing/src/roles.rs
@@ -154,6 +154,7 @@
         window: l.window,
         vanish: l.vanish,
         base_after: l.ring_mb << 18,
+        contact_by_echo: true,
         pace: caesar::Pace::default(),
     };
     let mut out = vec![];
--- a/crates/machine/src/parts.rs
+++ b/crates/machine/src/parts.rs
@@ -79,6 +79,7 @@
             window: self.window + LATE,
             vanish: self.beat.times(4),
             base_after: (self.file(CONTROLLER_FILE) * 3 / 4) as usize,
+            contact_by_echo: true,
             pace: caesar::Pace::default(),
         };
         controller::Controller::start(env, kept, runtime::life(), now, out)
--- a/crates/scale-model/src/fleet.rs
+++ b/crates/scale-model/src/fleet.rs
@@ -158,6 +158,7 @@
             window: WINDOW,
             vanish: Span::secs(3),
             base_after: 128 << 18,
+            contact_by_echo: true,
             pace: caesar::Pace::default(),
         };
         let mut out = vec![];
--- a/crates/simulator/src/people.rs
+++ b/crates/simulator/src/people.rs
@@ -13,7 +13,8 @@
     Read,
     /// An origin signs off by what it calls its life.
     SignOff(String),
-    Beat(Addr),
+    /// A heartbeat of that origin; whether it said that it leaves.
+    Beat(Addr, bool),
     Probes,
     Ready,
     Drain,
@@ -55,7 +56,7 @@
             Want::Read => Ask::Read,
             Want::SignOff(tag) => Ask::SignOff(tag.clone()),
             Want::Drain => Ask::Drain,
-            Want::Ready | Want::Beat(_) | Want::Probes => Ask::Ready,
+            Want::Ready | Want::Beat(..) | Want::Probes => Ask::Ready,
         };
         let up = self.procs.get(&at).is_some_and(|p| p.part.is_some());
         if up {
@@ -100,16 +101,16 @@
     pub(crate) fn told(&mut self, a: Addr, t: Token, r: Receipt) {
         let Some((at, want, asked)) = self.wants.remove(&t) else { return };
         match (&want, &r) {
-            (Want::Beat(b), Receipt::NotNow(_)) => {
+            (Want::Beat(b, _), Receipt::NotNow(_)) => {
                 self.blooms.get_mut(b).into_iter().for_each(|b| b.controller += 1);
                 self.count("beats not taken");
                 return;
             }
-            (Want::Beat(b), Receipt::Change(Verdict::Done(_))) => {
-                self.signed_off.insert(*b);
+            (Want::Beat(b, last_word), _) => {
+                self.heartbeats_taken.insert(at, self.now);
+                self.signed_off.extend(Some(*b).filter(|_| *last_word));
                 return;
             }
-            (Want::Beat(_), _) => return,
             (Want::Probes, Receipt::Probes(all)) => return self.probe_all(a, all.clone()),
             _ => (),
         }
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -39,6 +39,8 @@
     pub serve_on: bool,
     /// Controllers are not told of one another: the first seed founds, others join.
     pub open: Option<controller::Open>,
+    /// Controllers prove their contact by echoes; see `controller`.
+    pub contact_by_echo: bool,
 }
 
 impl Plan {
@@ -63,6 +65,7 @@
             copies: 1 << 20,
             serve_on: false,
             open: None,
+            contact_by_echo: true,
         }
     }
     pub fn bersatu() -> Plan {
@@ -104,6 +107,8 @@
     pub seen: Vec<Seen>,
     /// Origins whose word of leaving was answered as in force.
     pub signed_off: BTreeSet<Addr>,
+    /// Whoever acknowledged a heartbeat: when that was last told.
+    pub heartbeats_taken: BTreeMap<Addr, Mono>,
     pub counts: BTreeMap<&'static str, u64>,
     pub next_token: u64,
     heap: BinaryHeap<Reverse<(Mono, u64)>>,
@@ -124,6 +129,7 @@
             wants: BTreeMap::new(),
             seen: vec![],
             signed_off: BTreeSet::new(),
+            heartbeats_taken: BTreeMap::new(),
             counts: BTreeMap::new(),
             next_token: 0,
             heap: BinaryHeap::new(),
