--- a/crates/control-state/src/lib.rs
+++ b/crates/control-state/src/lib.rs
@@ -6,6 +6,7 @@
 mod follow;
 mod heads;
 mod items;
+mod leaving;
 mod msg;
 mod pair;
 mod part;
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -2,6 +2,7 @@
 mod apply;
 mod beats;
 mod calls;
+mod contact;
 mod controller;
 mod duty;
 mod era;
@@ -13,6 +14,7 @@
 mod membership;
 pub mod membership_plan;
 mod open;
+mod origin_leaving;
 mod recs;
 mod roll;
 mod settings;
--- a/crates/lanewing/src/roles.rs
+++ b/crates/lanewing/src/roles.rs
@@ -187,6 +187,7 @@
         window: limits.window,
         vanish: limits.vanish,
         base_after: limits.ring_mb << 18,
+        contact_by_echo: true,
         pace: caesar::Pace::default(),
     };
     let mut first = vec![];
