--- /dev/null
+++ b/crates/controller/tests/rejoin.rs
@@ -0,0 +1,143 @@
+//! A member that was removed though alive: what its disk still says, and what it never says.
+use caesar::{Ballot, Cid, Kid, Offer, Pace, Preds, Stamp, Wag};
+use control_state::*;
+use controller::{Controller, ControllerEnv, Kept, Open};
+use primitives::{Addr, Birth, Mono, Span};
+use std::net::{Ipv4Addr, SocketAddr};
+
+const BIRTH: u64 = 77;
+const NOW: Mono = Mono(1_000_000);
+
+fn addr(host: u8) -> Addr {
+    Addr(SocketAddr::from((Ipv4Addr::new(10, 0, 0, host), 1)))
+}
+
+fn member(kid: u16, host: u8, birth: u64) -> Member {
+    Member {
+        kid: Kid(kid),
+        addr: addr(host),
+        http: addr(host),
+        zone: "sicilia/a".into(),
+        birth: Birth(birth),
+    }
+}
+
+/// Three members of the first era, of which the last is the controller under test.
+fn first_era() -> Picture {
+    let members = [member(0, 1, 1), member(1, 2, 2), member(2, 3, BIRTH)];
+    Picture::default().cut(&members, Era(0), 0)
+}
+
+/// The era after it, in which a newcomer has its seat.
+fn without_it() -> Picture {
+    first_era().cut(&[member(0, 1, 1), member(1, 2, 2), member(3, 4, 4)], Era(0), 100)
+}
+
+/// The era after that, in which it has a seat again.
+fn with_it_again() -> Picture {
+    let members = [member(0, 1, 1), member(1, 2, 2), member(3, 4, 4), member(4, 3, BIRTH)];
+    without_it().cut(&members, Era(2), 200)
+}
+
+fn start(kept: Vec<Kept>, out: &mut Vec<Out>) -> Controller {
+    let env = ControllerEnv {
+        addr: addr(3),
+        http: addr(3),
+        zone: "sicilia/a".into(),
+        seeds: vec![addr(1), addr(2), addr(3)],
+        found: false,
+        open: Some(Open { initial: false, keeps: true, losses: 1 }),
+        lease: Span::ms(600),
+        cut_at: 256,
+        window: Span::secs(90),
+        vanish: Span::secs(3),
+        base_after: 1 << 20,
+        pace: Pace::default(),
+    };
+    Controller::start(env, kept, 5, NOW, out)
+}
+
+fn step(controller: &mut Controller, from: u8, msg: Msg) -> Vec<Out> {
+    let mut out = vec![];
+    controller.step(NOW + Span::ms(10), In::Msg(addr(from), msg), &mut out);
+    out
+}
+
+fn proposal(era: Era) -> Msg {
+    let cid = Cid { kid: Kid(0), seq: 9 };
+    let stamp = Stamp { k: 9, i: Kid(0) };
+    let offer = Offer { cid, cmd: Cmd::Look, ballot: Ballot::default(), stamp, pred: Preds::new() };
+    Msg::wag(era, Kid(0), Wag::FastPropose(offer, false))
+}
+
+fn votes(out: &[Out]) -> usize {
+    out.iter().filter(|o| matches!(o, Out::Send(_, Msg::Wag(..)))).count()
+}
+
+fn bases(out: &[Out]) -> Vec<Kept> {
+    out.iter().filter_map(|o| if let Out::Base(b) = o { Kept::decode(b) } else { None }).collect()
+}
+
+/// Seated in the first era; then it hears of the era without it. What it kept of that.
+fn removed() -> (Controller, Vec<Kept>) {
+    let mut out = vec![];
+    let mut controller = start(vec![Kept::Base(Birth(BIRTH), Box::new(first_era()))], &mut out);
+    assert_eq!(controller.kid(), Some(Kid(2)));
+    assert_eq!(votes(&step(&mut controller, 1, proposal(Era(1)))), 1, "a member votes");
+    let out = step(&mut controller, 1, Msg::Picture(Box::new(without_it())));
+    assert_eq!(controller.kid(), None, "its seat is gone");
+    (controller, bases(&out))
+}
+
+#[test]
+fn given_a_member_that_learns_of_its_removal_then_it_votes_in_no_era_and_asks_for_a_seat() {
+    let (mut controller, kept) = removed();
+    assert!(matches!(&kept[..], [Kept::Base(b, p)] if b.0 == BIRTH && p.era == Era(2)), "{kept:?}");
+    for era in [Era(1), Era(2)] {
+        assert_eq!(votes(&step(&mut controller, 1, proposal(era))), 0, "{era:?}");
+    }
+    let mut out = vec![];
+    controller.step(NOW + Span::secs(1), In::Tick, &mut out);
+    let shown: Vec<&Addr> = out
+        .iter()
+        .filter_map(|o| match o {
+            Out::Send(to, Msg::Blank(m)) if m.birth == Birth(BIRTH) => Some(to),
+            _ => None,
+        })
+        .collect();
+    assert!(shown.contains(&&addr(4)), "also to a member that is no seed: {shown:?}");
+}
+
+#[test]
+fn given_a_removed_member_that_restarts_on_its_disk_then_it_still_votes_in_no_era() {
+    let (_, kept) = removed();
+    let mut controller = start(kept, &mut vec![]);
+    assert_eq!(controller.kid(), None);
+    for era in [Era(1), Era(2)] {
+        assert_eq!(votes(&step(&mut controller, 1, proposal(era))), 0, "{era:?}");
+    }
+}
+
+#[test]
+fn given_a_removed_member_that_has_a_seat_again_then_it_votes_under_its_new_id_only() {
+    let (mut controller, _) = removed();
+    let out = step(&mut controller, 1, Msg::Learn(Box::new(without_it())));
+    let learned = |o: &Out| matches!(o, Out::Send(_, Msg::Learned(Era(2), Birth(BIRTH))));
+    assert!(out.iter().any(learned), "{out:?}");
+    step(&mut controller, 1, Msg::Picture(Box::new(with_it_again())));
+    assert_eq!(controller.kid(), Some(Kid(4)));
+    assert_eq!(votes(&step(&mut controller, 1, proposal(Era(1)))), 0);
+    assert_eq!(votes(&step(&mut controller, 1, proposal(Era(3)))), 1);
+}
+
+#[test]
+fn given_an_empty_disk_when_it_is_sent_a_snapshot_then_it_confirms_only_after_it_kept_it() {
+    let mut controller = start(vec![], &mut vec![]);
+    let out = step(&mut controller, 1, Msg::Learn(Box::new(without_it())));
+    let base = out.iter().position(|o| matches!(o, Out::Base(_)));
+    let learned = out.iter().position(|o| matches!(o, Out::Send(_, Msg::Learned(Era(2), _))));
+    assert!(base.is_some() && base < learned, "{out:?}");
+    assert_eq!(controller.kid(), None);
+    let old = step(&mut controller, 1, Msg::Learn(Box::new(first_era())));
+    assert!(old.is_empty(), "an older snapshot is not confirmed: {old:?}");
+}
