--- a/crates/controller/src/contact.rs
+++ b/crates/controller/src/contact.rs
@@ -57,6 +57,13 @@
         self.in_contact(now, self.env.pace.suspect)
     }
 
+    /// Whether it is worth trying to decide something: in contact, or seated so lately that
+    /// contact could not be proved yet. Nothing is confirmed by it.
+    pub(crate) fn may_decide(&self, now: Mono) -> bool {
+        let seated_lately = now - self.seated < self.env.pace.suspect;
+        self.connected(now) || (self.mach.is_some() && seated_lately)
+    }
+
     /// Whether a heartbeat may be acknowledged.
     pub(crate) fn takes_heartbeats(&self, now: Mono) -> bool {
         self.in_contact(now, HEARTBEAT_LEASE)
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -56,7 +56,7 @@
     pub(crate) duty: Duty,
     pub(crate) roll: RollWatch,
     pub(crate) said: BTreeMap<Addr, Mono>,
-    /// In contact with enough of the others when last looked at.
+    /// Could decide something when last looked at.
     in_touch: bool,
     pub(crate) cutting: Option<Mono>,
     /// Callers through other nodes, by the tokens given to their calls.
@@ -168,7 +168,7 @@
     }
 
     pub(crate) fn ask(&mut self, now: Mono, t: Token, ask: Ask, out: &mut Vec<Out>) {
-        let ready = self.connected(now);
+        let ready = self.may_decide(now);
         let r = match ask {
             Ask::Change(c) if ready && self.gathered(now, &c) => return self.submit(now, Some(t), c, out),
             Ask::Change(_) => Receipt::NotNow("no quorum of controllers in reach"),
@@ -191,7 +191,7 @@
         }
         self.mind_roster(now, out);
         self.with_machine(now, out, |m, o| m.tick(now, o));
-        let in_touch = self.connected(now);
+        let in_touch = self.may_decide(now);
         if self.in_touch && !in_touch {
             out.push(Out::Alarm("out of contact with most controllers: nothing can be decided"));
             self.release_callers(out);
