--- a/crates/control-state/src/lib.rs
+++ b/crates/control-state/src/lib.rs
@@ -2,6 +2,8 @@
 //! between lanewing's processes.
 mod call;
 mod cmd;
+mod confirmed;
+mod edits;
 mod follow;
 mod heads;
 mod items;
@@ -20,6 +22,7 @@
 
 pub use call::*;
 pub use cmd::*;
+pub use confirmed::*;
 pub use follow::*;
 pub use heads::*;
 pub use items::*;
--- a/crates/control-state/src/sheet.rs
+++ b/crates/control-state/src/sheet.rs
@@ -1,10 +1,11 @@
 //! The operator's sheet: lanes by host and path, services, and limits on callers,
 //! as named entries whose versions the operator chooses.
+use crate::confirmed::ContentDigest;
 use crate::items::*;
-use crate::state::{Picture, Verdict};
 use primitives::{Span, Version};
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
+use std::fmt;
 
 /// A part of the sheet.
 #[derive(Copy, Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -70,6 +71,8 @@
     pub name: String,
     pub ver: Version,
     pub body: Option<Body>,
+    /// Of its content: of two edits with one name and number only one content counts.
+    pub content: ContentDigest,
 }
 
 /// Copies to be purged, by what they are rather than by where they come from.
@@ -100,9 +103,52 @@
     Misplaced { name: String },
 }
 
+/// One number of one entry, as operators are told of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EntryNumber {
+    pub section: Section,
+    pub name: String,
+    pub ver: Version,
+}
+
+impl fmt::Display for EntryNumber {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "{}: number {}", self.name, self.ver.0)
+    }
+}
+
 const AIM_OVER: Span = Span::secs(60);
 
+/// The canonical text of what drops an entry.
+const DROPPED: &str = "dropped";
+
+/// A body as it is whatever the order of its weights.
+fn canonical(body: &Body) -> String {
+    let mut body = body.clone();
+    if let Body::Lane(lane) = &mut body {
+        lane.weights.sort();
+    }
+    format!("{body:?}")
+}
+
 impl Edit {
+    /// Sets the entry, or drops it; what its body holds is its content.
+    pub fn new(section: Section, name: &str, ver: Version, body: Option<Body>) -> Edit {
+        let text = body.as_ref().map_or(DROPPED.to_string(), canonical);
+        let content = ContentDigest::of(&text);
+        Edit { section, name: name.into(), ver, body, content }
+    }
+
+    /// Sets the entry to what was written in a form that has a canonical text.
+    pub fn written(section: Section, name: &str, ver: Version, body: Body, text: &str) -> Edit {
+        let content = ContentDigest::of(text);
+        Edit { section, name: name.into(), ver, body: Some(body), content }
+    }
+
+    pub(crate) fn number(&self) -> EntryNumber {
+        EntryNumber { section: self.section, name: self.name.clone(), ver: self.ver }
+    }
+
     pub fn key(&self) -> Key {
         Key::Entry(self.section, self.name.clone())
     }
@@ -118,7 +164,7 @@
         120 + self.name.len() + said
     }
 
-    fn lane(&self) -> Option<&LaneEntry> {
+    pub(crate) fn lane(&self) -> Option<&LaneEntry> {
         match &self.body {
             Some(Body::Lane(l)) => Some(l),
             _ => None,
@@ -150,56 +196,3 @@
 fn bounded(p: &str) -> bool {
     p.starts_with('/') && p.ends_with('/')
 }
-
-impl Picture {
-    fn newer(&self, e: &Edit) -> bool {
-        self.items.get(&e.key()).is_none_or(|it| e.ver > it.ver)
-    }
-
-    fn service_after(&self, edits: &[Edit], svc: &Svc) -> bool {
-        let k = Key::Entry(Section::Services, svc.0.clone());
-        let was = self.item(&k);
-        let mine = edits.iter().filter(|e| e.key() == k && self.newer(e));
-        let edit = mine.max_by_key(|e| e.ver);
-        edit.map_or(was.body.is_some(), |e| e.body.is_some())
-    }
-
-    /// Why the edits, all together, may not be taken.
-    pub fn flaw(&self, edits: &[Edit]) -> Option<Flaw> {
-        // What is overtaken has no effect: it may name what has gone since, though not
-        // what never was.
-        let gone = |e: &Edit, svc: &Svc| {
-            let was = self.items.contains_key(&Key::Entry(Section::Services, svc.0.clone()));
-            was && !self.newer(e)
-        };
-        let unknown = |e: &Edit| {
-            let known = |s: &Svc| self.service_after(edits, s) || gone(e, s);
-            let lost = e.lane()?.weights.iter().find(|(s, _)| !known(s))?;
-            Some(Flaw::UnknownService { name: e.name.clone(), svc: lost.0.clone() })
-        };
-        edits.iter().find_map(Edit::flaw).or_else(|| edits.iter().find_map(unknown))
-    }
-
-    /// All of them or none; those that are overtaken have no effect.
-    pub(crate) fn edit(&mut self, edits: &[Edit]) -> Verdict {
-        if let Some(f) = self.flaw(edits) {
-            return Verdict::Flawed(f);
-        }
-        let mut done = vec![];
-        for e in edits {
-            if self.newer(e) {
-                self.items.insert(e.key(), Item { ver: e.ver, body: e.body.clone() });
-                done.push((e.key(), e.ver));
-            }
-        }
-        Verdict::Done(done)
-    }
-
-    /// The sheet's entries that stand, by section and name.
-    pub fn entries(&self) -> impl Iterator<Item = (Section, &String, &Item)> {
-        self.items.iter().filter_map(|(k, it)| match k {
-            Key::Entry(s, n) if it.body.is_some() => Some((*s, n, it)),
-            _ => None,
-        })
-    }
-}
--- a/crates/control-state/src/show.rs
+++ b/crates/control-state/src/show.rs
@@ -129,6 +129,8 @@
         }
         Verdict::Stale(k, it) => obj(vec![("problem", text("stale")), ("current", show_item(k, it))]),
         Verdict::Flawed(w) => obj(vec![("problem", text("invalid")), ("reason", text(w))]),
+        Verdict::Conflict(c) => obj(vec![("problem", text("conflict")), ("reason", text(c))]),
+        Verdict::Forgotten(c) => obj(vec![("problem", text("forgotten")), ("reason", text(c))]),
         Verdict::Void(w) => obj(vec![("problem", text(format!("{w:?}")))]),
     }
 }
--- a/crates/control-state/src/state.rs
+++ b/crates/control-state/src/state.rs
@@ -1,8 +1,9 @@
 //! Applying decided commands.
 use crate::cmd::*;
+use crate::confirmed::Confirmed;
 use crate::items::*;
 use crate::purged::old_purge;
-use crate::sheet::{Flaw, PurgeBy};
+use crate::sheet::{EntryNumber, Flaw, PurgeBy};
 use primitives::Version;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -30,6 +31,10 @@
     Void(Void),
     /// Invalid, and of no effect at all.
     Flawed(Flaw),
+    /// A number of it belongs to another content; of no effect at all.
+    Conflict(EntryNumber),
+    /// Of no effect: whether this number was confirmed, and with what, is forgotten.
+    Forgotten(EntryNumber),
 }
 
 /// Keep at least this many receipts; older whole eras of them are dropped at a cut.
@@ -55,6 +60,8 @@
     pub receipts: BTreeMap<ChangeId, (Era, u64, Verdict)>,
     /// By address: the last life that signed off there.
     pub gone: BTreeMap<primitives::Addr, primitives::Birth>,
+    /// The contents of the numbers that edits were confirmed under.
+    pub confirmed: Confirmed,
 }
 
 impl Picture {
--- a/crates/controller/src/apply.rs
+++ b/crates/controller/src/apply.rs
@@ -50,8 +50,8 @@
         match cmd {
             Cmd::Look => {
                 let t = self.looks.remove(&cid);
-                let all = Receipt::Table(Box::new(self.pic.clone()), self.beats_now(now));
-                out.extend(t.map(|t| Out::Tell(t, all)));
+                let tell = |t| Out::Tell(t, Receipt::Table(Box::new(self.pic.shown()), self.beats_now(now)));
+                out.extend(t.map(tell));
             }
             Cmd::Noop => {
                 self.deny_look(cid, out);
--- a/crates/lanewing/src/desk.rs
+++ b/crates/lanewing/src/desk.rs
@@ -85,6 +85,8 @@
                 Verdict::Stale(..) | Verdict::Void(Void::IdTaken | Void::OtherLife | Void::NothingNew) => 409,
                 Verdict::Void(Void::Absent) => 404,
                 Verdict::Flawed(_) => 422,
+                Verdict::Conflict(_) => 409,
+                Verdict::Forgotten(_) => 503,
             };
             Reply::json(status, show_verdict(&v))
         }
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -3,6 +3,7 @@
 //! every step from outside.
 mod carry;
 mod field;
+mod numbers;
 mod open;
 mod people;
 mod procs;
--- /dev/null
+++ b/crates/simulator/src/numbers.rs
@@ -0,0 +1,57 @@
+//! One content for each number of an entry, checked over all that operators are told.
+use crate::people::{Seen, Want};
+use control_state::*;
+use primitives::Version;
+use std::collections::BTreeMap;
+
+/// What was confirmed under each number.
+#[derive(Debug, Default)]
+pub(crate) struct Numbers(BTreeMap<(Key, Version), ContentDigest>);
+
+impl Numbers {
+    /// What is wrong with an answer, after all answers before it.
+    pub(crate) fn told(&mut self, seen: &Seen) -> Vec<String> {
+        match (&seen.want, &seen.receipt) {
+            (Want::Change(Change { op: Op::Edit(edits), .. }), Receipt::Change(verdict)) => match verdict {
+                Verdict::Done(_) => self.confirm(edits),
+                _ => self.refused(edits, verdict),
+            },
+            (Want::Table | Want::Read, Receipt::Table(p, _)) => self.read_back(p),
+            _ => vec![],
+        }
+    }
+
+    fn confirm(&mut self, edits: &[Edit]) -> Vec<String> {
+        let mut one = |e: &Edit| {
+            let first = self.0.entry((e.key(), e.ver)).or_insert(e.content);
+            (*first != e.content).then(|| format!("{}: two contents confirmed under {}", e.name, e.ver))
+        };
+        edits.iter().filter_map(&mut one).collect()
+    }
+
+    fn was_confirmed(&self, e: &Edit) -> bool {
+        self.0.get(&(e.key(), e.ver)) == Some(&e.content)
+    }
+
+    fn refused(&self, edits: &[Edit], verdict: &Verdict) -> Vec<String> {
+        let number = |e: &Edit, n: &EntryNumber| (e.section, &e.name, e.ver) == (n.section, &n.name, n.ver);
+        let wrong = match verdict {
+            Verdict::Conflict(n) => {
+                let mut named = edits.iter().filter(|e| number(e, n));
+                named.all(|e| self.was_confirmed(e))
+            }
+            _ => edits.iter().all(|e| self.was_confirmed(e)),
+        };
+        Some(format!("confirmed, then {verdict:?}")).filter(|_| wrong).into_iter().collect()
+    }
+
+    fn read_back(&self, p: &Picture) -> Vec<String> {
+        let other = |(section, name, it): (Section, &String, &Item)| {
+            let stands = Edit::new(section, name, it.ver, it.body.clone());
+            let confirmed = self.0.get(&(stands.key(), it.ver));
+            let wrong = confirmed.is_some_and(|c| *c != stands.content);
+            wrong.then(|| format!("{name}: {} stands for another content than was confirmed", it.ver))
+        };
+        p.entries().filter_map(other).collect()
+    }
+}
--- a/crates/simulator/src/open.rs
+++ b/crates/simulator/src/open.rs
@@ -47,7 +47,7 @@
 }
 
 pub fn edit(section: Section, name: &str, ver: u64, body: Option<Body>) -> Edit {
-    Edit { section, name: name.into(), ver: Version(ver), body }
+    Edit::new(section, name, Version(ver), body)
 }
 
 pub fn lane_edit(name: &str, ver: u64, l: LaneEntry) -> Edit {
--- a/crates/simulator/src/rules.rs
+++ b/crates/simulator/src/rules.rs
@@ -1,5 +1,6 @@
 //! The brief's must-never list, checked from outside at every step.
 use crate::field::Bloom;
+use crate::numbers::Numbers;
 use crate::people::{who, Seen, Want, TRY};
 use crate::scope::Scope;
 use control_state::*;
@@ -37,6 +38,8 @@
     pub ttl: BTreeMap<Lane, Span>,
     /// The edition every origin of a service has had since then.
     pub editions: BTreeMap<Svc, (u64, Mono)>,
+    /// What operators were told of the numbers of entries.
+    numbers: Numbers,
 }
 
 impl Rules {
@@ -90,6 +93,8 @@
 
     /// Somebody was told something.
     pub fn told(&mut self, s: &Seen) {
+        let wrong = self.numbers.told(s);
+        wrong.into_iter().for_each(|what| self.broke("one number, one content", what));
         match (&s.want, &s.receipt) {
             (Want::Request(q), Receipt::Step(Step::Serve(w, from, _))) => self.served(s, q, w, *from),
             (Want::Request(q), Receipt::Step(Step::Deny(..))) if q.method != "GET" => {
