--- a/crates/caesar/src/machine.rs
+++ b/crates/caesar/src/machine.rs
@@ -133,6 +133,11 @@
     pub fn size(&self) -> usize {
         self.h.len()
     }
+    /// Commands known here that were not delivered yet.
+    pub fn under_way(&self) -> impl Iterator<Item = (Cid, &C)> {
+        let open = self.h.iter().filter(|(cid, _)| !self.done.contains(cid));
+        open.map(|(cid, tuple)| (*cid, &tuple.cmd))
+    }
     pub fn roster(&self) -> &[Kid] {
         &self.roster
     }
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -1,8 +1,9 @@
 use crate::beats::Pulse;
 use crate::duty::Duty;
 use crate::feeds::Feed;
-use crate::force::Pending;
+
 use crate::landing::Landed;
+use crate::pending::{Asked, Pending};
 use crate::recs::Kept;
 use crate::roll::RollWatch;
 pub use crate::settings::{ControllerEnv, Open};
@@ -37,7 +38,7 @@
     pub(crate) derived: BTreeMap<u64, Mono>,
     pub(crate) pending: BTreeMap<Cid, Pending>,
     /// Purges that wait for the one under way, to travel together.
-    pub(crate) line: Vec<(Option<Token>, Change)>,
+    pub(crate) line: Vec<Asked>,
     /// Delivered changes that some edge with a live lease from here still lacks.
     pub(crate) owed: BTreeMap<Cid, Vec<(NodeId, u64)>>,
     /// Applied here, but not yet known to be applied by a classic quorum.
--- a/crates/controller/src/force.rs
+++ b/crates/controller/src/force.rs
@@ -6,21 +6,10 @@
 //! a classic quorum, so some controller is in both: no subscriber without the
 //! change can be serving.
 use crate::controller::Controller;
+use crate::pending::{Asked, Pending};
 use caesar::{classic, Cid, Kid};
 use control_state::*;
 use primitives::{Addr, Mono, Span, Token};
-use std::collections::BTreeSet;
-
-/// Changes that travel as one command.
-pub(crate) struct Pending {
-    pub asked: Vec<(Option<Token>, Change)>,
-    /// In the order of `asked`, once delivered.
-    pub verdicts: Option<Vec<Verdict>>,
-    /// Who asked for the same while it was under way; told as the first one is.
-    pub more: Vec<Token>,
-    pub yes: BTreeSet<Kid>,
-    pub began: Mono,
-}
 
 const FORGET: Span = Span::secs(60);
 /// Purges in one command.
@@ -29,29 +18,37 @@
 
 impl Controller {
     pub(crate) fn submit(&mut self, now: Mono, token: Option<Token>, change: Change, out: &mut Vec<Out>) {
-        if change.op.gathers() {
-            self.line.push((token, change));
-            self.send_line(now, out);
+        self.enqueue(now, Asked::new(change, token), out);
+        self.send_line(now, out);
+    }
+
+    fn enqueue(&mut self, now: Mono, asked: Asked, out: &mut Vec<Out>) {
+        let asked = Asked { change: self.shortened(asked.change), ..asked };
+        if self.join(now, &asked) {
+            return;
+        }
+        if asked.change.op.gathers() {
+            self.line.push(asked);
         } else {
-            self.propose(now, vec![(token, change)], out);
+            self.propose(now, vec![asked], out);
         }
     }
 
     /// What did not come through in an era, or was overtaken, is proposed anew.
     pub(crate) fn again(&mut self, now: Mono, p: Pending, out: &mut Vec<Out>) {
-        out.extend(p.more.into_iter().map(|t| Out::Tell(t, Receipt::Took)));
-        self.propose(now, p.asked, out);
+        p.wanted().for_each(|asked| self.enqueue(now, asked, out));
+        self.send_line(now, out);
     }
 
     /// One such command is under way at a time; the rest gathers.
     pub(crate) fn send_line(&mut self, now: Mono, out: &mut Vec<Out>) {
-        let gathered = |p: &Pending| p.asked.iter().any(|(_, c)| c.op.gathers());
-        let busy = self.pending.values().any(|p| p.verdicts.is_none() && gathered(p));
+        let gathered = |p: &Pending| p.asked.iter().any(|a| a.change.op.gathers());
+        let busy = self.pending.values().any(|p| p.own && p.verdicts.is_none() && gathered(p));
         if !busy && !self.line.is_empty() {
             // As many as stay small together, but at least one.
             let mut bytes = 0;
-            let fits = |(_, c): &&(Option<Token>, Change)| {
-                bytes += match &c.op {
+            let fits = |a: &&Asked| {
+                bytes += match &a.change.op {
                     Op::PurgeBy(s) => s.len() * 120,
                     Op::Edit(es) => es.iter().map(Edit::size).sum::<usize>(),
                     Op::Purge(s) => s.iter().map(|(_, p)| p.len() + 40).sum::<usize>(),
@@ -65,19 +62,16 @@
         }
     }
 
-    fn propose(&mut self, now: Mono, asked: Vec<(Option<Token>, Change)>, out: &mut Vec<Out>) {
-        let cmd = Cmd::Changes(asked.iter().map(|(_, c)| c.clone()).collect());
+    fn propose(&mut self, now: Mono, asked: Vec<Asked>, out: &mut Vec<Out>) {
+        let cmd = Cmd::Changes(asked.iter().map(|a| a.change.clone()).collect());
         let mut o = vec![];
         match self.mach.as_mut().map(|m| m.propose(now, cmd, &mut o)) {
             Some(c) => {
-                self.pending.insert(
-                    c,
-                    Pending { asked, verdicts: None, more: vec![], yes: BTreeSet::new(), began: now },
-                );
+                self.pending.insert(c, Pending::new(asked, now, true));
             }
             None => {
                 let no = |t| Out::Tell(t, Receipt::NotNow("not a member any more"));
-                out.extend(asked.into_iter().filter_map(|(t, _)| t).map(no));
+                out.extend(asked.into_iter().flat_map(|a| a.tokens).map(no));
             }
         }
         self.carry(now, o, out);
@@ -86,12 +80,13 @@
     /// A word of leaving, which its origin repeats until it is answered: one command
     /// of it is under way at a time, or those of a slow core would pile up.
     pub(crate) fn farewell(&mut self, now: Mono, t: Token, op: Op, out: &mut Vec<Out>) {
-        let same = |p: &&mut Pending| p.asked.iter().any(|(_, c)| c.id.is_none() && c.op == op);
-        if let Some(p) = self.pending.values_mut().find(same) {
-            return p.more.push(t);
+        let change = Change { id: None, op };
+        let all = self.pending.values_mut().flat_map(|p| &mut p.asked);
+        if let Some(same) = { all }.find(|a| a.change == change) {
+            return same.tokens.push(t);
         }
-        if self.newly(now, &op) {
-            self.submit(now, Some(t), Change { id: None, op }, out);
+        if self.newly(now, &change.op) {
+            self.submit(now, Some(t), change, out);
         } else {
             out.push(Out::Tell(t, Receipt::Took));
         }
@@ -176,19 +171,15 @@
         let need = classic(self.base.members.len());
         let Some(p) = self.pending.get(&cid) else { return };
         let Some(vs) = &p.verdicts else { return };
-        let asked = |t: &Option<Token>, c: &Change| t.is_some() || matches!(c.op, Op::Seats { .. });
-        let waits =
-            |((t, c), v): (&(Option<Token>, Change), &Verdict)| asked(t, c) && matches!(v, Verdict::Done(_));
+        let asked = |a: &Asked| !a.tokens.is_empty() || matches!(a.change.op, Op::Seats { .. });
+        let waits = |(a, v): (&Asked, &Verdict)| asked(a) && matches!(v, Verdict::Done(_));
         let open = p.asked.iter().zip(vs).any(waits);
         if !open || p.yes.len() >= need {
             let p = self.pending.remove(&cid).expect("found above");
-            let each: Vec<_> = p.asked.into_iter().zip(p.verdicts.unwrap_or_default()).collect();
-            each.iter().for_each(|((_, c), v)| self.roll.forced(now, c, v));
-            let first = each.first().map_or(Receipt::Took, |(_, v)| Receipt::Change(v.clone()));
-            out.extend(p.more.into_iter().map(|t| Out::Tell(t, first.clone())));
-            out.extend(
-                each.into_iter().filter_map(|((t, _), v)| t.map(|t| Out::Tell(t, Receipt::Change(v)))),
-            );
+            for (a, v) in p.asked.into_iter().zip(p.verdicts.unwrap_or_default()) {
+                self.roll.forced(now, &a.change, &v);
+                out.extend(a.tokens.into_iter().map(|t| Out::Tell(t, Receipt::Change(v.clone()))));
+            }
         }
     }
 }
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -10,6 +10,7 @@
 mod found;
 mod landing;
 mod open;
+mod pending;
 mod recs;
 mod roll;
 mod settings;
--- a/crates/controller/src/roll.rs
+++ b/crates/controller/src/roll.rs
@@ -1,5 +1,6 @@
 //! Changing the set of ledgers, one set at a time; the duty holder's work.
 use crate::controller::Controller;
+use crate::pending::Pending;
 use control_state::*;
 use primitives::{Mono, Span, Version};
 
@@ -45,7 +46,7 @@
             // Another holder named it: its time in force is counted anew.
             None => Op::Seats { expect, next: roll.sets[1].clone() },
         };
-        let open = |p: &crate::force::Pending| p.asked.iter().any(|(_, c)| matches!(c.op, Op::Seats { .. }));
+        let open = |p: &Pending| p.asked.iter().any(|a| matches!(a.change.op, Op::Seats { .. }));
         if since.is_some() || !self.pending.values().any(open) {
             self.derive(now, op, out);
         }
--- a/crates/edge/src/errand.rs
+++ b/crates/edge/src/errand.rs
@@ -9,9 +9,9 @@
 /// purges and readings repeat without harm.
 #[derive(Debug)]
 pub(crate) struct Errand {
-    token: Token,
+    /// Who is told, and when each asked: the same edits sent again share an errand.
+    waits: Vec<(Token, Mono)>,
     call: Call,
-    began: Mono,
     sent: Mono,
     asked: Vec<Addr>,
     why: &'static str,
@@ -26,6 +26,19 @@
 
 /// How long one controller may take before another is asked as well.
 const NEXT: Span = Span::ms(350);
+/// More of it for each edit of a call, since a large one is long on its way; and the most.
+const NEXT_EACH: Span = Span::ms(2);
+const NEXT_MOST: Span = Span::ms(1400);
+
+fn next_after(c: &Call) -> Span {
+    match c {
+        Call::Change(Change { op: Op::Edit(edits), .. }) => {
+            let longer = NEXT + NEXT_EACH.times(edits.len() as u64);
+            longer.min(NEXT_MOST)
+        }
+        _ => NEXT,
+    }
+}
 
 fn patience(c: &Call) -> Span {
     match c {
@@ -37,9 +50,14 @@
 
 impl Edge {
     pub(crate) fn run_errand(&mut self, now: Mono, token: Token, call: Call, out: &mut Vec<Out>) {
+        let edits = matches!(call, Call::Change(Change { op: Op::Edit(_), .. }));
+        let same = self.errands.open.values_mut().find(|e| edits && e.call == call);
+        if let Some(e) = same {
+            return e.waits.push((token, now));
+        }
         let n = self.number();
         let why = "no controller is known yet";
-        let e = Errand { token, call, began: now, sent: Mono(0), asked: vec![], why };
+        let e = Errand { waits: vec![(token, now)], call, sent: Mono(0), asked: vec![], why };
         self.errands.open.insert(n, e);
         self.send_errand(now, n, out);
     }
@@ -81,16 +99,19 @@
             return;
         }
         let e = self.errands.open.remove(&n).expect("found above");
-        out.push(Out::Tell(e.token, said.receipt()));
+        let r = said.receipt();
+        out.extend(e.waits.into_iter().map(|(t, _)| Out::Tell(t, r.clone())));
     }
 
     pub(crate) fn mind_errands(&mut self, now: Mono, out: &mut Vec<Out>) {
-        let late = |e: &Errand| now - e.began >= patience(&e.call);
-        let over: Vec<u64> = self.errands.open.iter().filter(|(_, e)| late(e)).map(|(n, _)| *n).collect();
-        for e in over.iter().filter_map(|n| self.errands.open.remove(n)) {
-            out.push(Out::Tell(e.token, Receipt::NotNow(e.why)));
+        for e in self.errands.open.values_mut() {
+            let (most, why) = (patience(&e.call), e.why);
+            let late = |(_, began): &(Token, Mono)| now - *began >= most;
+            out.extend(e.waits.iter().filter(|w| late(w)).map(|(t, _)| Out::Tell(*t, Receipt::NotNow(why))));
+            e.waits.retain(|w| !late(w));
         }
-        let due = |e: &Errand| now - e.sent >= NEXT;
+        self.errands.open.retain(|_, e| !e.waits.is_empty());
+        let due = |e: &Errand| now - e.sent >= next_after(&e.call);
         let due: Vec<u64> = self.errands.open.iter().filter(|(_, e)| due(e)).map(|(n, _)| *n).collect();
         due.into_iter().for_each(|n| self.send_errand(now, n, out));
     }
