--- a/crates/control-state/src/lib.rs
+++ b/crates/control-state/src/lib.rs
@@ -3,6 +3,8 @@
 mod ask;
 mod call;
 mod cmd;
+mod confirmed;
+mod edits;
 mod follow;
 mod heads;
 mod items;
@@ -23,6 +25,7 @@
 pub use ask::*;
 pub use call::*;
 pub use cmd::*;
+pub use confirmed::*;
 pub use follow::*;
 pub use heads::*;
 pub use items::*;
--- a/crates/controller/src/contact.rs
+++ b/crates/controller/src/contact.rs
@@ -106,13 +106,12 @@
     /// was proposed may still be decided; what only waited in line is dropped.
     pub(crate) fn release_callers(&mut self, out: &mut Vec<Out>) {
         let mut tokens: Vec<_> = std::mem::take(&mut self.looks).into_values().collect();
-        let (waiting, derived) = std::mem::take(&mut self.line).into_iter().partition(|(t, _)| t.is_some());
+        let queued = std::mem::take(&mut self.line);
+        let (waiting, derived): (Vec<_>, Vec<_>) = queued.into_iter().partition(|a| !a.tokens.is_empty());
         self.line = derived;
-        let waiting: Vec<_> = waiting;
-        tokens.extend(waiting.into_iter().filter_map(|(t, _)| t));
-        for pending in self.pending.values_mut() {
-            tokens.extend(pending.asked.iter_mut().filter_map(|(t, _)| t.take()));
-            tokens.append(&mut pending.more);
+        tokens.extend(waiting.into_iter().flat_map(|a| a.tokens));
+        for asked in self.pending.values_mut().flat_map(|p| &mut p.asked) {
+            tokens.append(&mut asked.tokens);
         }
         let lost = Receipt::NotNow("contact with the other controllers was lost");
         out.extend(tokens.into_iter().map(|t| Out::Tell(t, lost.clone())));
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod membership_plan;
 mod open;
 mod origin_leaving;
+mod pending;
 mod recs;
 mod roll;
 mod settings;
--- a/crates/controller/src/origin_leaving.rs
+++ b/crates/controller/src/origin_leaving.rs
@@ -4,6 +4,7 @@
 //! that this controller itself knows to be in force. That the state *here* shows an origin
 //! leaving, or does not know it, proves neither.
 use crate::controller::Controller;
+use crate::pending::Asked;
 use control_state::*;
 use primitives::{Addr, Birth, Mono, Token};
 
@@ -29,8 +30,8 @@
         }
         let addr = beat.addr;
         let origin = Origin { standing: Standing::Leaving, ..Origin::of(beat) };
-        let change = |op| Change { id: None, op };
-        let both = vec![(None, change(Op::Register(addr, origin))), (Some(token), change(drain))];
+        let asked = |op, token| Asked::new(Change { id: None, op }, token);
+        let both = vec![asked(Op::Register(addr, origin), None), asked(drain, Some(token))];
         self.propose(now, both, out);
     }
 
--- a/crates/controller/tests/rejoin.rs
+++ b/crates/controller/tests/rejoin.rs
@@ -52,6 +52,7 @@
         window: Span::secs(90),
         vanish: Span::secs(3),
         base_after: 1 << 20,
+        contact_by_echo: true,
         pace: Pace::default(),
     };
     Controller::start(env, kept, 5, NOW, out)
