--- a/crates/runtime/src/scan.rs
+++ b/crates/runtime/src/scan.rs
@@ -1,4 +1,7 @@
 //! Reading one file of the ring: its head and its records.
+use std::fs::File;
+use std::io;
+use std::os::unix::fs::FileExt;
 
 pub(crate) const MAGIC: [u8; 4] = *b"LWR1";
 /// magic, number of the segment, first segment still needed, crc
@@ -13,6 +16,25 @@
     Base = 2,
     /// The segment ends here; the next one goes on.
     Seal = 3,
+    /// A record too large to be written at once begins; see `pieces`.
+    Begin = 4,
+    Piece = 5,
+    /// The record that began is whole.
+    End = 6,
+}
+
+impl Sort {
+    fn of(byte: u8) -> Option<Sort> {
+        match byte {
+            1 => Some(Sort::Plain),
+            2 => Some(Sort::Base),
+            3 => Some(Sort::Seal),
+            4 => Some(Sort::Begin),
+            5 => Some(Sort::Piece),
+            6 => Some(Sort::End),
+            _ => None,
+        }
+    }
 }
 
 /// What a segment's records are checked with, so that an older lap's never pass.
@@ -32,6 +54,42 @@
     u32::from_le_bytes(b[i..i + 4].try_into().expect("four bytes"))
 }
 
+/// The head of a segment.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Head {
+    /// The number of the segment.
+    pub seg: u64,
+    /// The first segment that was needed when this one began.
+    pub live: u64,
+}
+
+impl Head {
+    pub(crate) fn encode(&self) -> Vec<u8> {
+        let mut bytes = MAGIC.to_vec();
+        bytes.extend(self.seg.to_le_bytes());
+        bytes.extend(self.live.to_le_bytes());
+        let check = sum(0, &bytes, &[]);
+        bytes.extend(check.to_le_bytes());
+        bytes
+    }
+
+    fn decode(bytes: &[u8]) -> Option<Head> {
+        let good =
+            bytes.len() >= HEAD && bytes[..4] == MAGIC && u32_at(bytes, 20) == sum(0, &bytes[..20], &[]);
+        good.then(|| Head { seg: u64_at(bytes, 4), live: u64_at(bytes, 12) })
+    }
+
+    /// None if the file begins with none, or is too short for one.
+    pub(crate) fn read(file: &File) -> io::Result<Option<Head>> {
+        let mut bytes = [0u8; HEAD];
+        match file.read_exact_at(&mut bytes, 0) {
+            Ok(()) => Ok(Head::decode(&bytes)),
+            Err(e) if e.kind() == io::ErrorKind::UnexpectedEof => Ok(None),
+            Err(e) => Err(e),
+        }
+    }
+}
+
 pub(crate) struct Found {
     pub seg: u64,
     pub live: u64,
@@ -41,12 +99,19 @@
     pub broken: bool,
 }
 
-pub(crate) fn scan(buf: &[u8]) -> Option<Found> {
-    let head_ok = buf.len() >= HEAD && buf[..4] == MAGIC && u32_at(buf, 20) == sum(0, &buf[..20], &[]);
-    if !head_ok {
-        return None;
+impl Found {
+    pub(crate) fn sealed(&self) -> bool {
+        self.recs.last().is_some_and(|r| r.1 == Sort::Seal)
     }
-    let (seg, live) = (u64_at(buf, 4), u64_at(buf, 12));
+
+    /// Whether its first record can stand for all before it.
+    pub(crate) fn begins_anew(&self) -> bool {
+        self.recs.first().is_some_and(|r| matches!(r.1, Sort::Base | Sort::Begin))
+    }
+}
+
+pub(crate) fn scan(buf: &[u8]) -> Option<Found> {
+    let Head { seg, live } = Head::decode(buf)?;
     let mut f = Found { seg, live, recs: vec![], end: HEAD as u64, broken: false };
     let mut at = HEAD;
     while let Some((no, sort, data)) = read(buf, at, seg) {
@@ -57,19 +122,14 @@
     let last = f.recs.last().map(|r| r.0);
     let later = |i: usize| read(buf, i, seg).is_some_and(|(no, ..)| last.is_none_or(|l| no > l));
     // Zeros are preallocated space; only other bytes can start a record.
-    let tail = (at..buf.len().saturating_sub(REC)).filter(|i| (1..=3).contains(&buf[*i]));
+    let tail = (at..buf.len().saturating_sub(REC)).filter(|i| Sort::of(buf[*i]).is_some());
     f.broken = tail.into_iter().any(later);
     Some(f)
 }
 
 pub(crate) fn read(buf: &[u8], at: usize, seg: u64) -> Option<(u64, Sort, Vec<u8>)> {
     let head = buf.get(at..at + REC)?;
-    let sort = match head[0] {
-        1 => Sort::Plain,
-        2 => Sort::Base,
-        3 => Sort::Seal,
-        _ => return None,
-    };
+    let sort = Sort::of(head[0])?;
     let len = u32_at(head, 1) as usize;
     let data = buf.get(at + REC..(at + REC).checked_add(len)?)?;
     (u32_at(head, 13) == sum(seg, &head[..13], data)).then(|| (u64_at(head, 5), sort, data.to_vec()))
