--- a/crates/caesar/src/catch_up.rs
+++ b/crates/caesar/src/catch_up.rs
@@ -32,6 +32,7 @@
     /// Whom the next request goes to, as a count.
     turn: usize,
     listed: Option<Mono>,
+    progressed: Mono,
 }
 
 impl CatchUp {
@@ -44,6 +45,7 @@
             unanswered: 0,
             turn: 0,
             listed: None,
+            progressed: since,
         }
     }
 
@@ -59,6 +61,11 @@
         self.catch_up.matched.len() + 1 >= classic(self.n())
     }
 
+    /// When it came back or last got something that it lacked, by its own clock.
+    pub fn last_progress(&self) -> Mono {
+        self.catch_up.progressed
+    }
+
     /// It did not come back from anywhere: it delivered the end of the era before.
     pub fn stay_caught_up(&mut self) {
         self.catch_up.matched = self.roster.iter().copied().filter(|k| *k != self.me).collect();
@@ -123,6 +130,7 @@
         offers.into_iter().for_each(|o| self.on_stable(now, o, out));
         self.catch_up.asked = None;
         self.catch_up.unanswered = 0;
+        self.catch_up.progressed = now;
         self.fetch(now, out);
     }
 
--- a/crates/caesar/src/lead.rs
+++ b/crates/caesar/src/lead.rs
@@ -5,6 +5,11 @@
 use primitives::{Mono, Span};
 use std::collections::BTreeMap;
 
+/// A message without an answer is repeated at least this often.
+const MOST_SELDOM: Span = Span::secs(1);
+/// What a byte of a command may take to arrive: 100 kB a second.
+const MICROS_A_BYTE: u64 = 10;
+
 impl<C: Command> Machine<C> {
     /// PROPOSE: this controller becomes the command's leader.
     pub fn propose(&mut self, now: Mono, cmd: C, out: &mut Vec<Out<C>>) -> Cid {
@@ -111,7 +116,7 @@
     /// Timeouts and repeats for all this controller leads.
     pub(crate) fn push_leads(&mut self, now: Mono, out: &mut Vec<Out<C>>) {
         let wait = self.rtt().times(2);
-        let again = wait.max(Span::ms(20));
+        let least = wait.max(Span::ms(20));
         let ids: Vec<Cid> = self.leads.keys().copied().collect();
         for cid in ids {
             let l = &self.leads[&cid];
@@ -128,7 +133,10 @@
             let Some(l) = self.leads.get_mut(&cid) else {
                 continue;
             };
-            if now - l.sent >= again {
+            // Ever more seldom, and not while one of its size may still be on a slow link.
+            let elapsed = Span((now - l.began).0 / 2).min(MOST_SELDOM);
+            let transfer = Span(l.offer.cmd.bytes() as u64 * MICROS_A_BYTE);
+            if now - l.sent >= least.max(elapsed).max(transfer) {
                 l.sent = now;
                 let msg = l.message();
                 let (votes, finds) = (&l.votes, &l.finds);
--- a/crates/caesar/src/recover.rs
+++ b/crates/caesar/src/recover.rs
@@ -123,7 +123,12 @@
 
     /// Finds the commands that stay unfinished too long and recovers them; the
     /// controllers take turns by rank, so that they seldom compete.
+    /// A member that has yet to catch up leaves it to the others: what it takes for
+    /// unfinished is for the most part only not here yet, and each reply repeats a command.
     pub(crate) fn chase(&mut self, now: Mono, out: &mut Vec<Out<C>>) {
+        if !self.caught_up() {
+            return;
+        }
         let h = &self.h;
         let done = &self.done;
         self.stuck.retain(|cid, _| !done.contains(cid));
--- a/crates/controller/src/feeds.rs
+++ b/crates/controller/src/feeds.rs
@@ -91,13 +91,15 @@
             self.derive(now, Op::Join(s.id, s.node.clone()), out);
         }
         // A full picture would show what is not yet to be seen.
-        let (shown, company) = (self.all_shown(), self.in_company(now) && self.caught_up());
+        let (shown, company) =
+            (self.all_shown() && self.may_feed(now), self.in_company(now) && self.caught_up());
+        let wait = self.feed_again();
         let f = self.feeds.entry(s.id).or_insert_with(|| Feed::unsure(Mono(0)));
         f.addr = Some(from);
         // Askings that crossed a new feed's first news must not start it once more:
         // two of them would keep voiding each other's feed for ever.
         let other = f.feed == 0 || s.feed != f.feed || s.life != f.life;
-        let anew = other && shown && (f.feed == 0 || now - f.begun >= Span::ms(300));
+        let anew = other && shown && (f.feed == 0 || now - f.begun >= wait);
         if anew {
             self.feed_no += 1;
             f.feed = self.feed_no;
--- a/crates/controller/src/log.rs
+++ b/crates/controller/src/log.rs
@@ -32,6 +32,11 @@
         *self = LogSize { state, base: state, written: 0 };
     }
 
+    /// The state, with the commands that came since.
+    pub(crate) fn state_now(&self, commands: usize) -> usize {
+        self.state + commands
+    }
+
     fn shortened(&mut self, base: usize) {
         self.base = base;
         self.written = 0;
@@ -62,7 +67,7 @@
     pub(crate) fn has_room(&self, change: &Change) -> bool {
         let size = change.op.size();
         let held = self.mach.as_ref().map_or(0, |m| m.bytes());
-        size <= SMALL_CHANGE || self.log.state + held + size <= self.env.room / 2
+        size <= SMALL_CHANGE || self.log.state_now(held) + size <= self.env.room / 2
     }
 
     /// Ends the era once it has grown; the holder of the duty sees to it.
--- a/crates/simulator/src/carry.rs
+++ b/crates/simulator/src/carry.rs
@@ -81,14 +81,15 @@
     }
 
     /// How long the sender's link takes until the message is through it.
-    fn queued(&mut self, from: Addr, m: &Msg) -> Span {
+    fn queued(&mut self, from: Addr, to: Addr, m: &Msg) -> Span {
         let Some(rate) = self.plan.link else { return Span(0) };
         let now = self.now;
         let Some(p) = self.procs.get_mut(&from) else { return Span(0) };
         let bytes = postcard::to_stdvec(m).map_or(0, |b| b.len() as u64);
-        p.sent_bytes += bytes;
         p.link_free = p.link_free.max(now) + Span(bytes * 1_000_000 / rate);
-        p.link_free - now
+        let queued = p.link_free - now;
+        self.procs.get_mut(&to).into_iter().for_each(|p| p.bytes_to += bytes);
+        queued
     }
 
     fn mail(&mut self, from: Addr, to: Addr, m: Msg) {
@@ -99,7 +100,7 @@
         if self.cuts.contains(&(from, to)) || self.rng.f64() < self.plan.drop {
             return;
         }
-        let queued = self.queued(from, &m);
+        let queued = self.queued(from, to, &m);
         let d = Span(self.distance(from, to).0 + queued.0);
         if self.rng.f64() < self.plan.dup {
             let late = Span(d.0 * self.rng.u64(2..20));
--- a/crates/simulator/src/procs.rs
+++ b/crates/simulator/src/procs.rs
@@ -36,9 +36,10 @@
     pub disk: Vec<Vec<u8>>,
     pub line: VecDeque<Out>,
     pub syncing: bool,
-    /// When its link is free again, and the bytes that went through it.
+    /// When its link is free again.
     pub link_free: Mono,
-    pub sent_bytes: u64,
+    /// Bytes sent to it, where links are limited.
+    pub bytes_to: u64,
     /// The disk does not come back from a sync while this is set.
     pub stalled: bool,
     pub frozen: bool,
@@ -68,7 +69,7 @@
             line: VecDeque::new(),
             syncing: false,
             link_free: Mono(0),
-            sent_bytes: 0,
+            bytes_to: 0,
             stalled: false,
             frozen: false,
             parked: vec![],
--- a/crates/simulator/tests/common/open.rs
+++ b/crates/simulator/tests/common/open.rs
@@ -137,3 +137,18 @@
     }
     worst
 }
+
+/// Routes with what their operator wrote, so many to a call.
+pub fn routes(w: &mut World, f: &Fleet, n: usize, a_call: usize) {
+    let lane = |i: usize| {
+        let l =
+            LaneEntry { said: format!("{i:0200}"), ..lane_entry("read", Kind::Read, "pages", Span::secs(5)) };
+        lane_edit(&format!("route-{i}"), 1, LaneEntry { prefix: format!("/route-{i}/"), ..l })
+    };
+    for first in (0..n).step_by(a_call) {
+        let call = (first..n.min(first + a_call)).map(lane).collect();
+        let t = w.edit(f.edges[0], call);
+        let r = within(w, t, Span::secs(20), "routes");
+        assert!(is_done(&r), "{r:?}");
+    }
+}
