--- a/crates/control-state/src/lib.rs
+++ b/crates/control-state/src/lib.rs
@@ -19,6 +19,7 @@
 mod sheet;
 mod shelf;
 mod show;
+mod snapshot;
 mod state;
 mod whole;
 
@@ -39,5 +40,6 @@
 pub use sheet::*;
 pub use shelf::*;
 pub use show::*;
+pub use snapshot::*;
 pub use state::*;
 pub use whole::*;
--- a/crates/control-state/src/msg.rs
+++ b/crates/control-state/src/msg.rs
@@ -4,7 +4,8 @@
 use crate::cmd::Cmd;
 use crate::heads::{Heads, Print};
 use crate::items::*;
-use crate::state::{Era, Picture};
+use crate::snapshot::SnapshotMessage;
+use crate::state::Era;
 use crate::whole::Whole;
 use caesar::{Cid, Kid, Wag};
 use primitives::{Birth, Epoch, Mono, NodeId, Span, Version};
@@ -87,11 +88,11 @@
     Wag(Era, Kid, Box<Wag<Cmd>>),
     /// A controller without a roster shows itself.
     Blank(Member),
-    Picture(Box<Picture>),
-    WantPicture(Era, Birth),
-    /// A snapshot for a controller without a seat, before it is given one.
-    Learn(Box<Picture>),
-    /// The disk of this birth has synced the snapshot of this era.
+    /// A piece of a snapshot, or about one.
+    Snapshot(Box<SnapshotMessage>),
+    /// The sender's own era is behind, or it has no seat.
+    WantSnapshot(Era, Birth),
+    /// The disk of this birth has synced the snapshot of this era, and has no seat in it.
     Learned(Era, Birth),
     /// The member is about to stop.
     Leaving(Kid),
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -4,17 +4,21 @@
 use crate::feeds::Feed;
 
 use crate::landing::Landed;
+use crate::log::LogSize;
 use crate::membership::MembershipWatch;
 use crate::pending::{Asked, Pending};
 use crate::recs::Kept;
 use crate::roll::RollWatch;
 pub use crate::settings::{ControllerEnv, Open};
 use crate::show::Hidden;
+use crate::snapshot_transfer::SnapshotTransfer;
 use caesar::{Cid, Kid, Machine};
 use control_state::*;
 use primitives::{Addr, Birth, Mono, NodeId, Span, Token};
 use std::collections::{BTreeMap, BTreeSet};
 
+const NO_ROOM: &str = "the state would outgrow the controllers' disks";
+
 pub struct Controller {
     pub(crate) env: ControllerEnv,
     /// Invariant: the life of the disk; a new disk draws a new one.
@@ -67,7 +71,8 @@
     /// The blank controller named to found, and since when.
     pub(crate) named: Option<(Birth, Mono)>,
     pub(crate) watch: MembershipWatch,
-    pub(crate) written: usize,
+    pub(crate) log: LogSize,
+    pub(crate) transfer: SnapshotTransfer,
     pub(crate) counts: BTreeMap<&'static str, u64>,
     last: BTreeMap<&'static str, Mono>,
 }
@@ -115,7 +120,8 @@
             next_call: 0,
             named: None,
             watch: MembershipWatch::default(),
-            written: 0,
+            log: LogSize::default(),
+            transfer: SnapshotTransfer::default(),
             counts: BTreeMap::new(),
             last: BTreeMap::new(),
             env,
@@ -161,6 +167,7 @@
             Ask::Drain => Receipt::Health(self.drain(now, out)),
             Ask::Ready => Receipt::Health(self.health(now)),
             _ if self.watch.stopping => Receipt::NotNow("this controller is leaving"),
+            Ask::Change(c) if !self.has_room(&c) => Receipt::NotNow(NO_ROOM),
             Ask::Change(c) if ready && self.gathered(now, &c) => return self.submit(now, Some(t), c, out),
             Ask::Change(_) => Receipt::NotNow("no quorum of controllers in reach"),
             Ask::Beat(b, mark) if self.takes_heartbeats(now) => return self.first_hand(now, t, b, mark, out),
@@ -196,6 +203,7 @@
         if self.due("beats", Span::ms(100), now) {
             self.relay_beats(now, out);
         }
+        self.push_snapshots(now, out);
         self.maybe_cut(now, out);
         self.shorten(out);
     }
@@ -211,13 +219,12 @@
             In::Msg(from, m) => match m {
                 Msg::Wag(era, kid, w) => self.on_wag(now, from, era, kid, *w, out),
                 Msg::Blank(m) => self.on_blank(now, m, out),
-                Msg::Picture(p) => self.adopt(now, *p, out),
-                Msg::WantPicture(era, birth) => self.on_want(from, era, birth, out),
+                Msg::Snapshot(m) => self.on_snapshot(now, from, *m, out),
+                Msg::WantSnapshot(era, birth) => self.on_want(now, from, era, birth, out),
                 Msg::Beats(bs, at, echo) => self.on_relay(now, from, bs, at, echo),
                 Msg::AskForce(era, cid) => self.on_ask_force(from, era, cid, out),
                 Msg::InForce(era, cid, kid) => self.on_in_force(now, era, cid, kid, out),
                 Msg::Applied(era, cid, kid) => self.on_applied(now, era, cid, kid, out),
-                Msg::Learn(p) => self.on_learn(from, *p, out),
                 Msg::Learned(era, birth) => self.on_learned(now, from, era, birth),
                 Msg::Leaving(kid) => self.on_leaving(now, kid),
                 Msg::Landed(said) => self.on_landed(now, said, out),
--- a/crates/controller/src/force.rs
+++ b/crates/controller/src/force.rs
@@ -10,6 +10,7 @@
 use caesar::{classic, Cid, Kid};
 use control_state::*;
 use primitives::{Addr, Mono, Span, Token};
+use std::sync::Arc;
 
 const NOT_A_MEMBER: Receipt = Receipt::NotNow("not a member any more");
 const FORGET: Span = Span::secs(60);
@@ -70,7 +71,7 @@
     }
 
     pub(crate) fn propose(&mut self, now: Mono, asked: Vec<Asked>, out: &mut Vec<Out>) {
-        let cmd = Cmd::Changes(asked.iter().map(|a| a.change.clone()).collect());
+        let cmd = Cmd::Changes(Arc::new(asked.iter().map(|a| a.change.clone()).collect()));
         let mut o = vec![];
         let cid = self.mach.as_mut().map(|m| m.propose(now, cmd, &mut o));
         match cid {
--- a/crates/controller/src/found.rs
+++ b/crates/controller/src/found.rs
@@ -12,6 +12,7 @@
             let members = self.base.members.iter().map(|x| x.addr).filter(|a| !self.env.seeds.contains(a));
             let known = self.env.seeds.iter().copied().chain(members);
             out.extend(known.map(|a| Out::Send(a, Msg::Blank(m.clone()))));
+            self.say_learned(out);
         }
     }
 
@@ -22,7 +23,7 @@
             return self.maybe_found(now, out);
         }
         if self.base.members.iter().any(|x| x.addr == addr && x.birth == birth) {
-            out.push(Out::Send(addr, Msg::Picture(Box::new(self.base.clone()))));
+            self.offer_snapshot(now, addr, out);
         } else if self.env.open.is_none() && self.base.members.iter().any(|x| x.addr == addr) {
             // Its disk was lost: it gets a new id in its old place.
             self.swap_in(now, addr, m, out);
@@ -44,13 +45,13 @@
         ms.iter_mut().enumerate().for_each(|(i, m)| m.kid = Kid(i as u16));
         let p = Picture::default().cut(&ms, Era(0), 0);
         self.enter(now, p, out);
-        self.show_founded(out);
+        self.show_founded(now, out);
     }
 
     /// The others may have missed one of the blanks.
-    fn show_founded(&self, out: &mut Vec<Out>) {
-        let p = Msg::Picture(Box::new(self.base.clone()));
-        out.extend(self.env.seeds.iter().map(|s| Out::Send(*s, p.clone())));
+    fn show_founded(&mut self, now: Mono, out: &mut Vec<Out>) {
+        let seeds = self.env.seeds.clone();
+        seeds.into_iter().for_each(|s| self.offer_snapshot(now, s, out));
     }
 
     pub(crate) fn replace(&mut self, now: Mono, old: Addr, new: Addr, out: &mut Vec<Out>) -> Receipt {
--- a/crates/controller/src/membership.rs
+++ b/crates/controller/src/membership.rs
@@ -109,25 +109,36 @@
             let lately = learner.sent.is_some_and(|(sent, t)| sent == era && now - t < SNAPSHOT_RETRY);
             if !seated && !holds && !lately {
                 learner.sent = Some((era, now));
-                out.push(Out::Send(addr, Msg::Learn(Box::new(self.base.clone()))));
+                self.offer_snapshot(now, addr, out);
             }
         }
     }
 
-    /// Without a seat: keeps the snapshot and says so once it is synced.
-    pub(crate) fn on_learn(&mut self, from: Addr, snapshot: Picture, out: &mut Vec<Out>) {
+    /// Whether a snapshot is one to be kept without a seat: it gives this disk none.
+    pub(crate) fn learns(&self, snapshot: &Picture) -> bool {
         let keeps = self.env.open.is_some_and(|o| o.keeps);
-        if self.mach.is_some() || !keeps || snapshot.era < self.base.era {
+        let seated = snapshot.members.iter().any(|m| m.addr == self.env.addr && m.birth == self.birth);
+        self.mach.is_none() && keeps && !seated
+    }
+
+    /// Without a seat: keeps the snapshot, and says so from now on.
+    pub(crate) fn learn(&mut self, snapshot: Picture, out: &mut Vec<Out>) {
+        if snapshot.era <= self.base.era {
             return;
         }
-        let era = snapshot.era;
-        if era > self.base.era {
-            self.base = snapshot;
-            self.pic = self.base.clone();
-            self.written = 0;
-            out.push(Out::Base(Kept::Base(self.birth, Box::new(self.base.clone())).encode()));
-        }
-        out.push(Out::Send(from, Msg::Learned(era, self.birth)));
+        self.base = snapshot;
+        self.pic = self.base.clone();
+        let base = Kept::Base(self.birth, Box::new(self.base.clone())).encode();
+        self.log.begin_era(base.len());
+        out.push(Out::Base(base));
+        self.say_learned(out);
+    }
+
+    /// Tells the members which snapshot this disk has synced; repeated, for words get lost.
+    pub(crate) fn say_learned(&self, out: &mut Vec<Out>) {
+        let learned = Msg::Learned(self.base.era, self.birth);
+        let members = self.base.members.iter();
+        out.extend(members.map(|m| Out::Send(m.addr, learned.clone())));
     }
 
     pub(crate) fn on_learned(&mut self, now: Mono, from: Addr, era: Era, birth: Birth) {
--- a/crates/controller/src/settings.rs
+++ b/crates/controller/src/settings.rs
@@ -39,5 +39,8 @@
     pub base_after: usize,
     /// Contact is proved by echoes; switched off only to show what hearing alone leads to.
     pub contact_by_echo: bool,
+    /// Bytes that the state and the log behind it may take on disk: three eighths of the
+    /// ring, so that both written anew find room beside them.
+    pub room: usize,
     pub pace: Pace,
 }
--- a/crates/controller/src/show.rs
+++ b/crates/controller/src/show.rs
@@ -18,20 +18,6 @@
 }
 
 impl Controller {
-    pub fn picture(&self) -> &Picture {
-        &self.pic
-    }
-    /// Commands of this era known here.
-    pub fn known(&self) -> usize {
-        self.mach.as_ref().map_or(0, |m| m.size())
-    }
-    pub fn tally(&self) -> caesar::Tally {
-        self.mach.as_ref().map(|m| m.tally).unwrap_or_default()
-    }
-    pub fn kid(&self) -> Option<Kid> {
-        self.mach.as_ref().map(|_| self.kid)
-    }
-
     fn quorum(&self) -> usize {
         classic(self.base.members.len())
     }
--- a/crates/lanewing/src/http_api.rs
+++ b/crates/lanewing/src/http_api.rs
@@ -110,6 +110,8 @@
         Verdict::Void(Void::IdTaken | Void::OtherLife | Void::NothingNew) => 409,
         Verdict::Void(Void::Absent) => 404,
         Verdict::Flawed(_) => 422,
+        Verdict::Conflict(_) => 409,
+        Verdict::Forgotten(_) => 503,
     }
 }
 
--- a/crates/lanewing/src/roles.rs
+++ b/crates/lanewing/src/roles.rs
@@ -188,6 +188,7 @@
         vanish: limits.vanish,
         base_after: limits.ring_mb << 18,
         contact_by_echo: true,
+        room: (limits.ring_mb << 20) * 3 / 8,
         pace: caesar::Pace::default(),
     };
     let mut first = vec![];
--- a/crates/scale-model/src/fleet.rs
+++ b/crates/scale-model/src/fleet.rs
@@ -38,6 +38,7 @@
         window: KEY_WINDOW,
         vanish: Span::secs(3),
         base_after: BASE_AFTER,
+        room: 192 << 20,
         contact_by_echo: true,
         pace: caesar::Pace::default(),
     };
--- a/crates/simulator/src/stage.rs
+++ b/crates/simulator/src/stage.rs
@@ -61,6 +61,7 @@
             vanish: Span::secs(3),
             base_after: 20_000,
             contact_by_echo: self.plan.contact_by_echo,
+            room: self.plan.controller_room,
             pace: caesar::Pace { first_rtt: Span::ms(60), ..caesar::Pace::default() },
         };
         // Only the very first start is told that it is.
