--- a/crates/control-state/src/follow.rs
+++ b/crates/control-state/src/follow.rs
@@ -46,6 +46,8 @@
     /// Held the lease at some time of this life: then it holds all that an earlier life
     /// may have shown.
     touched: bool,
+    /// What it says of itself: one that leaves wants no place any more.
+    pub standing: Standing,
 }
 
 const EVERY: Span = Span::ms(200);
@@ -62,6 +64,7 @@
             got: BTreeMap::new(),
             asked: Mono(0),
             touched: false,
+            standing: Standing::Serving,
         }
     }
 
@@ -123,7 +126,7 @@
             http: e.http,
             zone: e.zone.clone(),
             birth: e.birth,
-            standing: Standing::Serving,
+            standing: self.standing,
         };
         let era = self.era;
         let sub =
--- a/crates/control-state/src/msg.rs
+++ b/crates/control-state/src/msg.rs
@@ -3,37 +3,13 @@
 use crate::cmd::Cmd;
 use crate::heads::{Heads, Print};
 use crate::items::*;
+use crate::rounds::*;
 use crate::state::{Era, Picture};
 use crate::whole::Whole;
 use caesar::{Cid, Kid, Wag};
 use primitives::{Birth, Epoch, Mono, NodeId, Span, Version};
 use serde::{Deserialize, Serialize};
 
-/// One try at a keyed request: who tries, in which life, and its count.
-#[derive(Copy, Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct RoundId {
-    pub node: NodeId,
-    pub birth: Birth,
-    pub n: u64,
-}
-
-impl RoundId {
-    /// No round: what a ledger notes that cannot know which of several has the key.
-    pub const NONE: RoundId = RoundId { node: NodeId(0), birth: Birth(0), n: 0 };
-}
-
-/// What a ledger says to a claim.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Claimed {
-    Granted,
-    /// Another round has it; its outcome, once known.
-    Held(Option<Whole>),
-    /// The key came with another body before.
-    OtherBody,
-    /// This ledger may not grant yet, or its disk will not take it.
-    Unable,
-}
-
 /// What a subscriber says to each controller it knows, several times a second.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Sub {
@@ -142,6 +118,8 @@
         key: String,
         print: Print,
         round: RoundId,
+        /// The version of the roll by which the key's ledgers were named.
+        roll: Version,
     },
     Claimed {
         key: String,
@@ -166,11 +144,12 @@
     /// Repair between ledgers: digests over ranges, then what differs.
     Digests(Vec<u64>),
     Ranges(Vec<(u16, Vec<Held>)>),
-    /// A ledger with a new disk asks a seat for all it holds of the asker's keys, by
-    /// this version of the roll.
+    /// A ledger asks a seat for all it holds of the asker's keys, by this version of
+    /// the roll.
     Recall {
         ask: u64,
         roll: Version,
+        purpose: RecallPurpose,
     },
     /// One part of the answer, of so many. Invariant: sent only by a seat that may
     /// grant, and all parts of one asking are as of one moment.
@@ -180,6 +159,24 @@
         of: u32,
         held: Vec<Held>,
     },
+    /// A controller to a ledger of the newer set: this version of the roll is in force.
+    Fill {
+        roll: Version,
+    },
+    /// The ledger holds, on disk, what the older set granted.
+    Filled {
+        id: NodeId,
+        roll: Version,
+    },
+    /// A leaving ledger passes on what it holds of the receiver's keys.
+    HandOver {
+        ask: u64,
+        held: Vec<Held>,
+    },
+    /// The receiver holds all of that, on disk.
+    HandedOver {
+        ask: u64,
+    },
 }
 
 /// A copy as one process hands it to another: its rest of life and its age.
@@ -213,23 +210,6 @@
     pub sure: Era,
 }
 
-/// A ledger's record of one key, as shown to another ledger.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Held {
-    pub key: String,
-    pub print: Print,
-    pub round: RoundId,
-    pub whole: Option<Whole>,
-    pub age: Span,
-}
-
-impl Held {
-    /// What it comes to, roughly, on a link and in memory.
-    pub fn size(&self) -> usize {
-        128 + self.key.len() + self.whole.as_ref().map_or(0, |w| w.size())
-    }
-}
-
 impl Msg {
     pub fn wag(era: Era, kid: Kid, w: Wag<Cmd>) -> Msg {
         Msg::Wag(era, kid, Box::new(w))
--- a/crates/control-state/src/roll.rs
+++ b/crates/control-state/src/roll.rs
@@ -32,9 +32,10 @@
 }
 
 /// Invariant: one set, or two while the set changes; a round needs a quorum of a key's
-/// ledgers in every set. The older one goes only a window after the newer was
-/// in force at every edge, so any two rounds of a key that could run within the
-/// window of one another meet in some ledger's memory.
+/// ledgers in every set. The older one goes only once every ledger of the newer one holds
+/// what it granted and no more is granted by it alone, or a window after the newer was in
+/// force at every edge: any two rounds of a key that could run within the window of
+/// one another meet in some ledger's memory.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Roll {
     pub sets: Vec<Vec<Seat>>,
@@ -48,6 +49,16 @@
         }
     }
 
+    /// The version of the roll among these items.
+    pub fn version(items: &BTreeMap<Key, Item>) -> Version {
+        items.get(&Key::Roll).map_or(Version(0), |it| it.ver)
+    }
+
+    /// The set whose grants decide: the older one while the set changes.
+    pub fn deciding(&self) -> &[Seat] {
+        self.sets.first().map_or(&[], |s| s)
+    }
+
     /// A key's ledgers, for each set.
     pub fn named(&self, key: &str, losses: usize) -> Vec<Vec<Addr>> {
         self.sets.iter().map(|s| name_ledgers(key, s, losses)).collect()
@@ -60,30 +71,29 @@
     /// The set as it should be with these ledgers: a place once taken keeps the life
     /// that it was taken with.
     pub fn wanted(&self, ledgers: impl Iterator<Item = Seat>) -> Vec<Seat> {
-        let was = self.sets.last().cloned().unwrap_or_default();
         let same = |a: &Seat, b: &Seat| (a.id, a.addr, &a.zone) == (b.id, b.addr, &b.zone);
-        let mut v: Vec<Seat> =
-            ledgers.map(|c| was.iter().find(|w| same(w, &c)).cloned().unwrap_or(c)).collect();
-        v.sort();
-        v
+        let taken = |c: Seat| self.seats().find(|w| same(w, &c)).cloned().unwrap_or(c);
+        let mut wanted: Vec<Seat> = ledgers.map(taken).collect();
+        wanted.sort();
+        wanted
     }
 }
 
 impl Picture {
+    /// Names a newer set beside the one there is. While the set changes it takes the
+    /// place of the newer one, the same or another: every round since still has its quorum
+    /// in the older set.
     pub(crate) fn name_seats(&mut self, expect: Version, next: &[Seat]) -> Verdict {
         let was = self.item(&Key::Roll);
         if was.ver != expect {
             return Verdict::Stale(Key::Roll, was);
         }
         let mut sets = Roll::of(&self.items).sets;
-        let again = sets.len() == 2 && sets[1] == next;
-        let first = sets.is_empty() || (sets.len() == 1 && sets[0] != next);
-        if !again && !first {
+        if sets.len() == 1 && sets[0] == next {
             return Verdict::Void(Void::NothingNew);
         }
-        if first {
-            sets.push(next.to_vec());
-        }
+        sets.truncate(1);
+        sets.push(next.to_vec());
         self.put(Key::Roll, Some(Body::Roll(Roll { sets })))
     }
 
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -237,6 +237,7 @@
                 Msg::Roster(era, ms) => self.on_roster(era, ms),
                 Msg::Found(b) => self.on_found(now, b, out),
                 Msg::Call(n, c) => self.on_call(now, from, n, *c, out),
+                Msg::Filled { id, roll } => self.on_filled(id, roll),
                 _ => self.count("stray"),
             },
         }
--- a/crates/controller/src/feeds.rs
+++ b/crates/controller/src/feeds.rs
@@ -29,6 +29,8 @@
     pub beats: Mono,
     /// When the feed was started anew.
     pub begun: Mono,
+    /// The subscriber said last that it leaves.
+    pub leaving: bool,
 }
 
 impl Feed {
@@ -46,6 +48,7 @@
             beats: Mono(0),
             life: 0,
             era: Era(0),
+            leaving: false,
         }
     }
     /// The subscriber acknowledged this number.
@@ -87,13 +90,15 @@
         if seated {
             self.newcomers.remove(&s.id);
         }
-        if !seated && self.connected(now) && self.my_turn(now, &s) {
+        let leaving = s.node.standing == Standing::Leaving;
+        if !seated && !leaving && self.connected(now) && self.my_turn(now, &s) {
             self.derive(now, Op::Join(s.id, s.node.clone()), out);
         }
         // A full picture would show what is not yet to be seen.
         let (shown, company) = (self.all_shown(), self.in_company(now));
         let f = self.feeds.entry(s.id).or_insert_with(|| Feed::unsure(Mono(0)));
         f.addr = Some(from);
+        f.leaving = leaving;
         // Askings that crossed a new feed's first news must not start it once more:
         // two of them would keep voiding each other's feed for ever.
         let other = f.feed == 0 || s.feed != f.feed || s.life != f.life;
--- a/crates/edge/src/keyed.rs
+++ b/crates/edge/src/keyed.rs
@@ -3,7 +3,7 @@
 use crate::edge::Edge;
 use crate::jobs::*;
 use control_state::*;
-use primitives::{Addr, Mono, Span};
+use primitives::{Addr, Mono, Span, Version};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A key claimed for one round.
@@ -14,6 +14,10 @@
     pub print: Print,
     /// The key's ledgers, for each set of the roll as it was when it was claimed.
     pub named: Vec<Vec<Addr>>,
+    /// The version of that roll.
+    pub roll: Version,
+    /// Who had granted it when it was won.
+    pub granted: BTreeSet<Addr>,
     /// When it was last sent.
     pub asked: Mono,
 }
@@ -23,8 +27,8 @@
         self.named.iter().flatten().copied().collect()
     }
     pub fn ask(&self, ledger: Addr) -> Out {
-        let (key, print, round) = (self.key.clone(), self.print, self.round);
-        Out::Send(ledger, Msg::Claim { key, print, round })
+        let (key, print, round, roll) = (self.key.clone(), self.print, self.round, self.roll);
+        Out::Send(ledger, Msg::Claim { key, print, round, roll })
     }
     /// A quorum granted it, in every set.
     pub fn won(&self, votes: &BTreeMap<Addr, Claimed>, losses: usize) -> bool {
@@ -41,12 +45,30 @@
     round: RoundId,
     whole: Whole,
     to: BTreeSet<Addr>,
+    /// Asked instead if the one chosen keeps silent; the next one last.
+    others: Vec<Addr>,
     began: Mono,
     sent: Mono,
+    chosen: Mono,
+}
+
+impl Outgoing {
+    /// Turns from a ledger that kept silent for long to the next one.
+    fn choose_again(&mut self, now: Mono) {
+        if now - self.chosen < CHOICE {
+            return;
+        }
+        if let Some(next) = self.others.pop() {
+            self.chosen = now;
+            self.to = BTreeSet::from([next]);
+        }
+    }
 }
 
 /// How long after a lease keys are claimed, where an edge serves on without one.
 const CLAIMS_ON: Span = Span::secs(5);
+/// How long the one ledger that is to keep an outcome may keep silent.
+const CHOICE: Span = Span::secs(1);
 /// How long a ledger may keep silent before it is asked again.
 const AGAIN: Span = Span::ms(120);
 
@@ -65,7 +87,8 @@
         let n = self.number();
         let round = RoundId { node: self.follow.env.id, birth: self.follow.env.birth, n };
         let named = self.table.roll.named(&key, self.env.losses);
-        let c = Claim { round, key, print, named, asked: now };
+        let roll = self.table.roll_version;
+        let c = Claim { round, key, print, named, roll, granted: BTreeSet::new(), asked: now };
         out.extend(c.ledgers().into_iter().map(|a| c.ask(a)));
         j.claim = Some(c);
         j.must_leave = now + self.env.leave;
@@ -122,6 +145,7 @@
             let s = Step::Serve(std::sync::Arc::new(w), Shared::Record, Mono(u64::MAX));
             self.finish(now, id, s, out);
         } else if claim.won(votes, self.env.losses) {
+            self.note_granted(id);
             self.line_up(now, id, out);
         } else if held && (all || late) {
             // Another round has the key and its outcome is not known (yet).
@@ -136,6 +160,14 @@
         }
     }
 
+    fn note_granted(&mut self, id: u64) {
+        let Some(Job { stage: Stage::Claim(votes), claim: Some(c), .. }) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let yes = votes.iter().filter(|(_, said)| **said == Claimed::Granted);
+        c.granted = yes.map(|(a, _)| *a).collect();
+    }
+
     fn release_job(&mut self, id: u64, out: &mut Vec<Out>) {
         if let Some(j) = self.jobs.remove(&id) {
             self.release(&j, out);
@@ -147,7 +179,7 @@
     pub(crate) fn release(&mut self, j: &Job, out: &mut Vec<Out>) {
         if let Some(c) = j.claim.as_ref().filter(|_| j.tries == 0) {
             let free = |a| Out::Send(a, Msg::Release { key: c.key.clone(), round: c.round });
-            out.extend(c.ledgers().into_iter().map(free));
+            out.extend(self.holders(c).into_iter().map(free));
         }
     }
 
@@ -155,28 +187,42 @@
     pub(crate) fn ran(&mut self, now: Mono, id: u64, w: Whole, s: Step, out: &mut Vec<Out>) {
         let claim = self.jobs.get(&id).and_then(|j| j.claim.clone());
         if let Some(c) = claim {
-            let to = self.recorders(&c);
+            let mut others = self.recorders(&c);
+            let to = match self.env.policy.near {
+                true => others.pop().into_iter().collect(),
+                false => std::mem::take(&mut others).into_iter().collect(),
+            };
             let Claim { round, key, print, .. } = c;
-            self.outgoing.push(Outgoing { key, print, round, whole: w, to, began: now, sent: Mono(0) });
+            let (began, sent, chosen) = (now, Mono(0), now);
+            self.outgoing.push(Outgoing { key, print, round, whole: w, to, others, began, sent, chosen });
             self.push_outcomes(now, out);
         }
         self.finish(now, id, s, out);
     }
 
-    /// Who is to keep the outcome: all of the key's ledgers, or where bytes are dear the
-    /// nearest one.
-    fn recorders(&self, c: &Claim) -> BTreeSet<Addr> {
-        let mut all: Vec<Addr> = c.ledgers().into_iter().collect();
+    /// All ledgers that may hold the grant: those it was claimed from, and those that
+    /// took it over because the set has changed since.
+    fn holders(&self, c: &Claim) -> BTreeSet<Addr> {
+        let now = self.table.roll.named(&c.key, self.env.losses);
+        c.ledgers().into_iter().chain(now.into_iter().flatten()).collect()
+    }
+
+    /// Who is to keep the outcome, the first choice last: the key's ledgers, those that
+    /// granted it before others, of them those of the newest set, and of them the nearest.
+    fn recorders(&self, c: &Claim) -> Vec<Addr> {
+        let newest = self.table.roll.named(&c.key, self.env.losses).pop().unwrap_or_default();
         let here = &self.follow.env.zone;
         let zone = |a: &Addr| self.table.ledgers.iter().find(|x| x.1 == *a).map(|x| x.2.clone());
-        all.sort_by_key(|a| zone(a).is_none_or(|z| z != *here));
-        let most = if self.env.policy.near { 1 } else { all.len() };
-        all.into_iter().take(most).collect()
+        let near = |a: &Addr| zone(a).is_some_and(|z| z == *here);
+        let mut all: Vec<Addr> = self.holders(c).into_iter().collect();
+        all.sort_by_key(|a| (c.granted.contains(a), newest.contains(a), near(a)));
+        all
     }
 
     pub(crate) fn push_outcomes(&mut self, now: Mono, out: &mut Vec<Out>) {
         for o in self.outgoing.iter_mut().filter(|o| now - o.sent >= Span::ms(250)) {
             o.sent = now;
+            o.choose_again(now);
             for a in &o.to {
                 let m = Msg::Outcome {
                     key: o.key.clone(),
--- a/crates/edge/src/table.rs
+++ b/crates/edge/src/table.rs
@@ -1,7 +1,7 @@
 //! What an edge routes by: an immutable snapshot, built anew and swapped whole.
 use crate::lanes::Lanes;
 use control_state::*;
-use primitives::{Addr, NodeId};
+use primitives::{Addr, NodeId, Version};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -14,6 +14,7 @@
     pub edges: Vec<(NodeId, Addr, Zone)>,
     pub ledgers: Vec<(NodeId, Addr, Zone)>,
     pub roll: Roll,
+    pub roll_version: Version,
     pub shares: BTreeMap<Svc, Share>,
     /// By host and path.
     pub paths: Lanes,
@@ -23,7 +24,8 @@
 
 impl Table {
     pub fn build(items: &BTreeMap<Key, Item>) -> Table {
-        let mut t = Table { roll: Roll::of(items), ..Table::default() };
+        let (roll, roll_version) = (Roll::of(items), Roll::version(items));
+        let mut t = Table { roll, roll_version, ..Table::default() };
         for (k, it) in items {
             match (k, &it.body) {
                 (Key::Row(l, s), Some(Body::Row(r))) => {
--- a/crates/ledger/src/grants.rs
+++ b/crates/ledger/src/grants.rs
@@ -1,7 +1,7 @@
 //! The grants of keys and what of it reaches the disk.
 use crate::stock::Stocked;
 use control_state::{Claimed, Held, Print, RoundId, Whole};
-use primitives::{Birth, Mono, Span};
+use primitives::{Birth, Mono, Span, Version};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -25,9 +25,13 @@
         key: String,
         round: RoundId,
     },
-    /// All there is, in place of all records before.
+    /// All there is, in place of all records before, as versions without a fence wrote it.
     Base(Birth, bool, Vec<(String, Print, RoundId, Option<Whole>)>, Vec<Stocked>),
     Copy(Stocked),
+    /// Rounds claimed by an earlier version of the roll are granted nothing.
+    Fence(Version),
+    /// All there is, in place of all records before.
+    Whole(Birth, bool, Version, Vec<(String, Print, RoundId, Option<Whole>)>, Vec<Stocked>),
 }
 
 impl Kept {
@@ -91,11 +95,11 @@
                     self.keys.remove(&key);
                 }
             }
-            Kept::Base(_, _, all, _) => {
+            Kept::Base(_, _, all, _) | Kept::Whole(_, _, _, all, _) => {
                 let grant = |(key, print, round, whole)| (key, Grant { print, round, whole, at: now });
                 self.keys = all.into_iter().map(grant).collect();
             }
-            Kept::Birth(_) | Kept::Open | Kept::Copy(_) => (),
+            Kept::Birth(_) | Kept::Open | Kept::Copy(_) | Kept::Fence(_) => (),
         }
     }
 
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -1,8 +1,12 @@
+//! The ledger itself: its state, its start, and what each input does.
+use crate::claims::KeyClaim;
+use crate::fill::Fill;
 use crate::grants::*;
+use crate::leave::Leaving;
 use crate::recall::Recall;
 use crate::stock::Stock;
 use control_state::*;
-use primitives::{Addr, Birth, Epoch, Mono, NodeId, Span};
+use primitives::{Birth, Epoch, Mono, NodeId, Span, Version};
 use std::collections::BTreeMap;
 
 #[derive(Clone, Debug)]
@@ -41,7 +45,11 @@
     pub(crate) swept: Mono,
     /// Invariant: true only if this disk has missed no grant that still counts.
     pub(crate) open: bool,
+    /// Invariant: on disk before any answer that relies on it; see `may_grant`.
+    pub(crate) fence: Version,
     pub(crate) recall: Recall,
+    pub(crate) fill: Fill,
+    pub(crate) leaving: Leaving,
     pub(crate) boot: Mono,
     pub(crate) written: usize,
     pub(crate) mended: Mono,
@@ -55,15 +63,20 @@
         let mut stock = Stock::new(env.room);
         let mut birth = None;
         let mut open = false;
+        let mut fence = Version(0);
         for k in kept {
             match &k {
                 Kept::Birth(b) => birth = Some(*b),
                 Kept::Open => open = true,
-                Kept::Base(b, o, _, copies) => {
+                Kept::Base(b, o, _, copies) | Kept::Whole(b, o, _, _, copies) => {
                     (birth, open) = (Some(*b), *o);
+                    if let Kept::Whole(_, _, roll, ..) = &k {
+                        fence = *roll;
+                    }
                     stock.clear();
                     copies.iter().for_each(|s| stock.put(s.object.clone(), s.clone()));
                 }
+                Kept::Fence(roll) => fence = fence.max(*roll),
                 Kept::Copy(s) => stock.put(s.object.clone(), s.clone()),
                 _ => (),
             }
@@ -84,7 +97,10 @@
             stock,
             swept: now,
             open,
+            fence,
             recall: Recall::new(life),
+            fill: Fill::default(),
+            leaving: Leaving::default(),
             boot: now,
             written: 0,
             mended: now,
@@ -106,48 +122,6 @@
         self.grants.apply(k, now);
     }
 
-    fn on_claim(
-        &mut self,
-        now: Mono,
-        from: Addr,
-        key: String,
-        print: Print,
-        round: RoundId,
-        out: &mut Vec<Out>,
-    ) {
-        self.grants.drop_old(now, self.env.window);
-        let said = match self.grants.look(&key, print, round) {
-            Claimed::Granted if !self.open || self.grants.bytes > self.env.most => Claimed::Unable,
-            s => s,
-        };
-        if said == Claimed::Unable && self.open {
-            self.count("no room for keys");
-        }
-        if said == Claimed::Granted && !self.grants.keys.contains_key(&key) {
-            self.count("granted");
-            self.save(now, Kept::Grant { key: key.clone(), print, round }, out);
-        }
-        out.push(Out::Send(from, Msg::Claimed { key, round, said }));
-    }
-
-    /// The outcome of a round; the grant itself may have been missed.
-    fn on_outcome(&mut self, now: Mono, from: Addr, grant: Kept, whole: Whole, out: &mut Vec<Out>) {
-        let Kept::Grant { key, round, .. } = grant.clone() else { return };
-        let held = self.grants.keys.get(&key).map(|g| (g.round == round, g.whole.is_some()));
-        if held.is_none() {
-            self.save(now, grant, out);
-        }
-        // Too large to keep: later tries are in doubt, as if the answer were lost.
-        // Nor may an outcome that may as well be lost take the room of grants.
-        let room = !self.env.sparing || self.grants.bytes < self.env.most / 4 * 3;
-        let small = whole.size() <= self.env.most / 16 && room;
-        if small && held.is_none_or(|(same, known)| same && !known) {
-            self.count("outcomes");
-            self.save(now, Kept::Outcome { key: key.clone(), round, whole }, out);
-        }
-        out.push(Out::Send(from, Msg::Kept { key, round }));
-    }
-
     fn health(&self, now: Mono) -> Health {
         let why = match (self.follow.leased(now), self.open) {
             (false, _) => "no setup lease",
@@ -158,7 +132,8 @@
         counts.push(("keys", self.grants.keys.len() as u64));
         counts.push(("key bytes", self.grants.bytes as u64));
         counts.push(("copies", self.stock.len() as u64));
-        Health { ready: why.is_empty(), why, counts, ..Health::default() }
+        let in_hand = self.leaving.left() as u64;
+        Health { ready: why.is_empty(), why, in_hand, counts, ..Health::default() }
     }
 
     fn tick(&mut self, now: Mono, out: &mut Vec<Out>) {
@@ -171,9 +146,10 @@
         }
         if self.written > self.env.base_after {
             self.written = 0;
-            let b = Kept::Base(
+            let b = Kept::Whole(
                 self.follow.env.birth,
                 self.open,
+                self.fence,
                 self.grants.dump(),
                 self.stock.values().cloned().collect(),
             );
@@ -181,6 +157,7 @@
         }
         self.mend(now, out);
         self.recall(now, out);
+        self.hand_over(now, out);
         self.mind_stock(now);
     }
 
@@ -200,7 +177,10 @@
     fn step(&mut self, now: Mono, inp: In, out: &mut Vec<Out>) {
         match inp {
             In::Tick => self.tick(now, out),
-            In::Ask(t, Ask::Ready | Ask::Drain) => {
+            In::Ask(t, ask @ (Ask::Ready | Ask::Drain)) => {
+                if matches!(ask, Ask::Drain) {
+                    self.begin_to_leave(now, out);
+                }
                 out.push(Out::Tell(t, Receipt::Health(self.health(now))));
             }
             In::Ask(t, _) => out.push(Out::Tell(t, Receipt::NotNow("not asked of a ledger"))),
@@ -209,12 +189,10 @@
                     self.follow.on_news(from, &n, out);
                     self.maybe_open(now, out);
                 }
-                Msg::Claim { key, print, round } => self.on_claim(now, from, key, print, round, out),
-                Msg::Release { key, round } => {
-                    if self.grants.keys.get(&key).is_some_and(|g| g.round == round && g.whole.is_none()) {
-                        self.save(now, Kept::Release { key, round }, out);
-                    }
+                Msg::Claim { key, print, round, roll } => {
+                    self.on_claim(now, from, KeyClaim { key, print, round, roll }, out)
                 }
+                Msg::Release { key, round } => self.on_release(now, key, round, out),
                 Msg::Outcome { key, print, round, whole } => {
                     self.on_outcome(now, from, Kept::Grant { key, print, round }, whole, out)
                 }
@@ -225,10 +203,13 @@
                 }
                 Msg::Digests(d) => self.on_digests(now, from, d, out),
                 Msg::Ranges(r) => self.on_ranges(now, r, out),
-                Msg::Recall { ask, roll } => self.on_recall(now, from, ask, roll, out),
+                Msg::Recall { ask, roll, purpose } => self.on_recall(now, from, ask, (roll, purpose), out),
                 Msg::Recalled { ask, part, of, held } => {
                     self.on_recalled(now, from, (ask, part, of), held, out)
                 }
+                Msg::Fill { roll } => self.on_fill(now, from, roll, out),
+                Msg::HandOver { ask, held } => self.on_hand_over(now, from, ask, held, out),
+                Msg::HandedOver { ask } => self.on_handed_over(ask),
                 _ => self.count("stray"),
             },
         }
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -1,5 +1,8 @@
 //! The ledger, a pure part: grants each key to one round and keeps its outcome.
+mod claims;
+mod fill;
 mod grants;
+mod leave;
 mod ledger;
 mod mend;
 mod recall;
--- a/crates/ledger/src/mend.rs
+++ b/crates/ledger/src/mend.rs
@@ -79,20 +79,22 @@
     /// Takes over keys it does not hold, and outcomes it does not know. Never
     /// replaces a grant by another: that would forget a promise.
     pub(crate) fn on_ranges(&mut self, now: Mono, ranges: Vec<(u16, Vec<Held>)>, out: &mut Vec<Out>) {
-        for h in ranges.into_iter().flat_map(|(_, h)| h) {
-            if h.age >= self.env.window {
-                continue;
-            }
-            if !self.grants.keys.contains_key(&h.key) {
-                self.count("mended");
-                self.save(now, Kept::Grant { key: h.key.clone(), print: h.print, round: h.round }, out);
-                // As old as it was there, so that it is not passed round for ever.
-                self.grants.keys.entry(h.key.clone()).and_modify(|g| g.at = now - h.age);
-            }
-            let lacks = |g: &Grant| g.round == h.round && g.whole.is_none();
-            if let (Some(whole), true) = (h.whole, self.grants.keys.get(&h.key).is_some_and(lacks)) {
-                self.save(now, Kept::Outcome { key: h.key, round: h.round, whole }, out);
-            }
+        ranges.into_iter().flat_map(|(_, h)| h).for_each(|h| self.take_in(now, h, out));
+    }
+
+    pub(crate) fn take_in(&mut self, now: Mono, h: Held, out: &mut Vec<Out>) {
+        if h.age >= self.env.window {
+            return;
+        }
+        if !self.grants.keys.contains_key(&h.key) {
+            self.count("mended");
+            self.save(now, Kept::Grant { key: h.key.clone(), print: h.print, round: h.round }, out);
+            // As old as it was there, so that it is not passed round for ever.
+            self.grants.keys.entry(h.key.clone()).and_modify(|g| g.at = now - h.age);
+        }
+        let lacks = |g: &Grant| g.round == h.round && g.whole.is_none();
+        if let (Some(whole), true) = (h.whole, self.grants.keys.get(&h.key).is_some_and(lacks)) {
+            self.save(now, Kept::Outcome { key: h.key, round: h.round, whole }, out);
         }
     }
 }
--- a/crates/ledger/src/recall.rs
+++ b/crates/ledger/src/recall.rs
@@ -1,6 +1,8 @@
-//! Recall: a ledger whose disk is new asks the other seats what the lost one may have
-//! granted, and grants again once it cannot have missed any of it.
+//! Recall: a ledger asks the seats of the deciding set for all they hold of its keys. One
+//! whose disk is new grants again once it cannot have missed anything that the lost one
+//! granted; one of a newer set is filled so (see `fill`).
 use crate::grants::*;
+use crate::leave::in_parts;
 use crate::ledger::Ledger;
 use control_state::*;
 use primitives::{Addr, Mono, Span, Version};
@@ -11,14 +13,16 @@
 /// Bytes of one part of an answer; a record that is larger goes by itself.
 const PART: usize = 256 << 10;
 
-/// What was heard so far. Invariant: all of it was asked by this version of the roll,
-/// by this process, and after every round that counts a vote of the lost disk had
-/// left or never would.
+/// What was heard so far. Invariant: all of it was asked by this version of the roll, for
+/// this purpose and by this process; to reopen, also after every round that counts a
+/// vote of the lost disk had left or never would.
 #[derive(Debug)]
 pub(crate) struct Recall {
-    roll: Version,
+    pub task: (Version, RecallPurpose),
     seats: BTreeMap<Addr, Answers>,
     next: u64,
+    /// Rounds that gave their key back meanwhile: an answer may still name them.
+    released: BTreeSet<RoundId>,
 }
 
 /// By asking, the parts that came: those of two askings are of two moments, and
@@ -34,7 +38,22 @@
 impl Recall {
     /// `life` keeps the numbers apart from those of an earlier process.
     pub fn new(life: u64) -> Recall {
-        Recall { roll: Version(0), seats: BTreeMap::new(), next: life << 20 }
+        let task = (Version(0), RecallPurpose::Reopen);
+        Recall { task, seats: BTreeMap::new(), next: life << 20, released: BTreeSet::new() }
+    }
+
+    pub(crate) fn released(&mut self, round: RoundId) {
+        if !self.seats.is_empty() {
+            self.released.insert(round);
+        }
+    }
+
+    fn begin(&mut self, task: (Version, RecallPurpose)) {
+        if self.task != task {
+            self.seats.clear();
+            self.released.clear();
+            self.task = task;
+        }
     }
 }
 
@@ -52,82 +71,109 @@
         let clean = roll.seats().any(|s| mine(&s))
             && roll.seats().filter(mine).all(|s| (s.id, s.birth) == (me.id, me.birth));
         let waited = self.follow.myself().is_some() && now - self.boot >= self.env.window.padded();
-        let recalled = self.may_recall(now) && self.unheard() < self.env.losses;
+        let recalled = self.may_reopen(now) && self.unheard() <= self.bearable();
         if clean || waited || recalled {
             self.open = true;
             out.push(Out::Note("grants keys from now on"));
+            // What an earlier disk at this place voted for by an earlier roll may be known
+            // to the others without this one's further votes.
+            self.raise_fence(now, self.roll_version(), out);
             self.save(now, Kept::Open, out);
         }
     }
 
+    /// Seats of the deciding set that need not be heard: those that may have lost their disks
+    /// beside this one.
+    fn bearable(&self) -> usize {
+        let me = self.follow.env.addr;
+        let decides = Roll::of(&self.follow.items).deciding().iter().any(|s| s.addr == me);
+        self.env.losses - decides as usize
+    }
+
     /// Only under the lease: then it knows every roll by which a vote of the lost disk
     /// was counted. And only once no such round can leave any more: whoever has not
     /// yet voted for it then need not be asked for it.
-    fn may_recall(&self, now: Mono) -> bool {
+    fn may_reopen(&self, now: Mono) -> bool {
         let me = &self.follow.env;
         let seated = |r: &Roll| r.seats().any(|s| (s.id, s.addr) == (me.id, me.addr));
         self.env.losses > 0
             && now - self.boot >= self.env.leave.padded()
             && self.follow.in_touch_until() > now
-            && self.recall.roll == self.roll_version()
+            && self.recall.task == (self.roll_version(), RecallPurpose::Reopen)
             && seated(&Roll::of(&self.follow.items))
     }
 
-    fn roll_version(&self) -> Version {
-        self.follow.items.get(&Key::Roll).map_or(Version(0), |it| it.ver)
+    pub(crate) fn roll_version(&self) -> Version {
+        Roll::version(&self.follow.items)
+    }
+
+    /// The seats that are asked. The newer set need not be: while the set changes every
+    /// round has a quorum in the older one.
+    fn sources(&self) -> BTreeSet<Addr> {
+        let me = self.follow.env.addr;
+        let roll = Roll::of(&self.follow.items);
+        roll.deciding().iter().map(|s| s.addr).filter(|a| *a != me).collect()
     }
 
-    fn unheard(&self) -> usize {
+    pub(crate) fn unheard(&self) -> usize {
         let full = |a: &Addr| self.recall.seats.get(a).is_some_and(|s| s.full);
-        self.others().iter().filter(|a| !full(a)).count()
+        self.sources().iter().filter(|a| !full(a)).count()
     }
 
     pub(crate) fn recall(&mut self, now: Mono, out: &mut Vec<Out>) {
-        if self.open {
+        let filling = self.filling();
+        if self.open && !filling {
             return;
         }
-        let roll = self.roll_version();
-        if self.recall.roll != roll {
-            self.recall.seats.clear();
-            self.recall.roll = roll;
+        let purpose = if filling { RecallPurpose::Fill } else { RecallPurpose::Reopen };
+        self.recall.begin((self.roll_version(), purpose));
+        if filling || self.may_reopen(now) {
+            self.ask_seats(now, out);
         }
-        if self.may_recall(now) {
-            for a in self.others() {
-                let s = self.recall.seats.entry(a).or_default();
-                if !s.full && now - s.last >= AGAIN {
-                    self.recall.next += 1;
-                    let ask = self.recall.next;
-                    s.last = now;
-                    s.parts.insert(ask, BTreeSet::new());
-                    out.push(Out::Send(a, Msg::Recall { ask, roll }));
-                }
+        self.maybe_open(now, out);
+        self.maybe_filled(out);
+    }
+
+    fn ask_seats(&mut self, now: Mono, out: &mut Vec<Out>) {
+        let (roll, purpose) = self.recall.task;
+        for a in self.sources() {
+            let seat = self.recall.seats.entry(a).or_default();
+            let silent = seat.last == Mono(0) || now - seat.last >= AGAIN;
+            if !seat.full && silent {
+                self.recall.next += 1;
+                let ask = self.recall.next;
+                seat.last = now;
+                seat.parts.insert(ask, BTreeSet::new());
+                out.push(Out::Send(a, Msg::Recall { ask, roll, purpose }));
             }
         }
-        self.maybe_open(now, out);
     }
 
     /// Shows all that the asker is named for, whether or not its time in the making is
     /// over. A seat that may not grant itself, or that goes by another roll, is silent.
-    pub(crate) fn on_recall(&mut self, now: Mono, from: Addr, ask: u64, roll: Version, out: &mut Vec<Out>) {
+    pub(crate) fn on_recall(
+        &mut self,
+        now: Mono,
+        from: Addr,
+        ask: u64,
+        (roll, purpose): (Version, RecallPurpose),
+        out: &mut Vec<Out>,
+    ) {
         if !self.open || roll != self.roll_version() {
             return;
         }
         self.count("recalls answered");
+        if purpose == RecallPurpose::Fill {
+            self.raise_fence(now, roll, out);
+        }
         self.grants.drop_old(now, self.env.window);
         let r = Roll::of(&self.follow.items);
         let theirs = |k: &str| r.named(k, self.env.losses).iter().any(|n| n.contains(&from));
-        let held = self.grants.keys.iter().filter(|(k, _)| theirs(k)).map(|(k, g)| self.show(now, k, g));
-        let mut parts: Vec<(usize, Vec<Held>)> = vec![(0, vec![])];
-        for h in held {
-            let full = parts.last().is_some_and(|(n, p)| !p.is_empty() && n + h.size() > PART);
-            if full {
-                parts.push((0, vec![]));
-            }
-            parts.last_mut().into_iter().for_each(|(n, _)| *n += h.size());
-            parts.last_mut().into_iter().for_each(|(_, p)| p.push(h.clone()));
-        }
+        let keys = self.grants.keys.iter().filter(|(k, _)| theirs(k));
+        let held = keys.map(|(k, g)| self.show(now, k, g)).collect();
+        let parts = in_parts(held, PART);
         let of = parts.len() as u32;
-        let one = |(i, (_, held))| Out::Send(from, Msg::Recalled { ask, part: i as u32, of, held });
+        let one = |(i, held)| Out::Send(from, Msg::Recalled { ask, part: i as u32, of, held });
         out.extend(parts.into_iter().enumerate().map(one));
     }
 
@@ -140,9 +186,11 @@
         out: &mut Vec<Out>,
     ) {
         let asked = self.recall.seats.get(&from).is_some_and(|s| s.parts.contains_key(&ask));
-        if self.open || !asked {
+        if !asked || (self.open && !self.filling()) {
             return;
         }
+        let given_back = |h: &Held| self.recall.released.contains(&h.round);
+        let held: Vec<Held> = held.into_iter().filter(|h| !given_back(h)).collect();
         for h in held {
             self.take_over(now, h, out);
         }
@@ -157,12 +205,12 @@
         got.insert(part);
         s.full |= got.len() == of as usize;
         self.maybe_open(now, out);
+        self.maybe_filled(out);
     }
 
-    /// While it may not grant, all it holds is other ledgers' word, no promise of its
-    /// own. Of two rounds at most one runs: the one whose outcome is known, or nobody
-    /// can say which, and then the key is kept from both. Invariant: held at least as
-    /// long as the youngest record of the key.
+    /// Of two rounds at most one runs: the one whose outcome is known, or nobody can say
+    /// which, and then the key is kept from both. A grant of its own is so kept from
+    /// others too. Invariant: held at least as long as the youngest record of the key.
     fn take_over(&mut self, now: Mono, h: Held, out: &mut Vec<Out>) {
         if h.age >= self.env.window {
             return;
