--- a/crates/control-state/src/follow.rs
+++ b/crates/control-state/src/follow.rs
@@ -28,7 +28,7 @@
     pub serve_on: bool,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Follow {
     pub env: FollowEnv,
     pub era: Era,
--- a/crates/control-state/src/shelf.rs
+++ b/crates/control-state/src/shelf.rs
@@ -13,7 +13,7 @@
 
 /// Invariant: the sizes of all on it come to at most `room`; what ends soonest
 /// goes first.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Shelf<K, T> {
     all: BTreeMap<K, T>,
     bytes: usize,
--- a/crates/ledger/src/fill.rs
+++ b/crates/ledger/src/fill.rs
@@ -6,7 +6,7 @@
 use primitives::{Addr, Mono, Version};
 
 /// The fill asked for last.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Fill {
     /// The version of the roll, and the controller that asked.
     wanted: Option<(Version, Addr)>,
--- a/crates/ledger/src/grants.rs
+++ b/crates/ledger/src/grants.rs
@@ -62,7 +62,7 @@
 
 /// Invariant: a key is granted to one round until its window is over or that
 /// round gave it back unsent.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Grants {
     pub keys: BTreeMap<String, Grant>,
     /// What they come to, as of the last look at their ages.
--- a/crates/ledger/src/leave.rs
+++ b/crates/ledger/src/leave.rs
@@ -13,7 +13,7 @@
 const PART: usize = 256 << 10;
 
 /// What is left to hand over.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Leaving {
     since: Option<Mono>,
     last: Mono,
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -37,6 +37,8 @@
 /// How often what is over is looked for.
 const SWEEP: Span = Span::ms(250);
 
+/// Plain data: a copy of it goes on as the original would.
+#[derive(Clone)]
 pub struct Ledger {
     pub(crate) env: LedgerEnv,
     pub(crate) follow: Follow,
--- a/crates/ledger/src/recall.rs
+++ b/crates/ledger/src/recall.rs
@@ -16,7 +16,7 @@
 /// What was heard so far. Invariant: all of it was asked by this version of the roll, for
 /// this purpose and by this process; to reopen, also after every round that counts a
 /// vote of the lost disk had left or never would.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Recall {
     pub task: (Version, RecallPurpose),
     seats: BTreeMap<Addr, Answers>,
@@ -27,7 +27,7 @@
 
 /// By asking, the parts that came: those of two askings are of two moments, and
 /// make no whole together.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Answers {
     parts: BTreeMap<u64, BTreeSet<u32>>,
     /// When it was asked, or a part of its answer came.
