--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -38,7 +38,7 @@
 const SWEEP: Span = Span::ms(250);
 
 /// Plain data: a copy of it goes on as the original would.
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 pub struct Ledger {
     pub(crate) env: LedgerEnv,
     pub(crate) follow: Follow,
--- a/crates/machine/src/leave.rs
+++ b/crates/machine/src/leave.rs
@@ -1,5 +1,6 @@
 //! Leaving in order: not ready at once, serving on until callers have noticed, then
-//! no more connections, and the end once nothing is in hand.
+//! no more connections, and the end once nothing is in hand. The ledger goes last: it
+//! hands what it holds to the others.
 use crate::run::Callers;
 use control_state::*;
 use primitives::Span;
@@ -11,6 +12,9 @@
 /// What is kept back of the grace, so that the end is ours.
 const BACK: Span = Span::ms(400);
 
+/// The longest that the ledger may take; it gives up earlier by itself.
+const HAND_OVER: Span = Span::ms(2500);
+
 fn asked(h: &Handle) -> (bool, bool) {
     match h.ask(Ask::Drain, Duration::from_secs(1)) {
         Some(Receipt::Health(x)) => (x.taking, x.in_hand > 0),
@@ -30,3 +34,11 @@
         thread::sleep(LOOK);
     }
 }
+
+/// The outcomes of the last requests are with the ledgers by now.
+pub(crate) fn hand_over(ledger: &Handle) {
+    let until = runtime::now() + HAND_OVER;
+    while asked(ledger).1 && runtime::now() < until {
+        thread::sleep(LOOK);
+    }
+}
--- a/crates/machine/src/run.rs
+++ b/crates/machine/src/run.rs
@@ -1,5 +1,5 @@
 //! Starting, running and stopping the parts of one machine.
-use crate::leave::leave;
+use crate::leave::{hand_over, leave};
 use crate::{MachineEnv, Seat};
 use control_state::*;
 use primitives::{Addr, Mono, Span};
@@ -16,6 +16,7 @@
 use slog::{info, Logger};
 use snafu::{ResultExt, Snafu};
 use std::net::{SocketAddr, TcpListener};
+use std::sync::mpsc::{channel, Receiver};
 use std::sync::{Arc, Mutex};
 use std::thread;
 
@@ -82,16 +83,18 @@
         Ok(())
     }
 
-    /// On a thread of its own; it ends with the process.
-    fn spawn(self, env: &MachineEnv, log: &Logger) -> Result<()> {
+    /// On a thread of its own; it ends with the process. Its handle comes once it runs.
+    fn spawn(self, env: &MachineEnv, log: &Logger) -> Result<Receiver<Handle>> {
         let (env, log) = (env.clone(), log.clone());
+        let (tell, handle) = channel();
+        let begun = move |h: Handle| tell.send(h).unwrap_or_default();
         thread::spawn(move || {
-            if let Err(p) = self.run(&env, &log, |_| ()) {
+            if let Err(p) = self.run(&env, &log, begun) {
                 slog::crit!(log, "a part cannot run"; "problem" => %p);
                 std::process::exit(74);
             }
         });
-        Ok(())
+        Ok(handle)
     }
 }
 
@@ -126,9 +129,10 @@
     on_panic(logs.clone());
     let log = logs.logger();
     controller(&env)?.spawn(&env, &log)?;
-    if let Some((dir, _)) = env.keeps() {
-        ledger(&env, dir)?.spawn(&env, &log)?;
-    }
+    let ledger = match env.keeps() {
+        Some((dir, _)) => Some(ledger(&env, dir)?.spawn(&env, &log)?),
+        None => None,
+    };
     let room = Room::new(env.memory / 4);
     let exec = ExecEnv { answer: 64 << 20, room, manner: fronts.manner.clone() };
     let (tx, start) = runtime::exec::rounds(exec);
@@ -152,6 +156,8 @@
             if let Some(s) = signals.forever().find(|s| *s != SIGHUP) {
                 info!(log, "leaving"; "signal" => s);
                 leave(&h, callers.as_deref(), grace);
+                let ledger = ledger.and_then(|l| l.try_recv().ok());
+                ledger.iter().for_each(hand_over);
                 h.stop();
             }
         });
