--- a/crates/edge/src/jobs.rs
+++ b/crates/edge/src/jobs.rs
@@ -1,6 +1,6 @@
 //! Requests in hand, from the first look to the last word.
+use crate::claim::Claim;
 use crate::edge::Edge;
-use crate::keyed::Claim;
 use control_state::*;
 use primitives::{Addr, Birth, Mono, Span, Token};
 use std::collections::BTreeMap;
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -1,6 +1,7 @@
 //! The edge, a pure part: the decision object that executors ask and obey.
 mod answers;
 mod choice;
+mod claim;
 mod copies;
 mod edge;
 mod errand;
--- a/crates/machine/src/leave.rs
+++ b/crates/machine/src/leave.rs
@@ -1,5 +1,6 @@
 //! Leaving in order: not ready at once, serving on until callers have noticed, then
-//! no more connections, and the end once nothing is in hand.
+//! no more connections, and the end once nothing is in hand. The ledger goes last: it
+//! hands what it holds to the others.
 use crate::run::Callers;
 use control_state::*;
 use primitives::Span;
@@ -11,6 +12,9 @@
 /// What is kept back of the grace, so that the end is ours.
 const BACK: Span = Span::ms(400);
 
+/// The longest that the ledger may take; it gives up earlier by itself.
+const HAND_OVER: Span = Span::ms(2500);
+
 /// How far a part is with its leaving.
 struct Progress {
     taking: bool,
@@ -24,8 +28,15 @@
     }
 }
 
-/// The edge leaves its callers while the controller leaves its seat.
-pub(crate) fn leave(edge: &Handle, controller: &Handle, callers: Callers, grace: Span) {
+/// The edge leaves its callers while the controller leaves its seat; then the ledger hands
+/// over, as the outcomes of the last requests are with the ledgers by then.
+pub(crate) fn leave(
+    edge: &Handle,
+    controller: &Handle,
+    ledger: Option<&Handle>,
+    callers: Callers,
+    grace: Span,
+) {
     let until = runtime::now() + Span(grace.0.saturating_sub(BACK.0));
     callers.into_iter().for_each(|d| d.leave());
     let both = || (drain(controller), drain(edge));
@@ -40,4 +51,8 @@
     while busy() && runtime::now() < until {
         thread::sleep(LOOK);
     }
+    let handed_over = until.min(runtime::now() + HAND_OVER);
+    while ledger.is_some_and(|l| drain(l).busy) && runtime::now() < handed_over {
+        thread::sleep(LOOK);
+    }
 }
--- a/crates/machine/src/run.rs
+++ b/crates/machine/src/run.rs
@@ -128,9 +128,10 @@
     on_panic(logs.clone());
     let log = logs.logger();
     let controller = controller(&env)?.spawn(&env, &log);
-    if let Some((dir, _)) = env.keeps() {
-        ledger(&env, dir)?.spawn(&env, &log);
-    }
+    let ledger = match env.keeps() {
+        Some((dir, _)) => Some(ledger(&env, dir)?.spawn(&env, &log)),
+        None => None,
+    };
     let room = Room::new(env.memory / 4);
     let exec = ExecEnv { answer: 64 << 20, room, manner: fronts.manner.clone() };
     let (tx, start) = runtime::exec::rounds(exec);
@@ -153,8 +154,9 @@
             // Settings count from the next start: a word that they changed ends nothing.
             if let Some(s) = signals.forever().find(|s| *s != SIGHUP) {
                 info!(log, "leaving"; "signal" => s);
+                let ledger = ledger.and_then(|l| l.try_recv().ok());
                 if let Ok(controller) = controller.recv() {
-                    leave(&h, &controller, callers.as_deref(), grace);
+                    leave(&h, &controller, ledger.as_ref(), callers.as_deref(), grace);
                 }
                 h.stop();
             }
