--- a/crates/lanewing/src/desk.rs
+++ b/crates/lanewing/src/desk.rs
@@ -5,6 +5,7 @@
 use runtime::front::{common, Reply};
 use runtime::intake::Call;
 use runtime::net::Counts;
+use runtime::process::threads;
 use runtime::shell::Handle;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering::Relaxed;
@@ -33,12 +34,16 @@
 
 fn links(n: &Counts) -> Reply {
     let get = |c: &std::sync::atomic::AtomicU64| num(c.load(Relaxed));
-    let v = vec![
+    let mut v = vec![
         ("sent", get(&n.sent)),
         ("received", get(&n.received)),
         ("dropped", get(&n.dropped)),
+        ("expired", get(&n.expired)),
+        ("overflowed", get(&n.overflowed)),
+        ("stalled", get(&n.stalled)),
         ("bad_frames", get(&n.bad_frames)),
     ];
+    v.extend(threads().map(|n| ("threads", num(n))));
     Reply::json(200, obj(v))
 }
 
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod intake;
 pub mod logs;
 pub mod net;
+pub mod process;
 pub mod ring;
 pub mod room;
 mod scan;
--- a/crates/runtime/src/net.rs
+++ b/crates/runtime/src/net.rs
@@ -1,24 +1,32 @@
-//! Held connections between lanewing's processes: one way each, framed, checked.
+//! Links between lanewing's processes: one TCP connection for each direction, framed
+//! and checked. One I/O thread of the process serves them all; see `io_thread`.
+mod counts;
+mod decoder;
+mod event_loop;
+mod expiry;
+mod inbound;
+mod io_thread;
+mod link;
+mod send_queue;
+
+pub use counts::Counts;
+
 use control_state::Msg;
-use nix::errno::Errno;
-use nix::sys::socket::{recv, MsgFlags};
+use counts::count;
+use io_thread::IoThread;
+use link::Link;
 use primitives::Addr;
 use snafu::Snafu;
 use std::collections::HashMap;
-use std::io::{self, Read, Write};
-use std::net::{TcpListener, TcpStream};
-use std::os::fd::AsRawFd;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::mpsc::{sync_channel, Receiver, SyncSender, TrySendError};
+use std::io::{self, Read};
+use std::net::TcpListener;
 use std::sync::Arc;
-use std::thread;
 use std::time::{Duration, Instant};
 
 const MAGIC: [u8; 2] = *b"LW";
 const VERSION: u8 = 1;
 /// Larger frames are never sent and close the connection when received.
 const LARGEST: usize = 16 << 20;
-const LINE: usize = 4096;
 
 #[derive(Debug, Snafu)]
 pub enum FrameProblem {
@@ -43,40 +51,54 @@
     f
 }
 
-pub fn read_frame(r: &mut impl Read) -> Result<Vec<u8>, FrameProblem> {
-    let mut h = [0u8; 11];
-    r.read_exact(&mut h)?;
-    if h[..2] != MAGIC {
-        return AlienSnafu.fail();
-    }
-    if h[2] != VERSION {
-        return OtherVersionSnafu { version: h[2] }.fail();
+/// What stands before a frame's content.
+struct FrameHeader {
+    size: usize,
+    checksum: u32,
+}
+
+impl FrameHeader {
+    const SIZE: usize = 11;
+
+    fn parse(h: &[u8; FrameHeader::SIZE]) -> Result<FrameHeader, FrameProblem> {
+        if h[..2] != MAGIC {
+            return AlienSnafu.fail();
+        }
+        if h[2] != VERSION {
+            return OtherVersionSnafu { version: h[2] }.fail();
+        }
+        let size = u32::from_le_bytes([h[3], h[4], h[5], h[6]]) as usize;
+        if size > LARGEST {
+            return TooLargeSnafu { size }.fail();
+        }
+        Ok(FrameHeader { size, checksum: u32::from_le_bytes([h[7], h[8], h[9], h[10]]) })
     }
-    let size = u32::from_le_bytes([h[3], h[4], h[5], h[6]]) as usize;
-    if size > LARGEST {
-        return TooLargeSnafu { size }.fail();
+
+    fn check(&self, content: &[u8]) -> Result<(), FrameProblem> {
+        (crc32fast::hash(content) == self.checksum).then_some(()).ok_or(FrameProblem::Garbled)
     }
-    let mut b = vec![0; size];
-    r.read_exact(&mut b)?;
-    let sum = u32::from_le_bytes([h[7], h[8], h[9], h[10]]);
-    (crc32fast::hash(&b) == sum).then_some(b).ok_or(FrameProblem::Garbled)
 }
 
-#[derive(Default, Debug)]
-pub struct Counts {
-    pub sent: AtomicU64,
-    pub received: AtomicU64,
-    pub dropped: AtomicU64,
-    pub bad_frames: AtomicU64,
+pub fn read_frame(r: &mut impl Read) -> Result<Vec<u8>, FrameProblem> {
+    let mut h = [0u8; FrameHeader::SIZE];
+    r.read_exact(&mut h)?;
+    let header = FrameHeader::parse(&h)?;
+    let mut b = vec![0; header.size];
+    r.read_exact(&mut b)?;
+    header.check(&b)?;
+    Ok(b)
 }
 
 type Far = dyn Fn(&Addr) -> Duration + Send + Sync;
 
-/// The sending side. Invariant: one writer per destination, which owns its
-/// socket; a full line drops the message, for every message may be lost anyway.
+/// The sending side of one part. Invariant: one link per destination, so that messages
+/// to it stay in order; any message may be lost.
 pub struct Net {
-    me: Addr,
-    lines: HashMap<Addr, SyncSender<(Instant, Vec<u8>)>>,
+    io: Arc<IoThread>,
+    greeting: Vec<u8>,
+    links: HashMap<Addr, Arc<Link>>,
+    /// Links with messages queued since the last flush.
+    touched: Vec<Arc<Link>>,
     far: Arc<Far>,
     pub counts: Arc<Counts>,
 }
@@ -84,90 +106,56 @@
 impl Net {
     /// `far` tells the simulated one-way distance to an address.
     pub fn new(me: Addr, far: Arc<Far>, counts: Arc<Counts>) -> Net {
-        Net { me, lines: HashMap::new(), far, counts }
+        let hello = postcard::to_stdvec(&me).expect("an address always encodes");
+        let greeting = frame(&hello);
+        Net { io: IoThread::shared(), greeting, links: HashMap::new(), touched: vec![], far, counts }
     }
 
+    /// Queues a message and writes it, as far as the peer takes it.
     pub fn send(&mut self, to: Addr, m: &Msg) {
-        let Ok(b) = postcard::to_stdvec(m) else { return };
-        let (me, counts) = (self.me, self.counts.clone());
-        let line = self.lines.entry(to).or_insert_with(|| {
-            let (tx, rx) = sync_channel(LINE);
-            thread::spawn(move || write_all(me, to, rx, counts));
-            tx
-        });
-        let due = Instant::now() + (self.far)(&to);
-        match line.try_send((due, frame(&b))) {
-            Ok(()) => self.counts.sent.fetch_add(1, Ordering::Relaxed),
-            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
-                self.counts.dropped.fetch_add(1, Ordering::Relaxed)
-            }
-        };
+        self.queue(to, m);
+        self.flush();
     }
-}
 
-fn write_all(me: Addr, to: Addr, rx: Receiver<(Instant, Vec<u8>)>, counts: Arc<Counts>) {
-    let mut link: Option<TcpStream> = None;
-    let mut shunned: Option<Instant> = None;
-    while let Ok((due, f)) = rx.recv() {
-        thread::sleep(due.saturating_duration_since(Instant::now()));
-        // What goes to a process that has ended would be lost without a sign.
-        link = link.filter(alive);
-        if link.is_none() && shunned.is_none_or(|t| t.elapsed() > Duration::from_millis(100)) {
-            link = dial(me, to).ok();
-            shunned = link.is_none().then(Instant::now);
+    /// Queues a message until the next flush.
+    pub fn queue(&mut self, to: Addr, m: &Msg) {
+        let Ok(content) = postcard::to_stdvec(m) else { return };
+        if content.len() > LARGEST {
+            return count(&self.counts.dropped, 1);
         }
-        let sent = link.as_mut().is_some_and(|l| l.write_all(&f).is_ok());
-        if !sent {
-            link = None;
-            counts.dropped.fetch_add(1, Ordering::Relaxed);
+        let now = Instant::now();
+        let due = now + (self.far)(&to);
+        let link = self.links.entry(to).or_insert_with(|| {
+            Arc::new(Link::new(self.io.next_token(), to, self.greeting.clone(), self.counts.clone()))
+        });
+        if link.queue(frame(&content), due, due + expiry::lifetime(m)) {
+            self.touched.push(link.clone());
         }
+        count(&self.counts.sent, 1);
     }
-}
 
-/// Nothing ever comes back on these links but their end.
-fn alive(s: &TcpStream) -> bool {
-    let flags = MsgFlags::MSG_PEEK | MsgFlags::MSG_DONTWAIT;
-    matches!(recv(s.as_raw_fd(), &mut [0u8; 1], flags), Err(Errno::EAGAIN))
-}
+    /// Something waits for a flush.
+    pub fn has_queued(&self) -> bool {
+        !self.touched.is_empty()
+    }
 
-fn dial(me: Addr, to: Addr) -> Result<TcpStream, FrameProblem> {
-    let mut s = TcpStream::connect_timeout(&to.0, Duration::from_millis(500))?;
-    s.set_nodelay(true)?;
-    s.set_write_timeout(Some(Duration::from_secs(2)))?;
-    let hello = postcard::to_stdvec(&me).map_err(|_| FrameProblem::Garbled)?;
-    s.write_all(&frame(&hello))?;
-    Ok(s)
+    /// Writes what is queued: once for each link, however many its messages are.
+    pub fn flush(&mut self) {
+        let now = Instant::now();
+        for link in self.touched.drain(..) {
+            if link.flush(now) {
+                self.io.tend(link);
+            }
+        }
+    }
 }
 
-/// The receiving side: hands every message with its sender to `take`; stops a
-/// connection at the first frame that is not right.
+/// The receiving side: hands every message with its sender to `take`, on the I/O thread;
+/// stops a connection at the first frame that is not right.
 pub fn listen(
-    l: TcpListener,
+    listener: TcpListener,
     counts: Arc<Counts>,
     take: impl Fn(Addr, Msg) -> bool + Clone + Send + 'static,
 ) {
-    thread::spawn(move || {
-        for s in l.incoming().flatten() {
-            let (counts, take) = (counts.clone(), take.clone());
-            thread::spawn(move || {
-                let p = read_all(s, &counts, take);
-                if !matches!(p, Err(FrameProblem::Link { .. }) | Ok(())) {
-                    counts.bad_frames.fetch_add(1, Ordering::Relaxed);
-                }
-            });
-        }
-    });
-}
-
-fn read_all(s: TcpStream, counts: &Counts, take: impl Fn(Addr, Msg) -> bool) -> Result<(), FrameProblem> {
-    s.set_nodelay(true)?;
-    let mut r = io::BufReader::new(s);
-    let from: Addr = postcard::from_bytes(&read_frame(&mut r)?).map_err(|_| FrameProblem::Garbled)?;
-    loop {
-        let m: Msg = postcard::from_bytes(&read_frame(&mut r)?).map_err(|_| FrameProblem::Garbled)?;
-        counts.received.fetch_add(1, Ordering::Relaxed);
-        if !take(from, m) {
-            return Ok(());
-        }
-    }
+    IoThread::shared().listen(listener, counts, Box::new(take));
 }
--- a/crates/runtime/src/shell.rs
+++ b/crates/runtime/src/shell.rs
@@ -1,56 +1,24 @@
 //! Runs a part as a stakker actor: inputs become steps, outputs are carried out
 //! in order, none before the saves ahead of it are synced.
+mod handle;
+
+pub use handle::{Event, Handle};
+
 use crate::net::{self, Counts, Net};
+use crate::process;
 use crate::ring::Ring;
 use control_state::*;
-use primitives::{Addr, Token};
+use primitives::Token;
 use slog::{error, info, Logger};
 use stakker::sync::Channel;
-use stakker::{actor, after, fwd_to, ret_shutdown, stop, Stakker, CX};
+use stakker::{actor, after, fwd_to, lazy, ret_shutdown, stop, Stakker, CX};
 use std::collections::{HashMap, VecDeque};
 use std::net::TcpListener;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{channel, sync_channel, Receiver, Sender};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
-pub enum Event {
-    Msg(Addr, Msg),
-    Ask(Ask, Sender<Receipt>),
-    Synced(bool),
-    Stop,
-}
-
-/// Speaks to a shell from any thread.
-#[derive(Clone)]
-pub struct Handle(Channel<Event>, Arc<AtomicBool>);
-
-impl Handle {
-    /// Asks and waits for the receipt, at most so long.
-    pub fn ask(&self, a: Ask, wait: Duration) -> Option<Receipt> {
-        let (tx, rx) = channel();
-        self.0.send(Event::Ask(a, tx));
-        rx.recv_timeout(wait).ok()
-    }
-    /// What callers may send, where the part says so.
-    pub fn limits(&self) -> Option<CallerLimits> {
-        match self.ask(Ask::Limits, Duration::from_millis(200)) {
-            Some(Receipt::Limits(l)) => l,
-            _ => None,
-        }
-    }
-    /// Nothing is in hand any more and nothing new is begun: what now finds no
-    /// answer here was never sent anywhere.
-    pub fn stopping(&self) -> bool {
-        self.1.load(Ordering::SeqCst)
-    }
-    pub fn stop(&self) {
-        self.1.store(true, Ordering::SeqCst);
-        self.0.send(Event::Stop);
-    }
-}
-
 pub struct Frame {
     pub part: Box<dyn Part>,
     pub first: Vec<Out>,
@@ -70,6 +38,8 @@
     disk: Option<Sender<Vec<Out>>>,
     syncing: bool,
     net: Net,
+    /// Queued messages will be written once the steps at hand are done.
+    flush_scheduled: bool,
     rounds: Option<Sender<Round>>,
     asks: HashMap<Token, Sender<Receipt>>,
     next: u64,
@@ -88,20 +58,36 @@
             disk,
             syncing: false,
             net: f.net,
+            flush_scheduled: false,
             rounds: f.rounds,
             asks: HashMap::new(),
             next: 0,
             log: f.log,
         };
         s.flush();
+        s.flush_links_later(cx);
         Some(s)
     }
 
     fn tick(&mut self, cx: CX![]) {
         self.step(In::Tick);
+        self.flush_links_later(cx);
         after!(TICK, [cx], tick());
     }
 
+    /// One write for each link, with all messages of the steps before it.
+    fn flush_links_later(&mut self, cx: CX![]) {
+        if self.net.has_queued() && !self.flush_scheduled {
+            self.flush_scheduled = true;
+            lazy!([cx], flush_links());
+        }
+    }
+
+    fn flush_links(&mut self, _: CX![]) {
+        self.flush_scheduled = false;
+        self.net.flush();
+    }
+
     fn event(&mut self, cx: CX![], e: Event) {
         match e {
             Event::Msg(from, m) => self.step(In::Msg(from, m)),
@@ -120,8 +106,12 @@
                 error!(self.log, "disk failed: stopping, for nothing can be promised any more");
                 std::process::exit(74);
             }
-            Event::Stop => stop!(cx),
+            Event::Stop => {
+                self.net.flush();
+                stop!(cx)
+            }
         }
+        self.flush_links_later(cx);
     }
 
     fn step(&mut self, i: In) {
@@ -151,8 +141,12 @@
 
     fn carry(&mut self, o: Out) {
         match o {
-            Out::Send(to, m) => self.net.send(to, &m),
-            Out::Tell(t, r) => {
+            Out::Send(to, m) => self.net.queue(to, &m),
+            Out::Tell(t, mut r) => {
+                if let Receipt::Health(health) = &mut r {
+                    health.counts.extend(self.net.counts.figures());
+                    health.counts.extend(process::threads().map(|n| ("threads", n)));
+                }
                 self.asks.remove(&t).into_iter().for_each(|tx| {
                     let _ = tx.send(r.clone());
                 });
@@ -229,7 +223,7 @@
     }
     let take = chan.clone();
     net::listen(listener, counts, move |from, m| take.send(Event::Msg(from, m)));
-    front(Handle(chan, Arc::default()));
+    front(Handle::new(chan));
     info!(log, "serving");
     s.run(Instant::now(), false);
     while s.not_shutdown() {
--- /dev/null
+++ b/crates/runtime/src/shell/handle.rs
@@ -0,0 +1,48 @@
+//! How other threads reach a part's actor.
+use control_state::*;
+use primitives::Addr;
+use stakker::sync::Channel;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{channel, Sender};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// What reaches a part's actor from other threads.
+pub enum Event {
+    Msg(Addr, Msg),
+    Ask(Ask, Sender<Receipt>),
+    Synced(bool),
+    Stop,
+}
+
+/// Speaks to a shell from any thread.
+#[derive(Clone)]
+pub struct Handle(Channel<Event>, Arc<AtomicBool>);
+
+impl Handle {
+    pub(super) fn new(events: Channel<Event>) -> Handle {
+        Handle(events, Arc::default())
+    }
+    /// Asks and waits for the receipt, at most so long.
+    pub fn ask(&self, a: Ask, wait: Duration) -> Option<Receipt> {
+        let (tx, rx) = channel();
+        self.0.send(Event::Ask(a, tx));
+        rx.recv_timeout(wait).ok()
+    }
+    /// What callers may send, where the part says so.
+    pub fn limits(&self) -> Option<CallerLimits> {
+        match self.ask(Ask::Limits, Duration::from_millis(200)) {
+            Some(Receipt::Limits(l)) => l,
+            _ => None,
+        }
+    }
+    /// Nothing is in hand any more and nothing new is begun: what now finds no
+    /// answer here was never sent anywhere.
+    pub fn stopping(&self) -> bool {
+        self.1.load(Ordering::SeqCst)
+    }
+    pub fn stop(&self) {
+        self.1.store(true, Ordering::SeqCst);
+        self.0.send(Event::Stop);
+    }
+}
