--- a/crates/machine/src/run.rs
+++ b/crates/machine/src/run.rs
@@ -29,6 +29,8 @@
     Small { has: u64, need: u64 },
     #[snafu(display("disk: a record with a good checksum does not decode; another version wrote it"))]
     Undecodable,
+    #[snafu(display("no thread to be had: {source}"))]
+    Thread { source: std::io::Error },
     #[snafu(display("signals: {source}"))]
     Signals { source: std::io::Error },
 }
@@ -85,12 +87,14 @@
     /// On a thread of its own; it ends with the process.
     fn spawn(self, env: &MachineEnv, log: &Logger) -> Result<()> {
         let (env, log) = (env.clone(), log.clone());
-        thread::spawn(move || {
+        let name = format!("{:?}", self.seat).to_lowercase();
+        let run = move || {
             if let Err(p) = self.run(&env, &log, |_| ()) {
                 slog::crit!(log, "a part cannot run"; "problem" => %p);
                 std::process::exit(74);
             }
-        });
+        };
+        thread::Builder::new().name(name).spawn(run).context(ThreadSnafu)?;
         Ok(())
     }
 }
--- a/crates/runtime/src/net/link.rs
+++ b/crates/runtime/src/net/link.rs
@@ -81,8 +81,8 @@
     pub(super) fn flush(&self, now: Instant) -> bool {
         let mut s = self.lock();
         s.touched = false;
-        self.write(&mut s, now);
         self.expire(&mut s, now);
+        self.write(&mut s, now);
         let request = !s.queue.is_empty() && !s.watched;
         s.watched |= request;
         request
@@ -115,8 +115,8 @@
     }
 
     fn advance(&self, s: &mut LinkState, now: Instant, registry: &Registry) -> Option<Instant> {
-        self.write(s, now);
         self.expire(s, now);
+        self.write(s, now);
         self.give_up(s, now);
         self.connect(s, now, registry);
         let deadline = s.deadline();
--- a/crates/runtime/src/shell.rs
+++ b/crates/runtime/src/shell.rs
@@ -40,13 +40,19 @@
     net: Net,
     /// Queued messages will be written once the steps at hand are done.
     flush_scheduled: bool,
+    /// Has heard something since its last tick.
+    active: bool,
     rounds: Option<Sender<Round>>,
     asks: HashMap<Token, Sender<Receipt>>,
     next: u64,
     log: Logger,
 }
 
+/// Between ticks of a part that is being spoken to.
 const TICK: Duration = Duration::from_millis(10);
+/// Between ticks of one that heard nothing since its last. Invariant: far below the pause
+/// that a part takes for a freeze of its process.
+const IDLE_TICK: Duration = Duration::from_millis(20);
 
 impl Shell {
     fn init(cx: CX![], f: Frame, disk: Option<Sender<Vec<Out>>>) -> Option<Shell> {
@@ -59,6 +65,7 @@
             syncing: false,
             net: f.net,
             flush_scheduled: false,
+            active: true,
             rounds: f.rounds,
             asks: HashMap::new(),
             next: 0,
@@ -72,7 +79,8 @@
     fn tick(&mut self, cx: CX![]) {
         self.step(In::Tick);
         self.flush_links_later(cx);
-        after!(TICK, [cx], tick());
+        let next = if std::mem::take(&mut self.active) { TICK } else { IDLE_TICK };
+        after!(next, [cx], tick());
     }
 
     /// One write for each link, with all messages of the steps before it.
@@ -89,6 +97,7 @@
     }
 
     fn event(&mut self, cx: CX![], e: Event) {
+        self.active = true;
         match e {
             Event::Msg(from, m) => self.step(In::Msg(from, m)),
             Event::Ask(a, tx) => {
@@ -227,7 +236,7 @@
     info!(log, "serving");
     s.run(Instant::now(), false);
     while s.not_shutdown() {
-        let wait = s.next_wait_max(Instant::now(), TICK, false);
+        let wait = s.next_wait_max(Instant::now(), IDLE_TICK, false);
         let _ = woken.recv_timeout(wait);
         s.poll_wake();
         s.run(Instant::now(), false);
--- /dev/null
+++ b/crates/runtime/tests/shell.rs
@@ -0,0 +1,99 @@
+//! Stories of the shell round a part: what its health shows, how often it ticks, and that
+//! messages of one step go out together.
+mod peers;
+
+use control_state::{Ask, Health, In, Out, Part, Receipt};
+use peers::{digests, number, Peer};
+use primitives::{Addr, Mono};
+use runtime::net::{Counts, Net};
+use runtime::shell::{self, Frame, Handle};
+use std::net::TcpListener;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::mpsc::channel;
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+const WAIT: Duration = Duration::from_secs(5);
+const MESSAGES: u64 = 50;
+
+/// Tells its health; sends messages when it is asked to drain.
+struct Echo {
+    peer: Option<Addr>,
+    ticks: Arc<AtomicU64>,
+}
+
+impl Part for Echo {
+    fn step(&mut self, _: Mono, input: In, out: &mut Vec<Out>) {
+        match input {
+            In::Tick => {
+                self.ticks.fetch_add(1, Relaxed);
+            }
+            In::Ask(token, ask) => {
+                let sent = if ask == Ask::Drain { MESSAGES } else { 0 };
+                let peers = self.peer.into_iter();
+                out.extend(peers.flat_map(|a| (0..sent).map(move |n| Out::Send(a, digests(n)))));
+                out.push(Out::Tell(token, Receipt::Health(Health::default())));
+            }
+            In::Msg(..) => (),
+        }
+    }
+}
+
+fn start(peer: Option<Addr>) -> (Handle, Arc<AtomicU64>, Arc<Counts>) {
+    let (ticks, counts) = (Arc::new(AtomicU64::new(0)), Arc::new(Counts::default()));
+    let (tx, rx) = channel();
+    let (t, c) = (ticks.clone(), counts.clone());
+    thread::spawn(move || {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let me = Addr(listener.local_addr().unwrap());
+        let net = Net::new(me, Arc::new(|_: &Addr| Duration::ZERO), c.clone());
+        let log = slog::Logger::root(slog::Discard, slog::o!());
+        let part = Box::new(Echo { peer, ticks: t });
+        let frame = Frame { part, first: vec![], ring: None, net, rounds: None, log };
+        shell::run(frame, listener, c, move |h| tx.send(h).unwrap());
+    });
+    (rx.recv_timeout(WAIT).unwrap(), ticks, counts)
+}
+
+#[test]
+fn given_a_part_when_asked_for_its_health_then_threads_and_links_are_shown_with_its_own_counts() {
+    let (h, ..) = start(None);
+    let Some(Receipt::Health(x)) = h.ask(Ask::Ready, WAIT) else { panic!("no health") };
+    let get = |name: &str| x.counts.iter().find(|(n, _)| *n == name).map(|(_, n)| *n);
+    assert!(get("threads").is_some_and(|n| n > 1));
+    for name in ["links sent", "links dropped", "links expired", "links overflowed", "links stalled"] {
+        assert_eq!(get(name), Some(0), "{name}");
+    }
+    h.stop();
+}
+
+#[test]
+fn given_a_part_that_hears_nothing_then_it_ticks_half_as_often() {
+    let (h, ticks, _) = start(None);
+    thread::sleep(Duration::from_secs(1));
+    let n = ticks.load(Relaxed);
+    assert!((5..=52).contains(&n), "{n} ticks");
+    h.stop();
+}
+
+#[test]
+fn given_a_step_with_many_messages_to_one_peer_then_they_are_one_write() {
+    let mut peer = Peer::new();
+    let (h, _, counts) = start(Some(peer.at()));
+    // The first ones bring the connection up, and leave with the greeting.
+    for writes in 1..=5 {
+        assert!(h.ask(Ask::Drain, WAIT).is_some());
+        if writes == 1 {
+            peer.accept();
+        }
+        (0..MESSAGES).for_each(|n| assert_eq!(number(&peer.read()), n));
+        // Counted right after the peer could read.
+        let end = Instant::now() + WAIT;
+        while counts.writes.load(Relaxed) < writes && Instant::now() < end {
+            thread::yield_now();
+        }
+        assert_eq!(counts.writes.load(Relaxed), writes);
+    }
+    h.stop();
+}
