--- a/crates/lanewing/src/http_api.rs
+++ b/crates/lanewing/src/http_api.rs
@@ -5,6 +5,7 @@
 use runtime::front::{common, Reply};
 use runtime::intake::Call;
 use runtime::net::Counts;
+use runtime::process::threads;
 use runtime::shell::Handle;
 use std::sync::atomic::Ordering::Relaxed;
 use std::sync::atomic::{AtomicU64, AtomicUsize};
@@ -50,12 +51,17 @@
 
 fn links(counts: &Counts) -> Reply {
     let load = |counter: &AtomicU64| num(counter.load(Relaxed));
-    let fields = vec![
+    let mut fields = vec![
         ("sent", load(&counts.sent)),
         ("received", load(&counts.received)),
         ("dropped", load(&counts.dropped)),
+        ("expired", load(&counts.expired)),
+        ("overflowed", load(&counts.overflowed)),
+        ("stalled", load(&counts.stalled)),
         ("bad_frames", load(&counts.bad_frames)),
+        ("other_versions", load(&counts.other_versions)),
     ];
+    fields.extend(threads().map(|n| ("threads", num(n))));
     Reply::json(200, obj(fields))
 }
 
--- a/crates/lanewing/src/http_api/caller.rs
+++ b/crates/lanewing/src/http_api/caller.rs
@@ -30,6 +30,10 @@
     };
     // The memory for the body is released once the request is over.
     let _memory = call.hold;
+    // Looked at first: what was handed over before the node stopped may have left.
+    if handle.stopping() {
+        return Reply::problem(503, "denied", "this node is leaving").after(1);
+    }
     match handle.ask(Ask::Begin(request), REQUEST_TIMEOUT) {
         Some(Receipt::Step(Step::Serve(whole, source, until))) => {
             fit(&call.method, &call.heads, served(&whole, source, until))
@@ -39,7 +43,6 @@
             let why = "sent to an origin, whose answer was lost or is not known yet";
             Reply::problem(504, "in doubt", why).after(seconds(wait))
         }
-        _ if handle.stopping() => Reply::problem(503, "denied", "this node is leaving").after(1),
         _ => Reply::problem(504, "in doubt", "this node lost track of the request").after(2),
     }
 }
--- a/crates/machine/src/run.rs
+++ b/crates/machine/src/run.rs
@@ -30,6 +30,8 @@
     Small { has: u64, need: u64 },
     #[snafu(display("disk: a record with a good checksum does not decode; another version wrote it"))]
     Undecodable,
+    #[snafu(display("no thread to be had: {source}"))]
+    Thread { source: std::io::Error },
     #[snafu(display("signals: {source}"))]
     Signals { source: std::io::Error },
 }
@@ -84,16 +86,18 @@
     }
 
     /// On a thread of its own; it ends with the process. The handle comes once it runs.
-    fn spawn(self, env: &MachineEnv, log: &Logger) -> Receiver<Handle> {
+    fn spawn(self, env: &MachineEnv, log: &Logger) -> Result<Receiver<Handle>> {
         let (env, log) = (env.clone(), log.clone());
         let (running, handle) = channel();
-        thread::spawn(move || {
+        let name = format!("{:?}", self.seat).to_lowercase();
+        let run = move || {
             if let Err(p) = self.run(&env, &log, move |h| drop(running.send(h))) {
                 slog::crit!(log, "a part cannot run"; "problem" => %p);
                 std::process::exit(74);
             }
-        });
-        handle
+        };
+        thread::Builder::new().name(name).spawn(run).context(ThreadSnafu)?;
+        Ok(handle)
     }
 }
 
@@ -127,9 +131,9 @@
     let logs = LogRing::default();
     on_panic(logs.clone());
     let log = logs.logger();
-    let controller = controller(&env)?.spawn(&env, &log);
+    let controller = controller(&env)?.spawn(&env, &log)?;
     let ledger = match env.keeps() {
-        Some((dir, _)) => Some(ledger(&env, dir)?.spawn(&env, &log)),
+        Some((dir, _)) => Some(ledger(&env, dir)?.spawn(&env, &log)?),
         None => None,
     };
     let room = Room::new(env.memory / 4);
--- a/crates/runtime/src/frame.rs
+++ b/crates/runtime/src/frame.rs
@@ -8,9 +8,7 @@
 /// message; a frame of another version is refused, and its connection ends.
 pub const VERSION: u8 = 2;
 /// Larger frames are never sent and close the connection when received.
-const LARGEST: usize = 16 << 20;
-/// Magic, version, length and checksum.
-const HEAD: usize = 11;
+pub(crate) const LARGEST: usize = 16 << 20;
 
 #[derive(Debug, Snafu)]
 pub enum FrameProblem {
@@ -36,24 +34,43 @@
     f
 }
 
+/// What stands before a frame's content: magic, version, length and checksum.
+pub(crate) struct FrameHeader {
+    pub(crate) size: usize,
+    checksum: u32,
+}
+
+impl FrameHeader {
+    pub(crate) const SIZE: usize = 11;
+
+    pub(crate) fn parse(h: &[u8; FrameHeader::SIZE]) -> Result<FrameHeader, FrameProblem> {
+        if h[..2] != MAGIC {
+            return AlienSnafu.fail();
+        }
+        if h[2] != VERSION {
+            return OtherVersionSnafu { version: h[2] }.fail();
+        }
+        let size = u32::from_le_bytes([h[3], h[4], h[5], h[6]]) as usize;
+        if size > LARGEST {
+            return TooLargeSnafu { size }.fail();
+        }
+        Ok(FrameHeader { size, checksum: u32::from_le_bytes([h[7], h[8], h[9], h[10]]) })
+    }
+
+    pub(crate) fn check(&self, content: &[u8]) -> Result<(), FrameProblem> {
+        (crc32fast::hash(content) == self.checksum).then_some(()).ok_or(FrameProblem::Garbled)
+    }
+}
+
 /// The bytes of the frame that comes next.
 pub fn read_frame(r: &mut impl Read) -> Result<Vec<u8>, FrameProblem> {
-    let mut h = [0u8; HEAD];
+    let mut h = [0u8; FrameHeader::SIZE];
     r.read_exact(&mut h)?;
-    if h[..2] != MAGIC {
-        return AlienSnafu.fail();
-    }
-    if h[2] != VERSION {
-        return OtherVersionSnafu { version: h[2] }.fail();
-    }
-    let size = u32::from_le_bytes([h[3], h[4], h[5], h[6]]) as usize;
-    if size > LARGEST {
-        return TooLargeSnafu { size }.fail();
-    }
-    let mut b = vec![0; size];
+    let header = FrameHeader::parse(&h)?;
+    let mut b = vec![0; header.size];
     r.read_exact(&mut b)?;
-    let sum = u32::from_le_bytes([h[7], h[8], h[9], h[10]]);
-    (crc32fast::hash(&b) == sum).then_some(b).ok_or(FrameProblem::Garbled)
+    header.check(&b)?;
+    Ok(b)
 }
 
 /// What a frame holds, if it is that and nothing beside it.
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod logs;
 pub mod net;
 mod pieces;
+pub mod process;
 mod recover;
 pub mod ring;
 mod ring_files;
