--- /dev/null
+++ b/crates/runtime/tests/exec_once.rs
@@ -0,0 +1,96 @@
+//! Requests that may run once, at origins that reset, close or keep silent: one connection
+//! is made, and once a byte has left nobody says that none has.
+use control_state::*;
+use nix::sys::socket::{setsockopt, sockopt};
+use primitives::{Addr, Birth, Span};
+use runtime::exec::{run, ExecEnv};
+use runtime::room::Room;
+use std::io::Read;
+use std::net::{TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+/// What an origin does with a connection.
+type Deed = fn(TcpStream);
+
+fn reset(s: TcpStream) {
+    let now = nix::libc::linger { l_onoff: 1, l_linger: 0 };
+    setsockopt(&s, sockopt::Linger, &now).expect("a socket");
+}
+
+fn read_some(s: &mut TcpStream) {
+    let mut b = [0; 64];
+    let _ = s.read(&mut b);
+}
+
+/// Gone before a byte could be read: none may have been written either.
+const EARLY: [(&str, Deed); 2] = [("closes at once", drop), ("resets at once", reset)];
+
+const LATE: [(&str, Deed); 3] = [
+    ("reads a little and closes with bytes unread", |mut s| read_some(&mut s)),
+    ("reads a little and resets", |mut s| {
+        read_some(&mut s);
+        reset(s);
+    }),
+    ("reads a little and keeps silent", |mut s| {
+        read_some(&mut s);
+        thread::sleep(Duration::from_secs(3));
+    }),
+];
+
+fn origin(deed: Deed) -> (Addr, Arc<AtomicUsize>) {
+    let l = TcpListener::bind("127.0.0.1:0").expect("loopback");
+    let (at, came) = (Addr(l.local_addr().expect("bound")), Arc::new(AtomicUsize::new(0)));
+    let count = came.clone();
+    thread::spawn(move || {
+        for s in l.incoming().flatten() {
+            count.fetch_add(1, SeqCst);
+            thread::spawn(move || deed(s));
+        }
+    });
+    (at, came)
+}
+
+fn round(addr: Addr, method: &str, body: usize) -> Round {
+    let now = runtime::now();
+    let by = now + Span::secs(1);
+    let req =
+        Req { method: method.into(), path: "/x".into(), body: Arc::new(vec![b'x'; body]), ..Req::default() };
+    let (svc, birth, tag) = ("s".into(), Birth(7), String::new());
+    Round { n: 1, addr, svc, birth, tag, until: by, horizon: by, extra: false, req }
+}
+
+/// The report, and how many connections were made.
+fn asked(deed: Deed, method: &str, body: usize) -> (Fetched, usize) {
+    let env = ExecEnv { answer: 1000, room: Room::new(4000), manner: Default::default() };
+    let (at, came) = origin(deed);
+    let got = run(&env, &round(at, method, body));
+    thread::sleep(Duration::from_millis(50));
+    (got, came.load(SeqCst))
+}
+
+/// The largest is still being written when the origin goes: a write that fails halfway.
+const REQUESTS: [(&str, usize); 4] = [("POST", 10), ("POST", 4 << 20), ("GET", 0), ("DELETE", 0)];
+
+#[test]
+fn given_an_origin_that_took_bytes_and_goes_or_keeps_silent_then_a_request_left_once_and_is_lost() {
+    for (name, deed) in LATE {
+        for (method, body) in REQUESTS {
+            let got = asked(deed, method, body);
+            assert_eq!(got, (Fetched::Lost, 1), "{method} of {body} bytes to one that {name}");
+        }
+    }
+}
+
+#[test]
+fn given_an_origin_that_goes_at_once_then_no_second_connection_is_made() {
+    for (name, deed) in EARLY {
+        for (method, body) in REQUESTS {
+            let (got, came) = asked(deed, method, body);
+            assert!([Fetched::Lost, Fetched::NotSent].contains(&got), "{got:?}: {method} to one that {name}");
+            assert!(came <= 1, "{came} connections: {method} of {body} bytes to one that {name}");
+        }
+    }
+}
