--- a/crates/runtime/src/door/head.rs
+++ b/crates/runtime/src/door/head.rs
@@ -1,7 +1,7 @@
 //! A request's head: one reading of it, or none.
 use super::Limits;
 use crate::front::Reply;
-use crate::intake::{framing, large, Body};
+use crate::intake::{framing, large, Body, UNENCODED};
 use control_state::Heads;
 use httparse::{Error, Request, Status, EMPTY_HEADER};
 
@@ -103,6 +103,9 @@
     if !target.starts_with('/') || !target.bytes().all(|b| b.is_ascii_graphic()) {
         return Err(bad("the target should start with / and be printable ASCII"));
     }
+    if target.contains(UNENCODED) {
+        return Err(bad("the target has characters that should be encoded"));
+    }
     let mut heads = Heads::default();
     r.headers.iter().for_each(|h| heads.push(h.name, h.value));
     let old = r.version == Some(0);
--- a/crates/runtime/src/exec.rs
+++ b/crates/runtime/src/exec.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
-use ureq::http::{Request, Response};
+use ureq::http::{Request, Response, Uri};
 use ureq::typestate::WithoutBody;
 use ureq::{Agent, RequestBuilder};
 
@@ -63,8 +63,7 @@
 type Answer = Option<Result<Response<ureq::Body>, ureq::Error>>;
 
 fn ask(agent: &Agent, r: &Round, own: Vec<(String, Vec<u8>)>) -> Answer {
-    let slash = if r.req.path.starts_with('/') { "" } else { "/" };
-    let uri = format!("http://{}{slash}{}", r.addr, r.req.path);
+    let uri = uri(r)?;
     let heads = r.req.heads.iter().map(|(n, v)| (n.to_string(), v.to_vec()));
     let all = own.into_iter().chain(heads);
     let body: &[u8] = &r.req.body;
@@ -80,6 +79,16 @@
     }
 }
 
+/// Where the round goes; none if the library would not send the target as it is.
+fn uri(r: &Round) -> Option<String> {
+    let slash = if r.req.path.starts_with('/') { "" } else { "/" };
+    let target = format!("{slash}{}", r.req.path);
+    let uri = format!("http://{}{target}", r.addr);
+    let read: Uri = uri.parse().ok()?;
+    let same = read.path_and_query().is_some_and(|t| *t == *target);
+    same.then_some(uri)
+}
+
 /// A request by a method that the library sends no body with unless told to.
 fn seldom_with_body(agent: &Agent, method: &str, uri: &str) -> Option<RequestBuilder<WithoutBody>> {
     match method {
--- a/crates/runtime/src/intake.rs
+++ b/crates/runtime/src/intake.rs
@@ -69,14 +69,18 @@
     }
 }
 
+/// What no target has unless encoded (RFC 3986, 2): hops differ on what they make of it, and
+/// the client's library drops a fragment and sends none of the others.
+pub(crate) const UNENCODED: [char; 5] = ['"', '#', '<', '>', '`'];
+
 /// A path that every hop reads alike.
 fn straight(url: &str) -> Result<(), &'static str> {
     let path = url.split('?').next().unwrap_or("");
-    let odd = |c: char| c.is_ascii_control() || c == ' ' || c == '#' || c == '\\' || !c.is_ascii();
+    let odd = |c: char| c.is_ascii_control() || c == ' ' || c == '\\' || !c.is_ascii();
     if !url.starts_with('/') || url.starts_with("//") {
         return Err("the path should start with one /");
     }
-    if url.chars().any(odd) {
+    if url.chars().any(odd) || url.contains(UNENCODED) {
         return Err("the path has characters that should be encoded");
     }
     let low = path.to_ascii_lowercase();
--- a/crates/runtime/tests/exec_once.rs
+++ b/crates/runtime/tests/exec_once.rs
@@ -5,7 +5,7 @@
 use primitives::{Addr, Birth, Span};
 use runtime::exec::{run, ExecEnv};
 use runtime::room::Room;
-use std::io::Read;
+use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
 use std::sync::Arc;
@@ -94,3 +94,43 @@
         }
     }
 }
+
+/// The first line that an origin reads; none if the executor says that nothing was sent.
+fn first_line(target: &str) -> Option<String> {
+    let l = TcpListener::bind("127.0.0.1:0").expect("loopback");
+    let r = round(Addr(l.local_addr().expect("bound")), "POST", 0);
+    let r = Round { req: Req { path: target.into(), ..r.req }, ..r };
+    let reader = thread::spawn(move || {
+        let (mut s, _) = l.accept().expect("asked, or called off");
+        let (mut got, mut byte) = (vec![], [0]);
+        while !got.ends_with(b"\r\n\r\n") && s.read(&mut byte).is_ok_and(|n| n == 1) {
+            got.push(byte[0]);
+        }
+        let _ = s.write_all(b"HTTP/1.1 204 No Content\r\n\r\n");
+        String::from_utf8_lossy(&got).lines().next().unwrap_or_default().to_string()
+    });
+    let got = run(&ExecEnv { answer: 1000, room: Room::new(4000), manner: Default::default() }, &r);
+    if got == Fetched::NotSent {
+        drop(TcpStream::connect(r.addr.0));
+    }
+    let line = reader.join().expect("read");
+    (got != Fetched::NotSent).then_some(line)
+}
+
+/// Every printable byte in a path and in a query, and what others would tidy up. Those not
+/// sent are denied where callers come in, see `door_heads`.
+#[test]
+fn given_any_target_a_caller_may_send_then_it_goes_on_as_it_came_or_not_at_all() {
+    let odd = (b'!'..=b'~').map(char::from);
+    let mut all: Vec<String> = odd.flat_map(|c| [format!("/a{c}b"), format!("/a?b{c}c")]).collect();
+    all.extend(["/a/../b", "//a", "/a//b", "/./a", "/%2e%2E/a", "/a?", "/a?b?c", "/A%2fb"].map(String::from));
+    let mut unsent = vec![];
+    for target in all {
+        match first_line(&target) {
+            Some(line) => assert_eq!(line, format!("POST {target} HTTP/1.1")),
+            None => unsent.push(target),
+        }
+    }
+    assert!(unsent.iter().all(|t| t.contains(['"', '#', '<', '>', '`'])), "{unsent:?}");
+    assert_eq!(unsent.len(), 8, "{unsent:?}");
+}
