--- a/crates/controller/src/beats.rs
+++ b/crates/controller/src/beats.rs
@@ -22,6 +22,8 @@
 
 /// Ticks come every hundredth of a second; without a step for so long it was frozen.
 const PAUSE: Span = Span::ms(250);
+/// A heartbeat that waited for longer is answered no more, nor enters its origin.
+const STALE: Span = Span::secs(1);
 /// What waited out a pause is taken in within this after it.
 const BACKLOG: Span = Span::ms(500);
 
@@ -59,16 +61,19 @@
         out: &mut Vec<Out>,
     ) {
         let known = mark.filter(|m| *m <= now).unwrap_or(now);
-        let said = known.min(self.pulse.since(now));
+        let since = self.pulse.since(now);
+        let said = known.min(since);
         self.hear(b.clone(), said);
-        if self.mach.is_none() || now - said > PAUSE.times(4) {
+        if self.mach.is_none() || now - since > STALE {
             return out.push(Out::Tell(t, Receipt::NotNow("the heartbeat waited too long")));
         }
         match b.mood {
             Mood::Leaving => self.drain(now, t, b, out),
             Mood::Gone => self.farewell(now, t, Op::SignOff(b.addr, b.birth), out),
             Mood::Warming | Mood::Serving => {
-                self.register(now, b, out);
+                if now - said <= STALE {
+                    self.register(now, b, out);
+                }
                 out.push(Out::Tell(t, Receipt::Took));
             }
         }
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -10,6 +10,7 @@
 mod scope;
 mod slots;
 mod stage;
+mod trouble;
 mod world;
 
 pub use field::Bloom;
@@ -18,4 +19,5 @@
 pub use procs::{Proc, Role3};
 pub use rules::Rules;
 pub use stage::*;
+pub use trouble::*;
 pub use world::{Ev, Plan, World};
