--- a/crates/control-state/src/cmd.rs
+++ b/crates/control-state/src/cmd.rs
@@ -23,7 +23,7 @@
     /// still on its way.
     SignOff(Addr, Birth),
     /// The same for a life of which the proposer knows nothing but its name.
-    Deregister(String),
+    SignOffName(String),
     Join(NodeId, Node),
     DrainNode(NodeId),
     RemoveNode(NodeId),
@@ -72,7 +72,7 @@
             Op::Register(a, _) | Op::Drain(a, _) | Op::Remove(a, _) | Op::SignOff(a, _) => {
                 vec![Key::Origin(*a)]
             }
-            Op::Deregister(_) => vec![],
+            Op::SignOffName(_) => vec![],
             Op::Join(n, _) | Op::DrainNode(n) | Op::RemoveNode(n) => vec![Key::Node(*n)],
             Op::Seats { .. } | Op::Settle { .. } => vec![Key::Roll],
             Op::PurgeBy(s) => s.iter().cloned().map(Key::PurgeBy).collect(),
@@ -90,8 +90,8 @@
             (Op::PurgeBy(x), Op::PurgeBy(y)) => x.iter().any(|s| y.contains(s)),
             (Op::PurgeBy(_), _) | (_, Op::PurgeBy(_)) => false,
             // Whose name it is depends on all origins before.
-            (Op::Deregister(_), b) => b.is_origin(),
-            (a, Op::Deregister(_)) => a.is_origin(),
+            (Op::SignOffName(_), b) => b.is_origin(),
+            (a, Op::SignOffName(_)) => a.is_origin(),
             // Whether lanes name known services depends on all edits before.
             (Op::Edit(_), Op::Edit(_)) => true,
             (Op::Edit(_), _) | (_, Op::Edit(_)) => false,
@@ -113,7 +113,7 @@
         matches!(self, Op::Purge(_) | Op::PurgeBy(_) | Op::Join(..) | Op::Register(..) | Op::Edit(_))
     }
     fn is_origin(&self) -> bool {
-        let by_name = matches!(self, Op::Deregister(_));
+        let by_name = matches!(self, Op::SignOffName(_));
         by_name || matches!(self, Op::Register(..) | Op::Drain(..) | Op::Remove(..) | Op::SignOff(..))
     }
     fn is_row(&self) -> bool {
--- a/crates/control-state/src/leaving.rs
+++ b/crates/control-state/src/leaving.rs
@@ -4,7 +4,7 @@
 use primitives::{Addr, Birth};
 
 impl Origin {
-    /// As a heartbeat describes it, serving.
+    /// As a beat describes it, serving.
     pub fn of(beat: Beat) -> Origin {
         Origin {
             svc: beat.svc,
@@ -46,7 +46,7 @@
     }
 
     /// Signs off whoever has that name at this place of the order.
-    pub(crate) fn deregister(&mut self, name: &str) -> Verdict {
+    pub(crate) fn sign_off_name(&mut self, name: &str) -> Verdict {
         match self.named_origin(name) {
             Some((addr, birth)) => self.sign_off(addr, birth),
             None => Verdict::Void(Void::Absent),
--- a/crates/control-state/src/state.rs
+++ b/crates/control-state/src/state.rs
@@ -115,7 +115,7 @@
                 }
             }
             Op::SignOff(a, b) => self.sign_off(*a, *b),
-            Op::Deregister(name) => self.deregister(name),
+            Op::SignOffName(name) => self.sign_off_name(name),
             Op::Join(id, n) => self.join(*id, n),
             Op::DrainNode(id) => self
                 .node(id)
--- a/crates/controller/src/beats.rs
+++ b/crates/controller/src/beats.rs
@@ -22,7 +22,7 @@
 
 /// Ticks come every hundredth of a second; without a step for so long it was frozen.
 const PAUSE: Span = Span::ms(250);
-/// A heartbeat that waited for longer is answered no more, nor enters its origin.
+/// A beat that waited for longer is answered no more, nor enters its origin.
 const STALE: Span = Span::secs(1);
 /// What waited out a pause is taken in within this after it.
 const BACKLOG: Span = Span::ms(500);
@@ -65,7 +65,7 @@
         let said = known.min(since);
         self.hear(b.clone(), said);
         if self.mach.is_none() || now - since > STALE {
-            return out.push(Out::Tell(t, Receipt::NotNow("the heartbeat waited too long")));
+            return out.push(Out::Tell(t, Receipt::NotNow("the beat waited too long")));
         }
         match b.mood {
             Mood::Leaving => self.drain(now, t, b, out),
--- a/crates/controller/src/contact.rs
+++ b/crates/controller/src/contact.rs
@@ -1,6 +1,6 @@
 //! Contact with the other members, proved by echoes.
 //!
-//! Every relay of heartbeats carries its sender's clock and the receiver's clock as
+//! Every relay of beats carries its sender's clock and the receiver's clock as
 //! the sender last heard it. Such an echo proves a round trip: whatever this
 //! controller sent at the echoed moment has arrived, and the answer has come back. That a
 //! member is *heard* proves one direction only, and of a message that waited out a freeze
@@ -11,9 +11,9 @@
 use primitives::{Addr, Mono, Span};
 use std::collections::BTreeMap;
 
-/// A heartbeat is acknowledged by contact no older than this: an origin that goes on
+/// A beat is acknowledged by contact no older than this: an origin that goes on
 /// reporting here is then known to a majority well before it counts as silent.
-const HEARTBEAT_LEASE: Span = Span::ms(500);
+const BEAT_LEASE: Span = Span::ms(500);
 
 /// For each member the latest moment of this controller's own clock that it has heard.
 #[derive(Debug)]
@@ -64,9 +64,9 @@
         self.connected(now) || (self.mach.is_some() && seated_lately)
     }
 
-    /// Whether a heartbeat may be acknowledged.
-    pub(crate) fn takes_heartbeats(&self, now: Mono) -> bool {
-        self.in_contact(now, HEARTBEAT_LEASE)
+    /// Whether a beat may be acknowledged.
+    pub(crate) fn takes_beats(&self, now: Mono) -> bool {
+        self.in_contact(now, BEAT_LEASE)
     }
 
     fn in_contact(&self, now: Mono, lease: Span) -> bool {
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -172,7 +172,7 @@
         let r = match ask {
             Ask::Change(c) if ready && self.gathered(now, &c) => return self.submit(now, Some(t), c, out),
             Ask::Change(_) => Receipt::NotNow("no quorum of controllers in reach"),
-            Ask::Beat(b, mark) if self.takes_heartbeats(now) => return self.first_hand(now, t, b, mark, out),
+            Ask::Beat(b, mark) if self.takes_beats(now) => return self.first_hand(now, t, b, mark, out),
             Ask::SignOff(tag) if ready => return self.sign_off(now, t, &tag, out),
             Ask::Beat(..) | Ask::SignOff(_) => Receipt::NotNow("no quorum of controllers in reach"),
             Ask::Replace { old, new } => self.replace(now, old, new, out),
--- a/crates/controller/src/leaving.rs
+++ b/crates/controller/src/leaving.rs
@@ -55,7 +55,7 @@
         let heard = self.beats.values().find(|(b, _)| b.tag == tag).map(|(b, _)| (b.addr, b.birth));
         let op = match known.or(heard) {
             Some((addr, birth)) => Op::SignOff(addr, birth),
-            None => Op::Deregister(tag.to_string()),
+            None => Op::SignOffName(tag.to_string()),
         };
         self.farewell(now, token, op, out);
     }
--- a/crates/simulator/src/people.rs
+++ b/crates/simulator/src/people.rs
@@ -13,7 +13,7 @@
     Read,
     /// An origin signs off by what it calls its life.
     SignOff(String),
-    /// A heartbeat of that origin; whether it said that it leaves.
+    /// A beat of that origin; whether it said that it leaves.
     Beat(Addr, bool),
     Probes,
     Ready,
@@ -107,7 +107,7 @@
                 return;
             }
             (Want::Beat(b, last_word), _) => {
-                self.heartbeats_taken.insert(at, self.now);
+                self.beats_taken.insert(at, self.now);
                 self.signed_off.extend(Some(*b).filter(|_| *last_word));
                 return;
             }
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -107,8 +107,8 @@
     pub seen: Vec<Seen>,
     /// Origins whose word of leaving was answered as in force.
     pub signed_off: BTreeSet<Addr>,
-    /// Whoever acknowledged a heartbeat: when that was last told.
-    pub heartbeats_taken: BTreeMap<Addr, Mono>,
+    /// Whoever acknowledged a beat: when that was last told.
+    pub beats_taken: BTreeMap<Addr, Mono>,
     pub counts: BTreeMap<&'static str, u64>,
     pub next_token: u64,
     heap: BinaryHeap<Reverse<(Mono, u64)>>,
@@ -129,7 +129,7 @@
             wants: BTreeMap::new(),
             seen: vec![],
             signed_off: BTreeSet::new(),
-            heartbeats_taken: BTreeMap::new(),
+            beats_taken: BTreeMap::new(),
             counts: BTreeMap::new(),
             next_token: 0,
             heap: BinaryHeap::new(),
