--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -11,6 +11,7 @@
 mod scope;
 mod slots;
 mod stage;
+mod trouble;
 mod world;
 
 pub use field::Bloom;
@@ -19,4 +20,5 @@
 pub use procs::{Proc, Role3};
 pub use rules::Rules;
 pub use stage::*;
+pub use trouble::*;
 pub use world::{Ev, Plan, World};
