--- a/crates/controller/src/leaving.rs
+++ b/crates/controller/src/leaving.rs
@@ -33,12 +33,13 @@
         }
     }
 
-    /// The others can do without this member, or have a newcomer for its seat. Otherwise it
-    /// keeps the seat: it may be back within seconds.
+    /// The others can do without this member, or have a newcomer for its seat, and one of
+    /// them stays to see to it. Otherwise it keeps the seat: it may be back within seconds.
     fn may_be_let_go(&self, now: Mono) -> bool {
         let Some(open) = self.env.open.filter(|_| self.mach.is_some()) else { return false };
         let needless = self.base.members.len() > least_members(open.losses);
-        self.connected(now) && (needless || self.hears_newcomer(now))
+        let one_stays = self.base.members.iter().any(|m| !self.watch.leaves(m.kid));
+        self.connected(now) && one_stays && (needless || self.hears_newcomer(now))
     }
 
     pub(crate) fn on_leaving(&mut self, now: Mono, kid: caesar::Kid) {
--- a/crates/simulator/tests/membership_changes.rs
+++ b/crates/simulator/tests/membership_changes.rs
@@ -148,3 +148,22 @@
         reads_back(&mut w, &f, &[2, 3, 4], &format!("seed {seed}"));
     }
 }
+
+/// Whoever was let go before the others had ended joins again.
+#[test]
+fn given_all_machines_told_to_stop_at_once_when_they_start_again_then_all_have_a_seat() {
+    for (seed, apart) in (2760..2766).zip([0, 0, 50, 200, 500, 1000]) {
+        let (mut w, f) = World::standing_open(Plan::open(), seed);
+        for (i, m) in [3, 2, 6, 4].into_iter().enumerate() {
+            w.later(Span::ms(apart * i as u64), move |w| stop_machine(w, m));
+        }
+        w.run(Span::secs(10));
+        assert!([2, 3, 4, 6].iter().all(|m| w.controller(addr(*m, 1)).is_none()), "seed {seed}");
+        assert_eq!(count(&w, "killed after the grace"), 0, "seed {seed}");
+        [2, 3, 4, 6].into_iter().for_each(|m| start_machine(&mut w, m));
+        w.run(Span::secs(5));
+        let what = format!("seed {seed}");
+        members_are(&w, &[2, 3, 4, 6], &what);
+        reads_back(&mut w, &f, &[2, 3, 4, 6], &what);
+    }
+}
