--- a/crates/control-state/src/msg.rs
+++ b/crates/control-state/src/msg.rs
@@ -107,6 +107,10 @@
     AskApplied(Era, Cid),
     /// By the era that followed a roster: members of it that are past it, see `controller`.
     Landed(Vec<(Era, Kid)>),
+    /// To itself: what was saved before this was sent, at that time, is synced.
+    Synced(Mono),
+    /// The sender's disk takes too long to lead.
+    SlowDisk(Kid),
     DutyAsk(Kid, Epoch, Mono),
     DutySaid(Kid, Epoch, Option<Mono>),
     // subscribers and controllers
--- a/crates/controller/src/apply.rs
+++ b/crates/controller/src/apply.rs
@@ -30,6 +30,9 @@
                     let b = Kept::Wag(era, r).encode();
                     self.log.written += b.len();
                     out.push(Out::Save(b));
+                    if self.disk.saving(now) {
+                        out.push(Out::Send(self.env.addr, Msg::Synced(now)));
+                    }
                 }
                 caesar::Out::Send(to, w) => {
                     let at = self.base.member(to).map(|m| m.addr);
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -1,4 +1,5 @@
 use crate::beats::Pulse;
+use crate::disk_health::DiskHealth;
 use crate::duty::Duty;
 use crate::feeds::Feed;
 use crate::force::Pending;
@@ -66,6 +67,7 @@
     pub(crate) named: Option<(Birth, Mono)>,
     pub(crate) gathers: Option<Mono>,
     pub(crate) log: LogSize,
+    pub(crate) disk: DiskHealth,
     pub(crate) transfer: SnapshotTransfer,
     pub(crate) counts: BTreeMap<&'static str, u64>,
     last: BTreeMap<&'static str, Mono>,
@@ -113,6 +115,7 @@
             named: None,
             gathers: None,
             log: LogSize::default(),
+            disk: DiskHealth::default(),
             transfer: SnapshotTransfer::default(),
             counts: BTreeMap::new(),
             last: BTreeMap::new(),
@@ -195,6 +198,7 @@
         self.land(now, out);
         self.force(now, out);
         self.ask_applied(now, out);
+        self.mind_disk(now, out);
         self.do_duty(now, out);
         if self.due("beats", Span::ms(100), now) {
             self.relay_beats(now, out);
@@ -225,6 +229,8 @@
                 Msg::AskApplied(era, cid) => self.on_ask_applied(from, era, cid, out),
                 Msg::DutyAsk(kid, e, t) => self.on_duty_ask(now, from, kid, e, t, out),
                 Msg::DutySaid(kid, e, t) => self.on_duty_said(now, kid, e, t),
+                Msg::Synced(then) if from == self.env.addr => self.disk.synced(now, then),
+                Msg::SlowDisk(kid) => self.disk.on_slow(now, kid),
                 Msg::Got { id, feed, got } => self.on_got(id, feed, got),
                 Msg::Sub(s) if self.passes_on() => self.show_roster(from, &s, out),
                 Msg::Sub(s) => self.on_sub(now, from, *s, out),
--- a/crates/controller/src/duty.rs
+++ b/crates/controller/src/duty.rs
@@ -65,7 +65,9 @@
     fn first_live(&self, now: Mono) -> bool {
         let heard = |k: &Kid| self.mach.as_ref().and_then(|m| m.heard_of(*k));
         let live = |k: &Kid| *k == self.kid || heard(k).is_some_and(|t| now - t < self.env.pace.suspect);
-        order(&self.pic).into_iter().find(live) == Some(self.kid)
+        let fit = |k: &Kid| live(k) && self.disk.keeps_up(now, *k);
+        let all = order(&self.pic);
+        all.iter().find(|k| fit(k)).or_else(|| all.iter().find(|k| live(k))) == Some(&self.kid)
     }
 
     pub(crate) fn do_duty(&mut self, now: Mono, out: &mut Vec<Out>) {
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -5,6 +5,7 @@
 mod calls;
 mod catch_up;
 mod controller;
+mod disk_health;
 mod duty;
 mod era;
 mod feeds;
--- a/crates/simulator/src/procs.rs
+++ b/crates/simulator/src/procs.rs
@@ -42,6 +42,8 @@
     pub bytes_to: u64,
     /// The disk does not come back from a sync while this is set.
     pub stalled: bool,
+    /// What each sync takes over the plan's.
+    pub slow: Span,
     pub frozen: bool,
     pub parked: Vec<Ev>,
     /// Its clock: where it started, and how fast it runs in thousandths.
@@ -71,6 +73,7 @@
             link_free: Mono(0),
             bytes_to: 0,
             stalled: false,
+            slow: Span(0),
             frozen: false,
             parked: vec![],
             skew: self.rng.u64(0..1_000_000_000),
--- a/crates/simulator/tests/catching_up.rs
+++ b/crates/simulator/tests/catching_up.rs
@@ -188,6 +188,22 @@
     clean(&mut w);
 }
 
+#[test]
+fn given_a_disk_that_takes_long_then_another_leads_until_it_keeps_up_again() {
+    let (mut w, f) = World::standing_open(Plan::open(), 57_000);
+    let k = first_in_order(&w, &f);
+    assert!(w.until(Span::secs(5), |w| leads(w, k)));
+    w.procs.get_mut(&k).expect("is there").slow = Span::ms(700);
+    let all = changes(&mut w, &f, "c", 60, Span::ms(100));
+    assert!(!leads(&w, k), "it still leads");
+    assert!(f.controllers.iter().any(|o| leads(&w, *o)), "nobody leads");
+    w.procs.get_mut(&k).expect("is there").slow = Span(0);
+    let more = changes(&mut w, &f, "d", 100, Span::ms(100));
+    assert!(w.until(Span::secs(5), |w| leads(w, k)), "it never led again");
+    assert_eq!(accounted(&mut w, &f, &[all, more].concat()), 160);
+    clean(&mut w);
+}
+
 #[test]
 fn given_1500_routes_over_a_slow_link_then_a_lost_disk_is_made_up_for_beside_live_changes() {
     let plan = Plan { link: Some(SLOW), cut_at: 64, ..Plan::open() };
