--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -1,8 +1,8 @@
 use crate::beats::Pulse;
 use crate::contact::Contact;
+use crate::disk_health::DiskHealth;
 use crate::duty::Duty;
 use crate::feeds::Feed;
-
 use crate::landing::Landed;
 use crate::log::LogSize;
 use crate::membership::MembershipWatch;
@@ -17,6 +17,7 @@
 use primitives::{Addr, Birth, Mono, NodeId, Span, Token};
 use std::collections::{BTreeMap, BTreeSet};
 
+const NO_QUORUM: Receipt = Receipt::NotNow("no quorum of controllers in reach");
 const NO_ROOM: &str = "the state would outgrow the controllers' disks";
 
 pub struct Controller {
@@ -72,6 +73,7 @@
     pub(crate) named: Option<(Birth, Mono)>,
     pub(crate) watch: MembershipWatch,
     pub(crate) log: LogSize,
+    pub(crate) disk: DiskHealth,
     pub(crate) transfer: SnapshotTransfer,
     pub(crate) counts: BTreeMap<&'static str, u64>,
     last: BTreeMap<&'static str, Mono>,
@@ -121,6 +123,7 @@
             named: None,
             watch: MembershipWatch::default(),
             log: LogSize::default(),
+            disk: DiskHealth::default(),
             transfer: SnapshotTransfer::default(),
             counts: BTreeMap::new(),
             last: BTreeMap::new(),
@@ -169,13 +172,11 @@
             _ if self.watch.stopping => Receipt::NotNow("this controller is leaving"),
             Ask::Change(c) if !self.has_room(&c) => Receipt::NotNow(NO_ROOM),
             Ask::Change(c) if ready && self.gathered(now, &c) => return self.submit(now, Some(t), c, out),
-            Ask::Change(_) => Receipt::NotNow("no quorum of controllers in reach"),
             Ask::Beat(b, mark) if self.takes_beats(now) => return self.first_hand(now, t, b, mark, out),
             Ask::SignOff(tag) if ready => return self.sign_off(now, t, &tag, out),
-            Ask::Beat(..) | Ask::SignOff(_) => Receipt::NotNow("no quorum of controllers in reach"),
             Ask::Replace { old, new } => self.replace(now, old, new, out),
             Ask::Table if ready => return self.look(now, t, out),
-            Ask::Table => Receipt::NotNow("no quorum of controllers in reach"),
+            Ask::Change(_) | Ask::Beat(..) | Ask::SignOff(_) | Ask::Table => NO_QUORUM,
             Ask::Read => Receipt::NotNow("controllers are read by their table"),
             _ => Receipt::Took,
         };
@@ -199,6 +200,7 @@
         self.land(now, out);
         self.force(now, out);
         self.ask_applied(now, out);
+        self.mind_disk(now, out);
         self.do_duty(now, out);
         if self.due("beats", Span::ms(100), now) {
             self.relay_beats(now, out);
@@ -231,6 +233,8 @@
                 Msg::AskApplied(era, cid) => self.on_ask_applied(from, era, cid, out),
                 Msg::DutyAsk(kid, e, t) => self.on_duty_ask(now, from, kid, e, t, out),
                 Msg::DutySaid(kid, e, t) => self.on_duty_said(now, kid, e, t),
+                Msg::Synced(then) if from == self.env.addr => self.disk.synced(now, then),
+                Msg::SlowDisk(kid) => self.disk.on_slow(now, kid),
                 Msg::Got { id, feed, got } => self.on_got(id, feed, got),
                 Msg::Sub(s) if self.passes_on() => self.show_roster(from, &s, out),
                 Msg::Sub(s) => self.on_sub(now, from, *s, out),
--- a/crates/controller/src/duty.rs
+++ b/crates/controller/src/duty.rs
@@ -88,18 +88,18 @@
 }
 
 impl Controller {
-    /// Every member before this one in the order is out of reach, or has not asked for the
-    /// leadership for so long that it must be unable to.
+    /// Every member before this one in the order leaves, is out of reach, has a disk that
+    /// does not keep up, or has not asked for the leadership for so long that it must be
+    /// unable to. Where no disk keeps up, disks do not count.
     pub(crate) fn first_live(&self, now: Mono) -> bool {
         // Who has just got its seat cannot have reached anybody yet.
         let settled = now - self.seated > self.env.pace.suspect;
         let idle = |k: &Kid| now - self.duty.last_ask(*k) > STEP_IN;
-        let leaves = |k: &Kid| self.watch.leaves(*k);
-        let passed_over = |k: &Kid| leaves(k) || settled && (!self.reaches(now, *k) || idle(k));
-        let members = order(&self.pic);
-        !leaves(&self.kid)
-            && members.contains(&self.kid)
-            && members.iter().take_while(|k| **k != self.kid).all(passed_over)
+        let absent = |k: &Kid| *k != self.kid && settled && (!self.reaches(now, *k) || idle(k));
+        let available = |k: &Kid| !self.watch.leaves(*k) && !absent(k);
+        let members: Vec<Kid> = order(&self.pic).into_iter().filter(available).collect();
+        let keeps_up = members.iter().find(|k| self.disk.keeps_up(now, **k));
+        keeps_up.or(members.first()) == Some(&self.kid)
     }
 
     pub(crate) fn do_duty(&mut self, now: Mono, out: &mut Vec<Out>) {
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -6,6 +6,7 @@
 mod catch_up;
 mod contact;
 mod controller;
+mod disk_health;
 mod duty;
 mod era;
 mod feeds;
