--- a/crates/simulator/tests/resends.rs
+++ b/crates/simulator/tests/resends.rs
@@ -90,3 +90,25 @@
         clean(&mut w);
     }
 }
+
+#[test]
+fn given_a_large_call_at_every_controller_while_it_is_under_way_then_one_command_carries_it() {
+    for seed in 2830..2833 {
+        let (mut w, f) = World::standing_open(Plan { cut_at: 10_000, ..Plan::open() }, seed);
+        w.plan.sync = SLOW;
+        let call = large(1);
+        let before = spent(&w, &f);
+        let ask = |w: &mut World, k: &Addr| {
+            let t = w.edit(*k, call.clone());
+            w.run(Span::ms(150));
+            t
+        };
+        let sent: Vec<Token> = f.controllers.iter().map(|k| ask(&mut w, k)).collect();
+        w.run(Span::secs(8));
+        sent.iter().for_each(|t| assert!(told(&w, *t).is_some_and(|s| is_done(&s.receipt)), "seed {seed}"));
+        let (commands, bytes) = (spent(&w, &f).0 - before.0, spent(&w, &f).1 - before.1);
+        let size: usize = call.iter().map(Edit::size).sum();
+        assert!(commands == 1 && bytes <= f.controllers.len() * size, "{commands}, {bytes}, seed {seed}");
+        clean(&mut w);
+    }
+}
