--- a/crates/scale-model/src/phases.rs
+++ b/crates/scale-model/src/phases.rs
@@ -38,6 +38,9 @@
     tell: &'a mut dyn FnMut(&Row),
     /// The version that each row of the table has once all changes are applied.
     versions: Vec<u64>,
+    /// Draws what is changed and when. Delays are drawn elsewhere, in the order of messages,
+    /// which depends on how many edges are thin; the changes of one seed must not.
+    load: fastrand::Rng,
 }
 
 /// Starts the fleet, waits until it stands, and goes through all phases. Returns one row for
@@ -46,7 +49,8 @@
     plan.check(Plan::limit())?;
     let versions = vec![1; plan.services()];
     let world = World::new(plan.clone())?;
-    let mut run = Run { world, memory: Memory::default(), rows: vec![], tell, versions };
+    let load = fastrand::Rng::with_seed(primitives::hash(&("load", plan.seed)));
+    let mut run = Run { world, memory: Memory::default(), rows: vec![], tell, versions, load };
     run.start_fleet()?;
     run.phase("calm", |_, _| ());
     run.phase("purges", |run, secs| run.spread_out(plan.purges * secs, secs, Run::purge));
@@ -190,14 +194,14 @@
     fn spread_out(&mut self, count: u64, secs: u64, make: fn(&mut Self, u64, Span)) {
         let part = secs * MICROS_PER_SECOND / count.max(1);
         for i in 0..count {
-            let at = i * part + self.world.rng.u64(0..part);
+            let at = i * part + self.load.u64(0..part);
             make(self, i, Span(at));
         }
     }
 
     fn purge(&mut self, i: u64, after: Span) {
-        let service = service(self.world.rng.usize(0..self.world.plan.services()));
-        let scope = format!("objects/{:02}/{:012x}", i % 100, self.world.rng.u64(0..1 << 48));
+        let service = service(self.load.usize(0..self.world.plan.services()));
+        let scope = format!("objects/{:02}/{:012x}", i % 100, self.load.u64(0..1 << 48));
         let watch = fingerprint(&Key::Purge(service.clone(), scope.clone()), 0);
         let op = Op::Purge(vec![(service, scope)]);
         self.world.change(after, i as usize % CONTROLLERS, op, watch);
