--- a/crates/machine/src/parts.rs
+++ b/crates/machine/src/parts.rs
@@ -15,8 +15,9 @@
 const LEAVE: Span = Span::secs(2);
 /// What a granted try may take over its key's window: to leave, and to run.
 const LATE: Span = Span::secs(12);
-/// Parts of the disk, in sixty-fourths: a file of each ring; each has four.
-const CONTROLLER_FILE: u64 = 6;
+/// Parts of the disk, in sixty-fourths: a file of each ring; each has four. A start reads all of
+/// both rings before it serves: larger files make a return from a loss of power last longer.
+const CONTROLLER_FILE: u64 = 3;
 /// As it was in rings of earlier versions, which are used on as they are.
 const EARLIER_CONTROLLER_FILE: u64 = 2;
 const LEDGER_FILE: u64 = 6;
