--- a/crates/simulator/tests/common/open.rs
+++ b/crates/simulator/tests/common/open.rs
@@ -152,3 +152,31 @@
         assert!(is_done(&r), "{r:?}");
     }
 }
+
+/// What befalls one process for a while.
+#[derive(Copy, Clone, Debug)]
+pub enum Mishap {
+    Kill,
+    Freeze,
+    CutOff,
+}
+
+/// Brings one of these about, drawn by lot, on a process drawn by lot.
+pub fn mishap(w: &mut World, at: Span, long: Span, kinds: &[Mishap]) {
+    let all: Vec<Addr> = w.procs.keys().copied().collect();
+    let who = all[w.rng.usize(0..all.len())];
+    match kinds[w.rng.u8(0..kinds.len() as u8) as usize] {
+        Mishap::Kill => {
+            w.later(at, move |w| w.kill(who));
+            w.later(at + long, move |w| w.start(who));
+        }
+        Mishap::Freeze => {
+            w.later(at, move |w| w.freeze(who));
+            w.later(at + long, move |w| w.thaw(who));
+        }
+        Mishap::CutOff => {
+            w.later(at, move |w| w.isolate(&[who]));
+            w.later(at + long, |w| w.heal());
+        }
+    }
+}
