--- a/crates/control-state/src/lib.rs
+++ b/crates/control-state/src/lib.rs
@@ -20,6 +20,7 @@
 mod sheet;
 mod shelf;
 mod show;
+mod sizes;
 mod snapshot;
 mod state;
 mod whole;
--- a/crates/control-state/src/part.rs
+++ b/crates/control-state/src/part.rs
@@ -171,6 +171,8 @@
     /// A record that stands for all records before it.
     Base(Vec<u8>),
     Send(Addr, Msg),
+    /// A message that relies on nothing saved: it leaves at once, also past a save under way.
+    SendNow(Addr, Msg),
     Tell(Token, Receipt),
     /// The executor runs this round and reports with `Ask::Done`.
     Fetch(Round),
@@ -180,6 +182,13 @@
     Alarm(&'static str),
 }
 
+impl Out {
+    /// Whether it leaves at once, past the saves ahead of it.
+    pub fn is_immediate(&self) -> bool {
+        matches!(self, Out::SendNow(..))
+    }
+}
+
 pub trait Part: Send {
     fn step(&mut self, now: Mono, inp: In, out: &mut Vec<Out>);
 }
--- a/crates/control-state/src/sheet.rs
+++ b/crates/control-state/src/sheet.rs
@@ -155,13 +155,7 @@
 
     /// Bytes, roughly.
     pub fn size(&self) -> usize {
-        let said = match &self.body {
-            Some(Body::Lane(l)) => l.said.len() + l.weights.len() * 40,
-            Some(Body::Service(s)) => s.said.len(),
-            Some(Body::Limits(l)) => l.said.len(),
-            _ => 0,
-        };
-        120 + self.name.len() + said
+        20 + self.name.len() + self.body.as_ref().map_or(100, Body::size)
     }
 
     pub(crate) fn lane(&self) -> Option<&LaneEntry> {
--- a/crates/control-state/src/state.rs
+++ b/crates/control-state/src/state.rs
@@ -73,6 +73,11 @@
 }
 
 impl Picture {
+    /// The member at this address with this disk, if it has a seat.
+    pub fn seat_of(&self, addr: primitives::Addr, birth: primitives::Birth) -> Option<&Member> {
+        self.members.iter().find(|m| m.addr == addr && m.birth == birth)
+    }
+
     pub fn item(&self, k: &Key) -> Item {
         self.items.get(k).cloned().unwrap_or_default()
     }
--- a/crates/controller/src/access.rs
+++ b/crates/controller/src/access.rs
@@ -1,9 +1,20 @@
 //! What a controller shows of itself to whoever runs it.
 use crate::controller::Controller;
 use caesar::Kid;
-use control_state::Picture;
+use control_state::{Member, Picture};
 
 impl Controller {
+    /// This controller as a member with that id.
+    pub(crate) fn member(&self, kid: Kid) -> Member {
+        Member {
+            kid,
+            addr: self.env.addr,
+            http: self.env.http,
+            zone: self.env.zone.clone(),
+            birth: self.birth,
+        }
+    }
+
     pub fn picture(&self) -> &Picture {
         &self.pic
     }
--- a/crates/controller/src/beats.rs
+++ b/crates/controller/src/beats.rs
@@ -134,7 +134,7 @@
             let me = self.env.addr;
             let others = self.base.members.iter().map(|m| m.addr).filter(|a| *a != me);
             let echo = |a: &Addr| self.pulse.clocks.get(a).copied();
-            out.extend(others.map(|a| Out::Send(a, Msg::Beats(bs.clone(), now, echo(&a)))));
+            out.extend(others.map(|a| Out::SendNow(a, Msg::Beats(bs.clone(), now, echo(&a)))));
         }
     }
 
--- a/crates/controller/src/catch_up.rs
+++ b/crates/controller/src/catch_up.rs
@@ -7,10 +7,6 @@
 
 /// At most one offer or wish per address in so long.
 const HUSH: Span = Span::ms(200);
-/// A feed is not started anew sooner than this, and for a state of more than one piece
-/// not sooner than it takes at 50 kB a second.
-const FEED_AGAIN: Span = Span::ms(300);
-const MICROS_A_BYTE: u64 = 20;
 /// A member that makes no progress in catching up for so long starts feeds all the same.
 const FEED_ANYWAY: Span = Span::secs(5);
 
@@ -30,13 +26,6 @@
         self.caught_up() || alone
     }
 
-    /// How long a subscriber is left to take in all there is before it is sent once more:
-    /// a large state takes its time, and a second one behind it would only add to it.
-    pub(crate) fn feed_again(&self) -> Span {
-        let bytes = self.log.state_now(self.mach.as_ref().map_or(0, |m| m.bytes()));
-        FEED_AGAIN + Span(bytes.saturating_sub(SNAPSHOT_PIECE) as u64 * MICROS_A_BYTE)
-    }
-
     pub(crate) fn on_wag(
         &mut self,
         now: Mono,
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -2,7 +2,6 @@
 use crate::contact::Contact;
 use crate::disk_health::DiskHealth;
 use crate::duty::Duty;
-use crate::feeds::Feed;
 use crate::landing::Landed;
 use crate::log::LogSize;
 use crate::membership::MembershipWatch;
@@ -12,6 +11,7 @@
 pub use crate::settings::{ControllerEnv, Open};
 use crate::show::Hidden;
 use crate::snapshot_transfer::SnapshotTransfer;
+use crate::subscribers::Subscriber;
 use caesar::{Cid, Kid, Machine};
 use control_state::*;
 use primitives::{Addr, Birth, Mono, NodeId, Span, Token};
@@ -33,8 +33,9 @@
     /// This disk began with the deployment itself: it never founded unless it says so.
     pub(crate) first: bool,
     pub(crate) blanks: BTreeMap<Addr, (Member, Mono)>,
-    pub(crate) feeds: BTreeMap<NodeId, Feed>,
-    pub(crate) feed_no: u64,
+    pub(crate) subscribers: BTreeMap<NodeId, Subscriber>,
+    /// The number of the last update stream started.
+    pub(crate) last_stream: u64,
     /// Since when followers without a seat turn to this controller.
     pub(crate) newcomers: BTreeMap<NodeId, Mono>,
     pub(crate) beats: BTreeMap<Addr, (Beat, Mono)>,
@@ -96,8 +97,8 @@
             kid: Kid(0),
             first: false,
             blanks: BTreeMap::new(),
-            feeds: BTreeMap::new(),
-            feed_no: life << 16,
+            subscribers: BTreeMap::new(),
+            last_stream: life << 16,
             newcomers: BTreeMap::new(),
             beats: BTreeMap::new(),
             pulse: Pulse::new(now),
@@ -140,16 +141,6 @@
         k
     }
 
-    pub(crate) fn member(&self, kid: Kid) -> Member {
-        Member {
-            kid,
-            addr: self.env.addr,
-            http: self.env.http,
-            zone: self.env.zone.clone(),
-            birth: self.birth,
-        }
-    }
-
     /// True at most once per `every` for each name.
     pub(crate) fn due(&mut self, name: &'static str, every: Span, now: Mono) -> bool {
         let was = self.last.entry(name).or_default();
@@ -235,7 +226,7 @@
                 Msg::DutySaid(kid, e, t) => self.on_duty_said(now, kid, e, t),
                 Msg::Synced(then) if from == self.env.addr => self.disk.synced(now, then),
                 Msg::SlowDisk(kid) => self.disk.on_slow(now, kid),
-                Msg::Got { id, feed, got } => self.on_got(id, feed, got),
+                Msg::Got { id, feed, got } => self.on_got(now, id, feed, got, out),
                 Msg::Sub(s) if self.passes_on() => self.show_roster(from, &s, out),
                 Msg::Sub(s) => self.on_sub(now, from, *s, out),
                 Msg::Roster(era, ms) => self.on_roster(era, ms),
--- a/crates/controller/src/disk_health.rs
+++ b/crates/controller/src/disk_health.rs
@@ -66,7 +66,7 @@
             return;
         }
         self.disk.on_slow(now, self.kid);
-        let word = |m: &Member| Out::Send(m.addr, Msg::SlowDisk(self.kid));
+        let word = |m: &Member| Out::SendNow(m.addr, Msg::SlowDisk(self.kid));
         out.extend(self.base.members.iter().filter(|m| m.kid != self.kid).map(word));
     }
 }
--- a/crates/controller/src/duty.rs
+++ b/crates/controller/src/duty.rs
@@ -120,7 +120,7 @@
                 out.push(Out::Note("taking the duty under a new epoch"));
             }
             let e = d.epoch();
-            let ask = |m: &Member| Out::Send(m.addr, Msg::DutyAsk(self.kid, e, now));
+            let ask = |m: &Member| Out::SendNow(m.addr, Msg::DutyAsk(self.kid, e, now));
             out.extend(self.base.members.iter().map(ask));
         }
         if self.duty.held(now)
@@ -149,7 +149,7 @@
         // the earlier in the order gets them, and the other raises no epoch here.
         let outranked = d.asks.iter().any(|(k, t)| *k < kid && now - *t < TERM);
         if outranked {
-            return out.push(Out::Send(from, Msg::DutySaid(self.kid, d.seen, None)));
+            return out.push(Out::SendNow(from, Msg::DutySaid(self.kid, d.seen, None)));
         }
         let same = d.word == Some((kid, e));
         let free = d.until <= now && e >= d.seen;
@@ -160,7 +160,7 @@
             d.until = now + TERM.padded();
         }
         let said = Msg::DutySaid(self.kid, d.seen, yes.then_some(ask));
-        out.push(Out::Send(from, said));
+        out.push(Out::SendNow(from, said));
     }
 
     pub(crate) fn on_duty_said(&mut self, _now: Mono, kid: Kid, e: Epoch, ask: Option<Mono>) {
--- a/crates/controller/src/era.rs
+++ b/crates/controller/src/era.rs
@@ -35,12 +35,12 @@
         self.with_machine(now, out, replay);
         // Leases given before the stop may still run: as if all were given just now.
         let until = now + self.env.lease.padded();
-        self.assume_lent(until);
+        self.assume_leases(until);
     }
 
     /// Takes the seat that the roster of the picture gives this disk, if any.
     fn seat(&mut self, now: Mono) {
-        let mine = self.pic.members.iter().find(|m| m.addr == self.env.addr && m.birth == self.birth);
+        let mine = self.pic.seat_of(self.env.addr, self.birth);
         let had = self.mach.is_some();
         self.mach = mine.map(|m| m.kid).map(|kid| {
             self.kid = kid;
@@ -49,6 +49,15 @@
         });
     }
 
+    /// Proposes to end the era; the next one has these members.
+    pub(crate) fn propose_cut(&mut self, now: Mono, members: Vec<Member>, out: &mut Vec<Out>) {
+        self.cutting = Some(now);
+        let landed = self.landed_to();
+        self.with_machine(now, out, |m, o| {
+            m.propose(now, Cmd::Cut(members, landed), o);
+        });
+    }
+
     /// Starts an era from a picture: the picture first, all later records after it.
     pub(crate) fn enter(&mut self, now: Mono, p: Picture, out: &mut Vec<Out>) {
         let clock = self.mach.as_ref().map_or(0, |m| m.clock()).max(p.clock);
@@ -61,9 +70,7 @@
         let looks = std::mem::take(&mut self.looks);
         out.extend(looks.into_values().map(|t| Out::Tell(t, Receipt::NotNow("the era ended; ask again"))));
         self.cutting = None;
-        let bytes = Kept::Base(self.birth, Box::new(self.base.clone())).encode();
-        self.log.begin_era(bytes.len());
-        out.push(Out::Base(bytes));
+        self.save_base(out);
         self.transfer.receiver.cancel();
         let caught_up = self.caught_up();
         self.seat(now);
@@ -91,7 +98,7 @@
 
     /// A picture of a later era replaces what this controller has.
     pub(crate) fn adopt(&mut self, now: Mono, p: Picture, out: &mut Vec<Out>) {
-        let mine = p.members.iter().any(|m| m.addr == self.env.addr && m.birth == self.birth);
+        let mine = p.seat_of(self.env.addr, self.birth).is_some();
         if p.era <= self.base.era || !(mine || self.mach.is_some()) {
             return;
         }
--- a/crates/controller/src/force.rs
+++ b/crates/controller/src/force.rs
@@ -56,12 +56,7 @@
             // As many as stay small together, but at least one.
             let mut bytes = 0;
             let fits = |a: &&Asked| {
-                bytes += match &a.change.op {
-                    Op::PurgeBy(s) => s.len() * 120,
-                    Op::Edit(es) => es.iter().map(Edit::size).sum::<usize>(),
-                    Op::Purge(s) => s.iter().map(|(_, p)| p.len() + 40).sum::<usize>(),
-                    _ => 200,
-                };
+                bytes += a.change.op.size();
                 bytes <= BYTES
             };
             let n = self.line.iter().take(BATCH).take_while(fits).count().max(1);
@@ -138,7 +133,8 @@
         let era = self.base.era;
         let open = std::mem::take(&mut self.owed);
         for (cid, lacks) in open {
-            let still: Vec<_> = lacks.into_iter().filter(|(id, no)| !self.paid(now, *id, *no)).collect();
+            let still: Vec<_> =
+                lacks.into_iter().filter(|(id, no)| !self.has_caught_up(now, *id, *no)).collect();
             if still.is_empty() && self.all_landed() {
                 let at = self.base.member(cid.kid).map(|m| m.addr);
                 out.extend(at.map(|a| Out::Send(a, Msg::InForce(era, cid, self.kid))));
--- a/crates/controller/src/found.rs
+++ b/crates/controller/src/found.rs
@@ -22,7 +22,7 @@
         if self.mach.is_none() {
             return self.maybe_found(now, out);
         }
-        if self.base.members.iter().any(|x| x.addr == addr && x.birth == birth) {
+        if self.base.seat_of(addr, birth).is_some() {
             self.offer_snapshot(now, addr, out);
         } else if self.env.open.is_none() && self.base.members.iter().any(|x| x.addr == addr) {
             // Its disk was lost: it gets a new id in its old place.
@@ -72,15 +72,11 @@
         if self.cutting.is_some_and(|t| now - t < Span::secs(2)) {
             return;
         }
-        self.cutting = Some(now);
         self.count("swaps");
         out.push(Out::Note("proposing a new controller in an old one's seat"));
         let kid = Kid(self.pic.next_kid);
         let swap = |m: &Member| if m.addr == old { Member { kid, ..new.clone() } } else { m.clone() };
         let members: Vec<Member> = self.pic.members.iter().map(swap).collect();
-        let landed = self.landed_to();
-        self.with_machine(now, out, |m, o| {
-            m.propose(now, Cmd::Cut(members, landed), o);
-        });
+        self.propose_cut(now, members, out);
     }
 }
--- a/crates/controller/src/landing.rs
+++ b/crates/controller/src/landing.rs
@@ -57,7 +57,7 @@
         if self.base.past.is_empty() || !self.due("land", every, now) {
             return;
         }
-        let knows = |e: Era| self.feeds.values().all(|f| f.lent <= now || f.era >= e);
+        let knows = |e: Era| self.subscribers.values().all(|s| s.lease_until <= now || s.era >= e);
         let mine = |(e, r): &(Era, Vec<Member>)| {
             let all = r.iter().enumerate().filter(|(i, m)| knows(*e) && self.speaks_for(now, *i, m));
             all.map(|(_, m)| (*e, m.kid)).collect::<Vec<_>>()
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -1,4 +1,4 @@
-//! The controller, a pure part: agreement, control state, feeds and leases, duty.
+//! The controller, a pure part: agreement, control state, update streams and leases, leadership.
 mod access;
 mod apply;
 mod beats;
@@ -9,7 +9,6 @@
 mod disk_health;
 mod duty;
 mod era;
-mod feeds;
 mod force;
 mod found;
 mod landing;
@@ -25,6 +24,8 @@
 mod settings;
 mod show;
 pub mod snapshot_transfer;
+mod subscribers;
+pub mod update_stream;
 
 pub use controller::{Controller, ControllerEnv, Open};
 pub use recs::Kept;
--- a/crates/controller/src/log.rs
+++ b/crates/controller/src/log.rs
@@ -50,6 +50,13 @@
 }
 
 impl Controller {
+    /// Saves the state that the era starts from, in place of all records before.
+    pub(crate) fn save_base(&mut self, out: &mut Vec<Out>) {
+        let bytes = Kept::Base(self.birth, Box::new(self.base.clone())).encode();
+        self.log.begin_era(bytes.len());
+        out.push(Out::Base(bytes));
+    }
+
     /// Writes the era anew in short before the ring fills up.
     pub(crate) fn shorten(&mut self, out: &mut Vec<Out>) {
         if !self.log.is_long(self.env.base_after, self.env.room) {
@@ -81,11 +88,7 @@
         let tidy = self.env.open.is_some() && past && self.duty.held(now);
         let lately = self.cutting.is_some_and(|t| now - t < CUT_AGAIN);
         if (due || tidy) && !lately {
-            self.cutting = Some(now);
-            let (members, landed) = (self.pic.members.clone(), self.landed_to());
-            self.with_machine(now, out, |m, o| {
-                m.propose(now, Cmd::Cut(members, landed), o);
-            });
+            self.propose_cut(now, self.pic.members.clone(), out);
         }
     }
 
--- a/crates/controller/src/membership.rs
+++ b/crates/controller/src/membership.rs
@@ -2,7 +2,6 @@
 //! newcomers up to date, and proposing what `membership_plan` says.
 use crate::controller::Controller;
 use crate::membership_plan::{MembershipView, Reason};
-use crate::recs::Kept;
 use caesar::Kid;
 use control_state::*;
 use primitives::{Addr, Birth, Mono, Span};
@@ -68,7 +67,8 @@
             return;
         }
         self.note_silence(now);
-        if !self.connected(now) || !self.first_live(now) {
+        // Held by the words of a quorum: who only takes itself for the first proposes nothing.
+        if !self.duty.held(now) {
             return;
         }
         self.teach_newcomers(now, out);
@@ -102,7 +102,7 @@
         self.watch.learners.retain(|addr, l| newcomers.get(addr) == Some(&l.birth));
         let era = self.base.era;
         for (addr, birth) in newcomers {
-            let seated = self.base.members.iter().any(|m| m.addr == addr && m.birth == birth);
+            let seated = self.base.seat_of(addr, birth).is_some();
             let fresh = Learner { birth, holds: None, sent: None };
             let learner = self.watch.learners.entry(addr).or_insert(fresh);
             let holds = learner.holds.is_some_and(|(held, _)| held == era);
@@ -117,7 +117,7 @@
     /// Whether a snapshot is one to be kept without a seat: it gives this disk none.
     pub(crate) fn learns(&self, snapshot: &Picture) -> bool {
         let keeps = self.env.open.is_some_and(|o| o.keeps);
-        let seated = snapshot.members.iter().any(|m| m.addr == self.env.addr && m.birth == self.birth);
+        let seated = snapshot.seat_of(self.env.addr, self.birth).is_some();
         self.mach.is_none() && keeps && !seated
     }
 
@@ -128,9 +128,7 @@
         }
         self.base = snapshot;
         self.pic = self.base.clone();
-        let base = Kept::Base(self.birth, Box::new(self.base.clone())).encode();
-        self.log.begin_era(base.len());
-        out.push(Out::Base(base));
+        self.save_base(out);
         self.say_learned(out);
     }
 
@@ -161,7 +159,7 @@
             let learner = self.watch.learners.get(&m.addr).filter(|l| l.birth == m.birth);
             learner.and_then(|l| l.holds).is_some_and(|(held, _)| held == era)
         };
-        let seated = |m: &&Member| self.base.members.iter().any(|x| x.addr == m.addr && x.birth == m.birth);
+        let seated = |m: &&Member| self.base.seat_of(m.addr, m.birth).is_some();
         let newcomers = self.blanks.values().map(|(m, _)| m);
         let suspect = self.env.pace.suspect;
         MembershipView {
@@ -188,7 +186,6 @@
         if change.reason == Reason::Widened && !self.newcomers_gathered(now) {
             return;
         }
-        self.cutting = Some(now);
         let (name, note) = match change.reason {
             Reason::DiskLost => ("disks replaced", "proposing a new disk in a lost one's seat"),
             Reason::SeatTaken => ("seats taken", "proposing a newcomer in a member's seat"),
@@ -197,9 +194,6 @@
         };
         self.count(name);
         out.push(Out::Note(note));
-        let landed = self.landed_to();
-        self.with_machine(now, out, |m, o| {
-            m.propose(now, Cmd::Cut(change.members, landed), o);
-        });
+        self.propose_cut(now, change.members, out);
     }
 }
--- a/crates/controller/src/roll.rs
+++ b/crates/controller/src/roll.rs
@@ -1,7 +1,7 @@
 //! Changing the set of ledgers, one set at a time; the duty holder's work.
 use crate::controller::Controller;
-use crate::feeds::Feed;
 use crate::pending::Pending;
+use crate::subscribers::Subscriber;
 use control_state::*;
 use primitives::{Mono, NodeId, Span, Version};
 use std::collections::BTreeSet;
@@ -112,12 +112,12 @@
 
     /// Was heard a moment ago, and does not leave.
     fn stays(&self, now: Mono, id: NodeId) -> bool {
-        let heard = |f: &Feed| f.beats != Mono(0) && now - f.beats < SILENT;
-        self.feeds.get(&id).is_some_and(|f| heard(f) && !f.leaving)
+        let heard = |f: &Subscriber| f.beats != Mono(0) && now - f.beats < SILENT;
+        self.subscribers.get(&id).is_some_and(|f| heard(f) && !f.leaving)
     }
 
     fn gone(&self, now: Mono, id: NodeId) -> bool {
-        self.feeds.get(&id).is_some_and(|f| f.leaving || (f.beats != Mono(0) && now - f.beats >= GONE))
+        self.subscribers.get(&id).is_some_and(|f| f.leaving || (f.beats != Mono(0) && now - f.beats >= GONE))
     }
 
     fn ledgers(&self) -> impl Iterator<Item = Seat> + '_ {
--- a/crates/controller/src/show.rs
+++ b/crates/controller/src/show.rs
@@ -5,14 +5,13 @@
 //! given only to an edge that holds all its controller applied; so whatever any edge
 //! ever showed, no edge, not even one that starts anew, serves without.
 use crate::controller::Controller;
-use crate::feeds::LONGEST;
 use caesar::{classic, Cid, Kid};
 use control_state::*;
 use primitives::{Addr, Mono, Span, Token};
 use std::collections::BTreeSet;
 
 pub(crate) struct Hidden {
-    pub keys: Vec<Key>,
+    pub keys: BTreeSet<Key>,
     pub by: BTreeSet<Kid>,
     pub asked: Mono,
 }
@@ -31,18 +30,11 @@
         self.hidden.is_empty() && self.enough_heard() && self.all_landed()
     }
 
-    /// Numbers the news for every feed, so that no lease is renewed without it.
-    pub(crate) fn number(&mut self, news: &[Key], cid: Option<Cid>) {
-        for f in self.feeds.values_mut() {
-            for k in news {
-                f.sent += 1;
-                f.line.push_back((f.sent, k.clone(), cid));
-            }
-            if f.line.len() > LONGEST {
-                f.line.clear();
-                f.feed = 0;
-            }
-        }
+    /// Whether an update may leave: enough have applied the command that it comes of, and
+    /// every other one that changed the same key.
+    pub(crate) fn may_be_seen(&self, key: &Key, cid: Option<Cid>) -> bool {
+        let hidden = cid.is_some_and(|c| self.hidden.contains_key(&c));
+        !hidden && !self.hidden.values().any(|h| h.keys.contains(key))
     }
 
     /// A change was applied: others are told, and edges once enough have it.
@@ -52,7 +44,7 @@
         }
         self.number(news, Some(cid));
         let by = BTreeSet::from([self.kid]);
-        self.hidden.insert(cid, Hidden { keys: news.to_vec(), by, asked: now });
+        self.hidden.insert(cid, Hidden { keys: news.iter().cloned().collect(), by, asked: now });
         let (era, kid, me) = (self.base.era, self.kid, self.env.addr);
         let others = self.base.members.iter().filter(|m| m.addr != me);
         out.extend(others.map(|m| Out::Send(m.addr, Msg::Applied(era, cid, kid))));
@@ -90,40 +82,6 @@
         }
     }
 
-    /// Sends every feed what it may see and was not sent, in the order of its
-    /// numbers.
-    pub(crate) fn push(&mut self, now: Mono, out: &mut Vec<Out>) {
-        if !self.enough_heard() || !self.all_landed() {
-            return;
-        }
-        let veiled: BTreeSet<&Key> = self.hidden.values().flat_map(|h| &h.keys).collect();
-        let mut pushed = 0;
-        for f in self.feeds.values_mut().filter(|f| f.feed != 0) {
-            let may = |(_, k, cid): &&(u64, Key, Option<Cid>)| {
-                !veiled.contains(k) && cid.is_none_or(|c| !self.hidden.contains_key(&c))
-            };
-            let next = f.line.iter().filter(|(n, ..)| *n > f.out);
-            let go: Vec<&(u64, Key, Option<Cid>)> = next.take_while(may).collect();
-            let Some(to) = go.last().map(|l| l.0) else { continue };
-            let items = go.iter().map(|(_, k, _)| (k.clone(), self.pic.item(k))).collect();
-            let n = News {
-                feed: f.feed,
-                from: f.out,
-                to,
-                full: false,
-                items,
-                era: self.base.era,
-                members: self.base.members.clone(),
-                reply: None,
-            };
-            f.out = to;
-            f.pushed = now;
-            pushed += 1;
-            out.extend(f.addr.map(|a| Out::Send(a, Msg::News(Box::new(n)))));
-        }
-        *self.counts.entry("pushes").or_default() += pushed;
-    }
-
     /// Reads the whole state at a known place among all changes, so that
     /// nothing acknowledged before can be missing.
     pub(crate) fn look(&mut self, now: Mono, t: Token, out: &mut Vec<Out>) {
--- /dev/null
+++ b/crates/controller/src/update_stream.rs
@@ -0,0 +1,206 @@
+//! The updates for one subscriber: each changed key under a number of its own, sent in
+//! pieces of bounded size, and again from the last number that was acknowledged.
+//!
+//! Invariants: numbers only grow, also when the stream starts anew, so a number once noted
+//! never stands for less. No more than `WINDOW` bytes are under way, unless it is one piece.
+use caesar::Cid;
+use control_state::*;
+use primitives::{Mono, Span};
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+/// Bytes of one piece, roughly; a single larger item makes a piece of its own.
+pub const PIECE: usize = 64 << 10;
+/// Bytes that may be under way to one subscriber.
+pub const WINDOW: usize = 64 << 10;
+/// Updates that a subscriber may lack before it is sent the whole state instead.
+const LONGEST: u64 = 2000;
+/// Unacknowledged updates are sent again after this, and what their bytes take at 200 kB/s.
+const RETRY: Span = Span::ms(100);
+pub(crate) const MICROS_A_BYTE: u64 = 5;
+
+/// Changed keys under consecutive numbers, shared by all streams.
+#[derive(Clone, Debug)]
+struct Batch {
+    first: u64,
+    keys: Arc<[Key]>,
+    /// The command that changed them; none for the state that a stream starts with.
+    cid: Option<Cid>,
+}
+
+impl Batch {
+    fn last(&self) -> u64 {
+        self.first + self.keys.len() as u64 - 1
+    }
+
+    /// Keys numbered above `after`.
+    fn above(&self, after: u64) -> &[Key] {
+        let skipped = (after + 1).saturating_sub(self.first) as usize;
+        self.keys.get(skipped..).unwrap_or_default()
+    }
+}
+
+/// Updates that travel together.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Piece {
+    /// The numbers `from + 1 ..= to`.
+    pub from: u64,
+    pub to: u64,
+    /// The stream starts with it.
+    pub starts: bool,
+    pub items: Vec<(Key, Item)>,
+}
+
+/// Numbers, what they stand for, and how far the subscriber is known to hold them.
+#[derive(Clone, Debug, Default)]
+pub struct UpdateStream {
+    /// Which stream it is; 0 until it is started.
+    id: u64,
+    begun: Mono,
+    /// The number of the start itself, and the last one of the state it starts with.
+    start: u64,
+    filled: u64,
+    /// The last number given, the last one sent, and the last one acknowledged.
+    last: u64,
+    sent: u64,
+    acknowledged: u64,
+    batches: VecDeque<Batch>,
+    /// Last numbers and bytes of pieces under way.
+    under_way: VecDeque<(u64, usize)>,
+    /// When something was last sent or acknowledged.
+    progress: Mono,
+}
+
+impl UpdateStream {
+    pub fn id(&self) -> u64 {
+        self.id
+    }
+
+    pub fn last(&self) -> u64 {
+        self.last
+    }
+
+    pub fn is_started(&self) -> bool {
+        self.id != 0
+    }
+
+    /// Where a message without items stands in the stream.
+    pub fn position(&self) -> u64 {
+        self.sent
+    }
+
+    /// Whether the subscriber is not known to hold everything.
+    pub fn is_behind(&self) -> bool {
+        !self.holds(self.last)
+    }
+
+    /// Whether the subscriber holds all up to a number given to this or an earlier stream.
+    pub fn holds(&self, number: u64) -> bool {
+        self.is_started() && self.acknowledged >= number.max(self.filled)
+    }
+
+    /// Whether it may start anew: one that has just started has not been heard of yet.
+    pub fn may_start(&self, now: Mono, wait: Span) -> bool {
+        !self.is_started() || now - self.begun >= wait
+    }
+
+    /// Starts anew with the whole state.
+    pub fn start(&mut self, now: Mono, id: u64, state: Arc<[Key]>) {
+        let start = self.last + 1;
+        let filled = start + state.len() as u64;
+        let batch = Batch { first: start + 1, keys: state, cid: None };
+        *self = UpdateStream {
+            id,
+            begun: now,
+            start,
+            filled,
+            last: filled,
+            sent: self.last,
+            acknowledged: self.last,
+            batches: VecDeque::from_iter(Some(batch).filter(|b| !b.keys.is_empty())),
+            under_way: VecDeque::new(),
+            progress: now,
+        };
+    }
+
+    /// Numbers changed keys. A stream too long to be worth sending waits to be started anew.
+    pub fn append(&mut self, keys: &Arc<[Key]>, cid: Option<Cid>) {
+        if keys.is_empty() {
+            return;
+        }
+        let first = self.last + 1;
+        self.last += keys.len() as u64;
+        if !self.is_started() {
+            return;
+        }
+        self.batches.push_back(Batch { first, keys: keys.clone(), cid });
+        if self.last - self.acknowledged.max(self.filled) > LONGEST {
+            self.batches.clear();
+            self.under_way.clear();
+            self.id = 0;
+        }
+    }
+
+    /// The subscriber holds this stream up to a number; only what was sent counts.
+    pub fn acknowledge(&mut self, now: Mono, number: u64) {
+        let number = number.min(self.sent);
+        if number <= self.acknowledged {
+            return;
+        }
+        self.acknowledged = number;
+        self.progress = now;
+        self.batches.retain(|b| b.last() > number);
+        self.under_way.retain(|(to, _)| *to > number);
+    }
+
+    fn bytes_under_way(&self) -> usize {
+        self.under_way.iter().map(|(_, bytes)| bytes).sum()
+    }
+
+    /// Goes back to the last acknowledged number if nothing came of what was sent.
+    pub fn retry(&mut self, now: Mono) -> bool {
+        let wait = RETRY + Span(self.bytes_under_way() as u64 * MICROS_A_BYTE);
+        let lost = self.is_started() && self.acknowledged < self.sent && now - self.progress >= wait;
+        if lost {
+            self.sent = self.acknowledged;
+            self.under_way.clear();
+        }
+        lost
+    }
+
+    /// The next piece, if there is one and the window has room for it: up to the first update
+    /// that may not be seen yet.
+    pub fn next_piece(
+        &mut self,
+        now: Mono,
+        state: &Picture,
+        may_be_seen: impl Fn(&Key, Option<Cid>) -> bool,
+    ) -> Option<Piece> {
+        let room = self.under_way.is_empty() || self.bytes_under_way() < WINDOW;
+        if !self.is_started() || self.sent == self.last || !room {
+            return None;
+        }
+        let from = self.sent;
+        let starts = from < self.start;
+        let mut to = from.max(self.start);
+        let mut items: Vec<(Key, Item)> = vec![];
+        let mut bytes = 0;
+        let updates = self.batches.iter().flat_map(|b| b.above(from).iter().map(move |key| (key, b.cid)));
+        for (key, cid) in updates {
+            let item = state.item(key);
+            bytes += key.size() + item.size();
+            if !may_be_seen(key, cid) || (bytes > PIECE && !items.is_empty()) {
+                break;
+            }
+            to += 1;
+            items.push((key.clone(), item));
+        }
+        if to == from {
+            return None;
+        }
+        self.sent = to;
+        self.progress = now;
+        self.under_way.push_back((to, bytes.min(PIECE)));
+        Some(Piece { from, to, starts, items })
+    }
+}
--- a/crates/runtime/src/shell.rs
+++ b/crates/runtime/src/shell.rs
@@ -126,7 +126,9 @@
     fn step(&mut self, i: In) {
         let mut out = vec![];
         self.part.step(crate::now(), i, &mut out);
-        self.line.extend(out);
+        let (immediate, ordered): (Vec<Out>, Vec<Out>) = out.into_iter().partition(Out::is_immediate);
+        immediate.into_iter().for_each(|o| self.carry(o));
+        self.line.extend(ordered);
         self.flush();
     }
 
@@ -150,7 +152,7 @@
 
     fn carry(&mut self, o: Out) {
         match o {
-            Out::Send(to, m) => self.net.queue(to, &m),
+            Out::Send(to, m) | Out::SendNow(to, m) => self.net.queue(to, &m),
             Out::Tell(t, mut r) => {
                 if let Receipt::Health(health) = &mut r {
                     health.counts.extend(self.net.counts.figures());
--- a/crates/scale-model/src/delivery.rs
+++ b/crates/scale-model/src/delivery.rs
@@ -74,7 +74,9 @@
             outputs
         });
         process.tally.cpu += cost;
-        process.outputs.extend(outputs);
+        let (immediate, ordered): (Vec<Out>, Vec<Out>) = outputs.into_iter().partition(Out::is_immediate);
+        process.outputs.extend(ordered);
+        self.carry_out(i, immediate);
         self.flush(i);
     }
 
@@ -96,7 +98,7 @@
     pub(crate) fn carry_out(&mut self, i: usize, outputs: Vec<Out>) {
         for output in outputs {
             match output {
-                Out::Send(to, message) => self.send(i, to, message),
+                Out::Send(to, message) | Out::SendNow(to, message) => self.send(i, to, message),
                 Out::Tell(token, receipt) => self.answered(token, receipt),
                 _ => (),
             }
--- a/crates/simulator/src/carry.rs
+++ b/crates/simulator/src/carry.rs
@@ -16,7 +16,9 @@
             matches!(o, Out::Tell(_, Receipt::Step(Step::Serve(_, Shared::Origin | Shared::Copy(_), _))))
         };
         let served = out.iter().any(fresh);
-        p.line.extend(out);
+        let (immediate, ordered): (Vec<Out>, Vec<Out>) = out.into_iter().partition(Out::is_immediate);
+        p.line.extend(ordered);
+        immediate.into_iter().for_each(|o| self.carry(a, o));
         self.flush(a);
         self.watch(a, served);
     }
@@ -69,7 +71,7 @@
 
     fn carry(&mut self, a: Addr, o: Out) {
         match o {
-            Out::Send(to, m) => self.mail(a, to, m),
+            Out::Send(to, m) | Out::SendNow(to, m) => self.mail(a, to, m),
             Out::Tell(t, r) => self.told(a, t, r),
             Out::Fetch(r) => {
                 let life = self.procs[&a].life;
