--- a/crates/control-state/src/msg.rs
+++ b/crates/control-state/src/msg.rs
@@ -93,8 +93,18 @@
     Synced(Mono),
     /// The sender's disk takes too long to lead.
     SlowDisk(Kid),
-    DutyAsk(Kid, Epoch, Mono),
-    DutySaid(Kid, Epoch, Option<Mono>),
+    /// A member asks for the leadership, at a moment of its own clock.
+    AskLeadership {
+        candidate: Kid,
+        epoch: Epoch,
+        asked: Mono,
+    },
+    /// The highest epoch heard of, and if granted, when it was asked for.
+    LeadershipVote {
+        voter: Kid,
+        epoch: Epoch,
+        granted: Option<Mono>,
+    },
     // subscribers and controllers
     Sub(Box<Sub>),
     News(Box<News>),
--- a/crates/control-state/src/share.rs
+++ b/crates/control-state/src/share.rs
@@ -1,5 +1,5 @@
 //! How a service's ceiling is split between the edges' own shares and what the
-//! duty holder lends.
+//! leader lends.
 use crate::items::*;
 use crate::sheet::Section;
 use primitives::Span;
--- a/crates/controller/src/access.rs
+++ b/crates/controller/src/access.rs
@@ -34,6 +34,6 @@
     }
     /// Under which epoch it leads, if it does.
     pub fn leads(&self, now: primitives::Mono) -> bool {
-        self.duty.held(now)
+        self.leadership.is_held(now)
     }
 }
--- a/crates/controller/src/beats.rs
+++ b/crates/controller/src/beats.rs
@@ -138,7 +138,7 @@
         }
     }
 
-    /// Origins that have been silent too long are removed; the duty holder's work.
+    /// Origins that have been silent too long are removed; the leader's work.
     pub(crate) fn sweep(&mut self, now: Mono, out: &mut Vec<Out>) {
         let silent = |k: &Addr, o: &Origin| {
             let t = self.beats.get(k).filter(|(b, _)| b.birth == o.birth).map(|(_, t)| *t);
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -1,8 +1,9 @@
 use crate::beats::Pulse;
 use crate::contact::Contact;
 use crate::disk_health::DiskHealth;
-use crate::duty::Duty;
 use crate::landing::Landed;
+use crate::leadership::Leadership;
+use crate::lending::Lending;
 use crate::log::LogSize;
 use crate::membership::MembershipWatch;
 use crate::pending::{Asked, Pending};
@@ -61,7 +62,8 @@
     /// Who was heard in this era.
     pub(crate) heard: BTreeSet<Kid>,
     pub(crate) looks: BTreeMap<Cid, Token>,
-    pub(crate) duty: Duty,
+    pub(crate) leadership: Leadership,
+    pub(crate) lending: Lending,
     pub(crate) roll: RollWatch,
     pub(crate) said: BTreeMap<Addr, Mono>,
     /// Could decide something when last looked at.
@@ -114,7 +116,8 @@
             seated: now,
             heard: BTreeSet::new(),
             looks: BTreeMap::new(),
-            duty: Duty::new(now),
+            leadership: Leadership::new(now),
+            lending: Lending::new(),
             roll: RollWatch::default(),
             said: BTreeMap::new(),
             in_touch: false,
@@ -192,7 +195,7 @@
         self.force(now, out);
         self.ask_applied(now, out);
         self.mind_disk(now, out);
-        self.do_duty(now, out);
+        self.lead(now, out);
         if self.due("beats", Span::ms(100), now) {
             self.relay_beats(now, out);
         }
@@ -222,8 +225,12 @@
                 Msg::Leaving(kid) => self.on_leaving(now, kid),
                 Msg::Landed(said) => self.on_landed(now, said, out),
                 Msg::AskApplied(era, cid) => self.on_ask_applied(from, era, cid, out),
-                Msg::DutyAsk(kid, e, t) => self.on_duty_ask(now, from, kid, e, t, out),
-                Msg::DutySaid(kid, e, t) => self.on_duty_said(now, kid, e, t),
+                Msg::AskLeadership { candidate, epoch, asked } => {
+                    self.on_ask_leadership(now, from, (candidate, epoch, asked), out)
+                }
+                Msg::LeadershipVote { voter, epoch, granted } => {
+                    self.on_leadership_vote(voter, epoch, granted)
+                }
                 Msg::Synced(then) if from == self.env.addr => self.disk.synced(now, then),
                 Msg::SlowDisk(kid) => self.disk.on_slow(now, kid),
                 Msg::Got { id, feed, got } => self.on_got(now, id, feed, got, out),
--- a/crates/controller/src/log.rs
+++ b/crates/controller/src/log.rs
@@ -77,15 +77,15 @@
         size <= SMALL_CHANGE || self.log.state_now(held) + size <= self.env.room / 2
     }
 
-    /// Ends the era once it has grown; the holder of the duty sees to it.
+    /// Ends the era once it has grown; the leader sees to it.
     pub(crate) fn maybe_cut(&mut self, now: Mono, out: &mut Vec<Out>) {
-        // The others step in when the holder leaves it undone.
-        let leads = self.duty.held(now) && !self.transfer.sender.busy(now);
+        // The others step in when the leader leaves it undone.
+        let leads = self.leadership.is_held(now) && !self.transfer.sender.busy(now);
         let due = self.grown(4) && leads || self.grown(5);
         // A roster that landed is forgotten by a cut: kept, it would hold up a restart of
         // all, which must take every lease for alive.
         let past = !self.base.past.is_empty() && self.all_landed() && now - self.seated > TIDY_AFTER;
-        let tidy = self.env.open.is_some() && past && self.duty.held(now);
+        let tidy = self.env.open.is_some() && past && self.leadership.is_held(now);
         let lately = self.cutting.is_some_and(|t| now - t < CUT_AGAIN);
         if (due || tidy) && !lately {
             self.propose_cut(now, self.pic.members.clone(), out);
--- a/crates/controller/src/membership.rs
+++ b/crates/controller/src/membership.rs
@@ -68,7 +68,7 @@
         }
         self.note_silence(now);
         // Held by the words of a quorum: who only takes itself for the first proposes nothing.
-        if !self.duty.held(now) {
+        if !self.leadership.is_held(now) {
             return;
         }
         self.teach_newcomers(now, out);
--- a/crates/controller/src/roll.rs
+++ b/crates/controller/src/roll.rs
@@ -1,4 +1,4 @@
-//! Changing the set of ledgers, one set at a time; the duty holder's work.
+//! Changing the set of ledgers, one set at a time; the leader's work.
 use crate::controller::Controller;
 use crate::pending::Pending;
 use crate::subscribers::Subscriber;
--- a/crates/controller/src/subscribers.rs
+++ b/crates/controller/src/subscribers.rs
@@ -157,7 +157,7 @@
             lent,
             beats: self.beats_since(now, told).filter(|_| is_edge).collect(),
             slices: self.lend(now, asked),
-            epoch: self.duty.held_epoch(now),
+            epoch: self.leadership.held_epoch(now),
         }
     }
 
--- a/crates/edge/src/press.rs
+++ b/crates/edge/src/press.rs
@@ -102,7 +102,7 @@
         })
     }
 
-    /// What to ask of the duty holder: the line, and what is likely to come.
+    /// What to ask of the leader: the line, and what is likely to come.
     pub(crate) fn wants(&mut self, now: Mono) -> Vec<(Svc, u32)> {
         let mut line: BTreeMap<Svc, u32> = BTreeMap::new();
         for j in self.jobs.values().filter(|j| j.in_line()) {
--- a/crates/runtime/src/net/expiry.rs
+++ b/crates/runtime/src/net/expiry.rs
@@ -14,8 +14,8 @@
         | Msg::Roster(..)
         | Msg::Found(_)
         | Msg::Landed(_)
-        | Msg::DutyAsk(..)
-        | Msg::DutySaid(..)
+        | Msg::AskLeadership { .. }
+        | Msg::LeadershipVote { .. }
         | Msg::Sub(_)
         | Msg::Got { .. }
         | Msg::Digests(_) => PERIODIC,
--- a/crates/simulator/tests/catching_up.rs
+++ b/crates/simulator/tests/catching_up.rs
@@ -56,7 +56,7 @@
     w.controller(k).is_some_and(|c| c.is_caught_up())
 }
 
-/// The one to whom the duty falls first.
+/// The one to whom the leadership falls first.
 fn first_in_order(w: &World, f: &Fleet) -> Addr {
     *f.controllers.iter().min_by_key(|k| w.controller(**k).and_then(|c| c.kid())).expect("four of them")
 }
