--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod exec;
 pub mod frame;
 pub mod front;
+pub mod full_disk;
 pub mod intake;
 pub mod logs;
 pub mod net;
--- a/crates/runtime/src/ring.rs
+++ b/crates/runtime/src/ring.rs
@@ -1,4 +1,5 @@
 //! A ring of preallocated files holding a log of records.
+use crate::full_disk;
 use crate::pieces::{Whole, BEGIN, PIECE};
 use crate::ring_files;
 pub use crate::ring_files::existing_size;
@@ -6,7 +7,6 @@
 use snafu::{ResultExt, Snafu};
 use std::fs::File;
 use std::io;
-use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
 
 #[derive(Debug, Snafu)]
@@ -78,7 +78,7 @@
         let c = sum(self.seg, &b, data);
         b.extend(c.to_le_bytes());
         b.extend(data);
-        self.file().write_all_at(&b, self.at).context(DiskSnafu { path: self.path(self.seg) })?;
+        full_disk::write_all_at(self.file(), &b, self.at).context(DiskSnafu { path: self.path(self.seg) })?;
         self.at += b.len() as u64;
         self.rec += 1;
         Ok(())
@@ -96,7 +96,7 @@
         }
         self.seg += 1;
         let head = Head { seg: self.seg, live }.encode();
-        self.file().write_all_at(&head, 0).context(DiskSnafu { path: self.path(self.seg) })?;
+        full_disk::write_all_at(self.file(), &head, 0).context(DiskSnafu { path: self.path(self.seg) })?;
         self.at = HEAD as u64;
         self.sealed = false;
         Ok(())
