--- a/crates/caesar/src/accept.rs
+++ b/crates/caesar/src/accept.rs
@@ -67,7 +67,14 @@
         self.h.get(&cid).filter(|t| t.ballot == ballot || t.status == Status::Stable).map(|t| t.status)
     }
 
-    pub(crate) fn on_fast(&mut self, now: Mono, from: Kid, o: Offer<C>, white: bool, out: &mut Vec<Out<C>>) {
+    pub(crate) fn on_fast(
+        &mut self,
+        now: Mono,
+        from: MemberId,
+        o: Offer<C>,
+        white: bool,
+        out: &mut Vec<Out<C>>,
+    ) {
         if !self.admits(o.cid, o.ballot) {
             return;
         }
@@ -93,7 +100,7 @@
         self.hold(from, Phase::Fast, o);
     }
 
-    pub(crate) fn on_slow(&mut self, now: Mono, from: Kid, o: Offer<C>, out: &mut Vec<Out<C>>) {
+    pub(crate) fn on_slow(&mut self, now: Mono, from: MemberId, o: Offer<C>, out: &mut Vec<Out<C>>) {
         if !self.admits(o.cid, o.ballot) {
             return;
         }
@@ -108,7 +115,7 @@
     }
 
     /// A Retry is never rejected.
-    pub(crate) fn on_retry(&mut self, now: Mono, from: Kid, o: Offer<C>, out: &mut Vec<Out<C>>) {
+    pub(crate) fn on_retry(&mut self, now: Mono, from: MemberId, o: Offer<C>, out: &mut Vec<Out<C>>) {
         if !self.admits(o.cid, o.ballot) {
             return;
         }
@@ -133,7 +140,7 @@
         self.vote(from, Phase::Retry, true, o.stamp, pred, &o, out);
     }
 
-    fn hold(&mut self, from: Kid, phase: Phase, offer: Offer<C>) {
+    fn hold(&mut self, from: MemberId, phase: Phase, offer: Offer<C>) {
         self.waits.insert(offer.cid, Waiter { from, phase, offer });
     }
 
@@ -183,7 +190,7 @@
     }
 
     /// Marks the command rejected and suggests this node's own timestamp.
-    fn nack(&mut self, now: Mono, to: Kid, phase: Phase, o: Offer<C>, out: &mut Vec<Out<C>>) {
+    fn nack(&mut self, now: Mono, to: MemberId, phase: Phase, o: Offer<C>, out: &mut Vec<Out<C>>) {
         self.tally.nacked += 1;
         let stamp = self.next_stamp(out);
         let pred = self.preds(o.cid, &o.cmd, stamp, None);
@@ -202,7 +209,7 @@
     #[allow(clippy::too_many_arguments)]
     fn vote(
         &mut self,
-        to: Kid,
+        to: MemberId,
         phase: Phase,
         ok: bool,
         stamp: Stamp,
@@ -211,6 +218,6 @@
         out: &mut Vec<Out<C>>,
     ) {
         let v = Vote { cid: o.cid, ballot: o.ballot, phase, ok, stamp, pred };
-        self.send(to, Wag::Vote(v), out);
+        self.send(to, Message::Vote(v), out);
     }
 }
--- a/crates/caesar/src/catch_up.rs
+++ b/crates/caesar/src/catch_up.rs
@@ -23,9 +23,9 @@
     /// When this member came back.
     since: Mono,
     /// Whose stable commands, as of a moment after that, are all here.
-    matched: BTreeSet<Kid>,
+    matched: BTreeSet<MemberId>,
     /// What each other member has and this one lacked when last compared.
-    lacks: BTreeMap<Kid, Preds>,
+    lacks: BTreeMap<MemberId, Preds>,
     /// The request under way, if any.
     asked: Option<Mono>,
     unanswered: u32,
@@ -80,22 +80,22 @@
         self.h.get(cid).is_some_and(|t| t.status == Status::Stable)
     }
 
-    pub(crate) fn on_have(&mut self, now: Mono, from: Kid, n: u64, digest: u64, out: &mut Vec<Out<C>>) {
+    pub(crate) fn on_have(&mut self, now: Mono, from: MemberId, n: u64, digest: u64, out: &mut Vec<Out<C>>) {
         if from != self.me && n >= self.stables && digest != self.digest {
-            self.send(from, Wag::AskStable(now), out);
+            self.send(from, Message::AskStable(now), out);
         }
     }
 
-    pub(crate) fn on_ask_stable(&mut self, from: Kid, mark: Mono, out: &mut Vec<Out<C>>) {
+    pub(crate) fn on_ask_stable(&mut self, from: MemberId, mark: Mono, out: &mut Vec<Out<C>>) {
         let ids = self.h.iter().filter(|(_, t)| t.status == Status::Stable).map(|(id, _)| *id).collect();
-        self.send(from, Wag::StableIds(mark, ids), out);
+        self.send(from, Message::StableIds(mark, ids), out);
     }
 
     /// `mark` is when this member asked, by its own clock.
     pub(crate) fn on_stable_ids(
         &mut self,
         now: Mono,
-        from: Kid,
+        from: MemberId,
         mark: Mono,
         ids: Vec<Cid>,
         out: &mut Vec<Out<C>>,
@@ -109,7 +109,7 @@
     }
 
     /// Sends what was asked for, as much as one reply holds.
-    pub(crate) fn on_want(&mut self, from: Kid, ids: Vec<Cid>, out: &mut Vec<Out<C>>) {
+    pub(crate) fn on_want(&mut self, from: MemberId, ids: Vec<Cid>, out: &mut Vec<Out<C>>) {
         let mut offers = vec![];
         let mut bytes = 0;
         for cid in ids {
@@ -122,7 +122,7 @@
             offers.push(Offer { cid, cmd, ballot: t.ballot, stamp: t.stamp, pred });
         }
         if !offers.is_empty() {
-            self.send(from, Wag::Stables(offers), out);
+            self.send(from, Message::Stables(offers), out);
         }
     }
 
@@ -139,11 +139,11 @@
         let h = &self.h;
         let lacking = |id: &Cid| h.get(id).is_none_or(|t| t.status != Status::Stable);
         self.catch_up.lacks.values_mut().for_each(|ids| ids.retain(lacking));
-        let done: Vec<Kid> =
+        let done: Vec<MemberId> =
             self.catch_up.lacks.iter().filter(|(_, ids)| ids.is_empty()).map(|(k, _)| *k).collect();
-        for kid in done {
-            self.catch_up.lacks.remove(&kid);
-            self.catch_up.matched.insert(kid);
+        for member_id in done {
+            self.catch_up.lacks.remove(&member_id);
+            self.catch_up.matched.insert(member_id);
         }
         if self.catch_up.lacks.is_empty() {
             self.catch_up.asked = None;
@@ -159,8 +159,8 @@
         self.catch_up.asked = Some(now);
         let at = self.catch_up.turn % self.catch_up.lacks.len();
         let next = self.catch_up.lacks.iter().nth(at);
-        if let Some((kid, ids)) = next.map(|(k, ids)| (*k, ids.iter().take(MANY).copied().collect())) {
-            self.send(kid, Wag::Want(ids), out);
+        if let Some((member_id, ids)) = next.map(|(k, ids)| (*k, ids.iter().take(MANY).copied().collect())) {
+            self.send(member_id, Message::Want(ids), out);
         }
     }
 
@@ -169,7 +169,7 @@
         let due = self.catch_up.listed.is_none_or(|t| now - t >= self.pace.compare);
         if !self.caught_up() && due {
             self.catch_up.listed = Some(now);
-            self.send_all(Wag::AskStable(now), out);
+            self.send_all(Message::AskStable(now), out);
         }
         if !self.catch_up.lacks.is_empty() {
             self.fetch(now, out);
--- a/crates/caesar/src/deliver.rs
+++ b/crates/caesar/src/deliver.rs
@@ -54,10 +54,10 @@
         }
     }
 
-    pub(crate) fn tell_stable(&mut self, to: Kid, cid: Cid, out: &mut Vec<Out<C>>) {
+    pub(crate) fn tell_stable(&mut self, to: MemberId, cid: Cid, out: &mut Vec<Out<C>>) {
         if let Some(t) = self.h.get(&cid).filter(|t| t.status == Status::Stable) {
             let o = Offer { cid, cmd: t.cmd.clone(), ballot: t.ballot, stamp: t.stamp, pred: t.pred.clone() };
-            self.send(to, Wag::Stable(o), out);
+            self.send(to, Message::Stable(o), out);
         }
     }
 }
--- a/crates/caesar/src/lead.rs
+++ b/crates/caesar/src/lead.rs
@@ -14,7 +14,7 @@
     /// PROPOSE: this controller becomes the command's leader.
     pub fn propose(&mut self, now: Mono, cmd: C, out: &mut Vec<Out<C>>) -> Cid {
         let stamp = self.next_stamp(out);
-        let cid = Cid { kid: self.me, seq: stamp.k };
+        let cid = Cid { member_id: self.me, seq: stamp.k };
         self.tally.proposed += 1;
         let offer = Offer { cid, cmd, ballot: Ballot::default(), stamp, pred: Preds::new() };
         self.start(now, offer, Phase::Fast, false, out);
@@ -48,7 +48,7 @@
         self.send_all(msg, out);
     }
 
-    pub(crate) fn on_vote(&mut self, now: Mono, from: Kid, v: Vote, out: &mut Vec<Out<C>>) {
+    pub(crate) fn on_vote(&mut self, now: Mono, from: MemberId, v: Vote, out: &mut Vec<Out<C>>) {
         let Some(l) = self.leads.get_mut(&v.cid) else {
             return;
         };
@@ -110,7 +110,7 @@
     /// The stable phase: the decision goes to everyone.
     pub(crate) fn stable(&mut self, offer: Offer<C>, out: &mut Vec<Out<C>>) {
         self.leads.remove(&offer.cid);
-        self.send_all(Wag::Stable(offer), out);
+        self.send_all(Message::Stable(offer), out);
     }
 
     /// Timeouts and repeats for all this controller leads.
@@ -140,7 +140,7 @@
                 l.sent = now;
                 let msg = l.message();
                 let (votes, finds) = (&l.votes, &l.finds);
-                let silent: Vec<Kid> =
+                let silent: Vec<MemberId> =
                     n.into_iter().filter(|k| !votes.contains_key(k) && !finds.contains_key(k)).collect();
                 silent.into_iter().for_each(|k| self.send(k, msg.clone(), out));
             }
@@ -149,13 +149,13 @@
 }
 
 impl<C: Command> Lead<C> {
-    pub(crate) fn message(&self) -> Wag<C> {
+    pub(crate) fn message(&self) -> Message<C> {
         let o = self.offer.clone();
         match self.step {
-            Step::Prepare => Wag::Recover(o.cid, o.ballot),
-            Step::Vote(Phase::Fast) => Wag::FastPropose(o, self.white),
-            Step::Vote(Phase::Slow) => Wag::SlowPropose(o),
-            Step::Vote(Phase::Retry) => Wag::Retry(o),
+            Step::Prepare => Message::Recover(o.cid, o.ballot),
+            Step::Vote(Phase::Fast) => Message::FastPropose(o, self.white),
+            Step::Vote(Phase::Slow) => Message::SlowPropose(o),
+            Step::Vote(Phase::Retry) => Message::Retry(o),
         }
     }
 }
--- a/crates/caesar/src/machine.rs
+++ b/crates/caesar/src/machine.rs
@@ -42,8 +42,8 @@
     pub step: Step,
     pub white: bool,
     /// First reply of each controller in this phase.
-    pub votes: BTreeMap<Kid, (bool, Stamp, Preds)>,
-    pub finds: BTreeMap<Kid, Option<Tuple<C>>>,
+    pub votes: BTreeMap<MemberId, (bool, Stamp, Preds)>,
+    pub finds: BTreeMap<MemberId, Option<Tuple<C>>>,
     pub began: Mono,
     pub sent: Mono,
 }
@@ -57,16 +57,16 @@
 /// A proposal held back by the wait rule.
 #[derive(Clone, Debug, Hash)]
 pub(crate) struct Waiter<C> {
-    pub from: Kid,
+    pub from: MemberId,
     pub phase: Phase,
     pub offer: Offer<C>,
 }
 
 #[derive(Clone)]
 pub struct Machine<C> {
-    pub(crate) me: Kid,
+    pub(crate) me: MemberId,
     /// Invariant: fixed for the machine's life; another roster is another era.
-    pub(crate) roster: Vec<Kid>,
+    pub(crate) roster: Vec<MemberId>,
     pub(crate) pace: Pace,
     /// Invariant: above every stamp handled so far.
     pub(crate) clock: u64,
@@ -81,8 +81,8 @@
     pub(crate) done: BTreeSet<Cid>,
     /// Commands that keep delivery waiting, since when, and how often recovered.
     pub(crate) stuck: BTreeMap<Cid, (Mono, u32)>,
-    pub(crate) heard: BTreeMap<Kid, Mono>,
-    pub(crate) rtts: BTreeMap<Kid, Span>,
+    pub(crate) heard: BTreeMap<MemberId, Mono>,
+    pub(crate) rtts: BTreeMap<MemberId, Span>,
     pub(crate) stables: u64,
     pub(crate) digest: u64,
     pub(crate) compared: Mono,
@@ -93,7 +93,7 @@
 }
 
 impl<C: Command> Machine<C> {
-    pub fn new(me: Kid, mut roster: Vec<Kid>, pace: Pace, now: Mono) -> Machine<C> {
+    pub fn new(me: MemberId, mut roster: Vec<MemberId>, pace: Pace, now: Mono) -> Machine<C> {
         roster.sort();
         let heard = roster.iter().map(|k| (*k, now)).collect();
         Machine {
@@ -148,13 +148,13 @@
     pub fn bytes(&self) -> usize {
         self.bytes
     }
-    pub fn roster(&self) -> &[Kid] {
+    pub fn roster(&self) -> &[MemberId] {
         &self.roster
     }
     pub fn delivered(&self, cid: Cid) -> bool {
         self.done.contains(&cid)
     }
-    pub fn heard_of(&self, k: Kid) -> Option<Mono> {
+    pub fn heard_of(&self, k: MemberId) -> Option<Mono> {
         self.heard.get(&k).copied()
     }
 
@@ -162,12 +162,12 @@
         self.roster.len()
     }
 
-    pub(crate) fn send_all(&mut self, msg: Wag<C>, out: &mut Vec<Out<C>>) {
+    pub(crate) fn send_all(&mut self, msg: Message<C>, out: &mut Vec<Out<C>>) {
         self.tally.sent += self.n() as u64 - 1;
         out.extend(self.roster.iter().map(|k| Out::Send(*k, msg.clone())));
     }
 
-    pub(crate) fn send(&mut self, to: Kid, msg: Wag<C>, out: &mut Vec<Out<C>>) {
+    pub(crate) fn send(&mut self, to: MemberId, msg: Message<C>, out: &mut Vec<Out<C>>) {
         self.tally.sent += (to != self.me) as u64;
         out.push(Out::Send(to, msg));
     }
@@ -210,28 +210,28 @@
         let was = self.h.get(&cid).is_some_and(|t| t.status == Status::Stable);
         if s == Status::Stable && !was {
             self.stables += 1;
-            self.digest ^= primitives::hash(&(cid.kid.0, cid.seq));
+            self.digest ^= primitives::hash(&(cid.member_id.0, cid.seq));
         }
     }
 
-    pub fn take(&mut self, now: Mono, from: Kid, msg: Wag<C>, out: &mut Vec<Out<C>>) {
+    pub fn take(&mut self, now: Mono, from: MemberId, msg: Message<C>, out: &mut Vec<Out<C>>) {
         if !self.roster.contains(&from) {
             return;
         }
         self.heard.insert(from, now);
         match msg {
-            Wag::FastPropose(o, white) => self.on_fast(now, from, o, white, out),
-            Wag::SlowPropose(o) => self.on_slow(now, from, o, out),
-            Wag::Retry(o) => self.on_retry(now, from, o, out),
-            Wag::Stable(o) => self.on_stable(now, o, out),
-            Wag::Vote(v) => self.on_vote(now, from, v, out),
-            Wag::Recover(cid, b) => self.on_recover(from, cid, b, out),
-            Wag::RecoverR(cid, b, t) => self.on_found(now, from, cid, b, t, out),
-            Wag::Have(n, d) => self.on_have(now, from, n, d, out),
-            Wag::Want(ids) => self.on_want(from, ids, out),
-            Wag::AskStable(mark) => self.on_ask_stable(from, mark, out),
-            Wag::StableIds(mark, ids) => self.on_stable_ids(now, from, mark, ids, out),
-            Wag::Stables(offers) => self.on_stables(now, offers, out),
+            Message::FastPropose(o, white) => self.on_fast(now, from, o, white, out),
+            Message::SlowPropose(o) => self.on_slow(now, from, o, out),
+            Message::Retry(o) => self.on_retry(now, from, o, out),
+            Message::Stable(o) => self.on_stable(now, o, out),
+            Message::Vote(v) => self.on_vote(now, from, v, out),
+            Message::Recover(cid, b) => self.on_recover(from, cid, b, out),
+            Message::RecoverR(cid, b, t) => self.on_found(now, from, cid, b, t, out),
+            Message::Have(n, d) => self.on_have(now, from, n, d, out),
+            Message::Want(ids) => self.on_want(from, ids, out),
+            Message::AskStable(mark) => self.on_ask_stable(from, mark, out),
+            Message::StableIds(mark, ids) => self.on_stable_ids(now, from, mark, ids, out),
+            Message::Stables(offers) => self.on_stables(now, offers, out),
         }
         self.ask_waiters(now, out);
     }
@@ -243,7 +243,7 @@
         self.push_catch_up(now, out);
         if now - self.compared >= self.pace.compare {
             self.compared = now;
-            let have = Wag::Have(self.stables, self.digest);
+            let have = Message::Have(self.stables, self.digest);
             self.send_all(have, out);
         }
     }
--- a/crates/caesar/src/recover.rs
+++ b/crates/caesar/src/recover.rs
@@ -25,10 +25,10 @@
             sent: now,
         };
         self.leads.insert(cid, lead);
-        self.send_all(Wag::Recover(cid, ballot), out);
+        self.send_all(Message::Recover(cid, ballot), out);
     }
 
-    pub(crate) fn on_recover(&mut self, from: Kid, cid: Cid, ballot: Ballot, out: &mut Vec<Out<C>>) {
+    pub(crate) fn on_recover(&mut self, from: MemberId, cid: Cid, ballot: Ballot, out: &mut Vec<Out<C>>) {
         let b = self.ballots.entry(cid).or_default();
         if ballot < *b {
             return;
@@ -43,13 +43,13 @@
         if t.as_ref().is_some_and(|t| t.ballot == ballot && t.status != Status::Stable) {
             return;
         }
-        self.send(from, Wag::RecoverR(cid, ballot, t), out);
+        self.send(from, Message::RecoverR(cid, ballot, t), out);
     }
 
     pub(crate) fn on_found(
         &mut self,
         now: Mono,
-        from: Kid,
+        from: MemberId,
         cid: Cid,
         b: Ballot,
         t: Option<Tuple<C>>,
@@ -155,7 +155,7 @@
                 continue;
             }
             let b = self.ballots.get(&cid).copied().unwrap_or_default();
-            let leader = if b.n == 0 { cid.kid } else { b.i };
+            let leader = if b.n == 0 { cid.member_id } else { b.i };
             let quiet = self.heard.get(&leader).is_none_or(|m| now - *m >= self.pace.suspect);
             let mine = leader == self.me;
             let grow = 1 << tries.min(4);
--- a/crates/caesar/src/types.rs
+++ b/crates/caesar/src/types.rs
@@ -7,20 +7,20 @@
 /// A controller's id within the agreement. Invariant: one id, one disk; a controller
 /// that lost its disk never speaks under its old id again.
 #[derive(Copy, Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Kid(pub u16);
+pub struct MemberId(pub u16);
 
 /// A logical timestamp `<k, i>`, ordered by `k`, then by controller.
 #[derive(Copy, Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Stamp {
     pub k: u64,
-    pub i: Kid,
+    pub i: MemberId,
 }
 
 /// A command's id: its first leader and that leader's clock when it was proposed.
 /// Invariant: unique for all time, because the clock bound is synced ahead of use.
 #[derive(Copy, Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Cid {
-    pub kid: Kid,
+    pub member_id: MemberId,
     pub seq: u64,
 }
 
@@ -29,7 +29,7 @@
 #[derive(Copy, Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Ballot {
     pub n: u32,
-    pub i: Kid,
+    pub i: MemberId,
 }
 
 /// Invariant: within one ballot a tuple's status only moves down this list
@@ -118,7 +118,7 @@
 }
 
 #[derive(Clone, Debug, PartialEq, Hash, Serialize, Deserialize)]
-pub enum Wag<C> {
+pub enum Message<C> {
     /// `Offer::pred` holds the whitelist when the flag says there is one.
     FastPropose(Offer<C>, bool),
     SlowPropose(Offer<C>),
@@ -144,7 +144,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Out<C> {
     Save(Rec<C>),
-    Send(Kid, Wag<C>),
+    Send(MemberId, Message<C>),
     Deliver(Cid, C),
 }
 
--- a/crates/control-state/src/call.rs
+++ b/crates/control-state/src/call.rs
@@ -3,7 +3,7 @@
 use crate::digest::ItemsDigest;
 use crate::items::Beat;
 use crate::part::Receipt;
-use crate::state::{Picture, Verdict};
+use crate::state::{ControlState, Verdict};
 use primitives::Span;
 use serde::{Deserialize, Serialize};
 
@@ -18,31 +18,31 @@
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Said {
+pub enum CallAnswer {
     Change(Verdict),
     Took,
     NotNow(String),
-    Table(Box<Picture>, Vec<(Beat, Span)>),
+    Table(Box<ControlState>, Vec<(Beat, Span)>),
     Unchanged,
 }
 
-impl Said {
-    pub fn of(r: Receipt) -> Said {
+impl CallAnswer {
+    pub fn of(r: Receipt) -> CallAnswer {
         match r {
-            Receipt::Change(v) => Said::Change(v),
-            Receipt::Table(p, b) => Said::Table(p, b),
-            Receipt::Unchanged => Said::Unchanged,
-            Receipt::NotNow(why) => Said::NotNow(why.to_string()),
-            _ => Said::Took,
+            Receipt::Change(v) => CallAnswer::Change(v),
+            Receipt::Table(p, b) => CallAnswer::Table(p, b),
+            Receipt::Unchanged => CallAnswer::Unchanged,
+            Receipt::NotNow(why) => CallAnswer::NotNow(why.to_string()),
+            _ => CallAnswer::Took,
         }
     }
     pub fn receipt(self) -> Receipt {
         match self {
-            Said::Change(v) => Receipt::Change(v),
-            Said::Table(p, b) => Receipt::Table(p, b),
-            Said::Unchanged => Receipt::Unchanged,
-            Said::NotNow(_) => Receipt::NotNow("a controller cannot answer now"),
-            Said::Took => Receipt::Took,
+            CallAnswer::Change(v) => Receipt::Change(v),
+            CallAnswer::Table(p, b) => Receipt::Table(p, b),
+            CallAnswer::Unchanged => Receipt::Unchanged,
+            CallAnswer::NotNow(_) => Receipt::NotNow("a controller cannot answer now"),
+            CallAnswer::Took => Receipt::Took,
         }
     }
 }
--- a/crates/control-state/src/cmd.rs
+++ b/crates/control-state/src/cmd.rs
@@ -1,7 +1,7 @@
 //! What controllers agree on, and which of it clashes.
+use crate::configuration::{Edit, PurgeBy};
 use crate::items::*;
 use crate::roll::Seat;
-use crate::sheet::{Edit, PurgeBy};
 use crate::state::Era;
 use caesar::Command;
 use primitives::{Addr, Birth, NodeId, Version};
@@ -30,7 +30,7 @@
     RemoveNode(NodeId),
     Purge(Vec<(Svc, String)>),
     PurgeBy(Vec<PurgeBy>),
-    /// Edits of the sheet, valid or refused as a whole.
+    /// Edits of the configuration, valid or refused as a whole.
     Edit(Vec<Edit>),
     /// Names the ledger's ledgers anew, beside the set there is; the same again
     /// only makes the version new, to count its time in force from.
--- a/crates/control-state/src/sheet.rs
+++ b/crates/control-state/src/configuration.rs
@@ -1,4 +1,4 @@
-//! The operator's sheet: lanes by host and path, services, and limits on callers,
+//! The operator's configuration: lanes by host and path, services, and limits on callers,
 //! as named entries whose versions the operator chooses.
 use crate::confirmed::ContentDigest;
 use crate::items::*;
@@ -7,7 +7,7 @@
 use snafu::Snafu;
 use std::fmt;
 
-/// A part of the sheet.
+/// A part of the configuration.
 #[derive(Copy, Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Section {
     Lanes,
--- a/crates/control-state/src/edits.rs
+++ b/crates/control-state/src/edits.rs
@@ -1,12 +1,12 @@
-//! Applying edits of the sheet: all of a call, or nothing of it.
+//! Applying edits of the configuration: all of a call, or nothing of it.
+use crate::configuration::*;
 use crate::confirmed::{Confirmed, ContentDigest, Known, MOST_NUMBERS};
 use crate::items::*;
-use crate::sheet::*;
-use crate::state::{Picture, Verdict};
+use crate::state::{ControlState, Verdict};
 use primitives::Version;
 use std::collections::BTreeMap;
 
-impl Picture {
+impl ControlState {
     fn newer(&self, e: &Edit) -> bool {
         self.items.get(&e.key()).is_none_or(|it| e.ver > it.ver)
     }
@@ -86,11 +86,11 @@
     }
 
     /// Without what only controllers need: whoever reads it has all that stands.
-    pub fn shown(&self) -> Picture {
-        Picture { confirmed: Confirmed::default(), receipts: BTreeMap::new(), ..self.clone() }
+    pub fn shown(&self) -> ControlState {
+        ControlState { confirmed: Confirmed::default(), receipts: BTreeMap::new(), ..self.clone() }
     }
 
-    /// The sheet's entries that stand, by section and name.
+    /// The configuration's entries that stand, by section and name.
     pub fn entries(&self) -> impl Iterator<Item = (Section, &String, &Item)> {
         self.items.iter().filter_map(|(k, it)| match k {
             Key::Entry(s, n) if it.body.is_some() => Some((*s, n, it)),
--- a/crates/control-state/src/follow.rs
+++ b/crates/control-state/src/follow.rs
@@ -6,7 +6,7 @@
 use crate::part::Out;
 use crate::purged::old_purge;
 use crate::state::Era;
-use caesar::Kid;
+use caesar::MemberId;
 use primitives::{Addr, Birth, Epoch, Mono, NodeId, Span};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -40,7 +40,7 @@
     /// Invariant: each item's version only grows.
     pub items: BTreeMap<Key, Item>,
     /// Until when each controller's renewal carries the lease, counted from our asking.
-    leases: BTreeMap<Kid, Mono>,
+    leases: BTreeMap<MemberId, Mono>,
     /// By controller: its feed, and the last number held of it without a gap.
     got: BTreeMap<Addr, (u64, u64)>,
     asked: Mono,
@@ -95,7 +95,8 @@
             return Mono(0);
         }
         let need = caesar::meets_all(self.members.len());
-        let mut v: Vec<Mono> = self.members.iter().filter_map(|m| self.leases.get(&m.kid)).copied().collect();
+        let mut v: Vec<Mono> =
+            self.members.iter().filter_map(|m| self.leases.get(&m.member_id)).copied().collect();
         v.sort_by(|a, b| b.cmp(a));
         need.checked_sub(1).and_then(|i| v.get(i)).copied().unwrap_or_default()
     }
@@ -141,7 +142,7 @@
     }
 
     /// Takes news in; returns what is newer than what was held.
-    pub fn on_news(&mut self, from: Addr, n: &News, out: &mut Vec<Out>) -> Vec<Key> {
+    pub fn on_update(&mut self, from: Addr, n: &Update, out: &mut Vec<Out>) -> Vec<Key> {
         if n.era >= self.era {
             self.era = n.era;
             self.members = n.members.clone();
@@ -167,7 +168,7 @@
         }
         if let Some(r) = n.reply.as_ref().filter(|r| r.lent && r.life == self.env.life) {
             self.sure = self.sure.max(n.era);
-            let l = self.leases.entry(r.kid).or_default();
+            let l = self.leases.entry(r.member_id).or_default();
             *l = (*l).max(r.ask + self.env.lease);
             self.touched |= self.in_touch_until() > Mono(0);
         }
--- a/crates/control-state/src/items.rs
+++ b/crates/control-state/src/items.rs
@@ -1,6 +1,6 @@
 //! The things the control state holds. Each is an item under a key, with its
 //! own version.
-use crate::sheet::{CallerLimits, LaneEntry, PurgeBy, Section, ServiceEntry};
+use crate::configuration::{CallerLimits, LaneEntry, PurgeBy, Section, ServiceEntry};
 use primitives::{Addr, Birth, Mono, NodeId, Span, Version};
 use serde::{Deserialize, Serialize};
 use std::fmt;
@@ -55,7 +55,7 @@
     Purge(Svc, String),
     /// Which ledgers keep the ledger of keys.
     Roll,
-    /// One entry of the operator's sheet.
+    /// One entry of the operator's configuration.
     Entry(Section, String),
     PurgeBy(PurgeBy),
 }
@@ -192,7 +192,7 @@
 /// A controller as a member of the agreement.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Member {
-    pub kid: caesar::Kid,
+    pub member_id: caesar::MemberId,
     pub addr: Addr,
     pub http: Addr,
     pub zone: Zone,
--- a/crates/control-state/src/leaving.rs
+++ b/crates/control-state/src/leaving.rs
@@ -1,6 +1,6 @@
 //! Origins by the names of their lives, and what becomes of them when they leave.
 use crate::items::*;
-use crate::state::{Picture, Verdict, Void};
+use crate::state::{ControlState, Verdict, Void};
 use primitives::{Addr, Birth};
 
 impl Origin {
@@ -17,7 +17,7 @@
     }
 }
 
-impl Picture {
+impl ControlState {
     /// Where the life of that name is, and which one it is.
     pub fn named_origin(&self, name: &str) -> Option<(Addr, Birth)> {
         self.items.iter().find_map(|(key, item)| match (key, &item.body) {
--- a/crates/control-state/src/msg.rs
+++ b/crates/control-state/src/msg.rs
@@ -1,6 +1,6 @@
 //! Every message between lanewing's own processes.
 use crate::ask::AskId;
-use crate::call::{Call, Said};
+use crate::call::{Call, CallAnswer};
 use crate::cmd::Cmd;
 use crate::heads::{Heads, Print};
 use crate::items::*;
@@ -8,7 +8,7 @@
 use crate::snapshot::SnapshotMessage;
 use crate::state::Era;
 use crate::whole::Whole;
-use caesar::{Cid, Kid, Wag};
+use caesar::{Cid, MemberId, Message};
 use primitives::{Birth, Epoch, Mono, NodeId, Span, Version};
 use serde::{Deserialize, Serialize};
 
@@ -33,7 +33,7 @@
 
 /// A controller's numbered news to one subscriber, or its reply to a `Sub`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct News {
+pub struct Update {
     pub feed: u64,
     /// Holds the changes `from + 1 ..= to`.
     pub from: u64,
@@ -50,7 +50,7 @@
 pub struct Reply {
     pub ask: Mono,
     pub life: u64,
-    pub kid: Kid,
+    pub member_id: MemberId,
     /// The setup lease is renewed from `ask` on.
     pub lent: bool,
     pub beats: Vec<(Beat, Span)>,
@@ -61,9 +61,9 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Msg {
     // between controllers
-    Wag(Era, Kid, Box<Wag<Cmd>>),
+    Agreement(Era, MemberId, Box<Message<Cmd>>),
     /// A controller without a roster shows itself.
-    Blank(Member),
+    Unjoined(Member),
     /// A piece of a snapshot, or about one.
     Snapshot(Box<SnapshotMessage>),
     /// The sender's own era is behind, or it has no seat.
@@ -71,43 +71,43 @@
     /// The disk of this birth has synced the snapshot of this era, and has no seat in it.
     Learned(Era, Birth),
     /// The member is about to stop.
-    Leaving(Kid),
+    Leaving(MemberId),
     /// Who has a seat, for processes that have none to pass on.
     Roster(Era, Vec<Member>),
     /// The one blank controller that is to found the deployment.
     Found(Birth),
     /// A node passes on what it was asked, under a number of its own.
     Call(AskId, Box<Call>),
-    Called(AskId, Box<Said>),
+    CallAnswered(AskId, Box<CallAnswer>),
     /// Beats and their ages, as of a moment after the receiver's own one given last:
     /// the sender's clock now, and the receiver's as it was last heard.
     Beats(Vec<(Beat, Span)>, Mono, Option<Mono>),
     AskForce(Era, Cid),
-    InForce(Era, Cid, Kid),
+    InForce(Era, Cid, MemberId),
     /// The sender has applied it from a synced decision.
-    Applied(Era, Cid, Kid),
+    Applied(Era, Cid, MemberId),
     AskApplied(Era, Cid),
     /// By the era that followed a roster: members of it that are past it, see `controller`.
-    Landed(Vec<(Era, Kid)>),
+    Landed(Vec<(Era, MemberId)>),
     /// To itself: what was saved before this was sent, at that time, is synced.
     Synced(Mono),
     /// The sender's disk takes too long to lead.
-    SlowDisk(Kid),
+    SlowDisk(MemberId),
     /// A member asks for the leadership, at a moment of its own clock.
     AskLeadership {
-        candidate: Kid,
+        candidate: MemberId,
         epoch: Epoch,
         asked: Mono,
     },
     /// The highest epoch heard of, and if granted, when it was asked for.
     LeadershipVote {
-        voter: Kid,
+        voter: MemberId,
         epoch: Epoch,
         granted: Option<Mono>,
     },
     // subscribers and controllers
     Sub(Box<Sub>),
-    News(Box<News>),
+    Update(Box<Update>),
     /// A subscriber holds this feed up to this number.
     Got {
         id: NodeId,
@@ -233,7 +233,7 @@
 }
 
 impl Msg {
-    pub fn wag(era: Era, kid: Kid, w: Wag<Cmd>) -> Msg {
-        Msg::Wag(era, kid, Box::new(w))
+    pub fn agreement(era: Era, member_id: MemberId, w: Message<Cmd>) -> Msg {
+        Msg::Agreement(era, member_id, Box::new(w))
     }
 }
--- a/crates/control-state/src/part.rs
+++ b/crates/control-state/src/part.rs
@@ -1,12 +1,12 @@
 //! What a role is to its shell: a pure part that is stepped and answers with
 //! outputs. Simulator and stakker run the same parts.
 use crate::cmd::Change;
+use crate::configuration::CallerLimits;
 use crate::digest::ItemsDigest;
 use crate::heads::Heads;
 use crate::items::*;
 use crate::msg::*;
-use crate::sheet::CallerLimits;
-use crate::state::{Picture, Verdict};
+use crate::state::{ControlState, Verdict};
 use crate::whole::Whole;
 use primitives::{Addr, Birth, Mono, Span, Token};
 use std::sync::Arc;
@@ -153,7 +153,7 @@
     Change(Verdict),
     Took,
     NotNow(&'static str),
-    Table(Box<Picture>, Vec<(Beat, Span)>),
+    Table(Box<ControlState>, Vec<(Beat, Span)>),
     /// The asker holds all there is.
     Unchanged,
     Step(Step),
--- a/crates/control-state/src/purged.rs
+++ b/crates/control-state/src/purged.rs
@@ -12,9 +12,16 @@
     now.0 <= sure.0 + KEPT
 }
 
+impl Key {
+    /// Whether it is a purge of either kind.
+    pub fn is_purge(&self) -> bool {
+        matches!(self, Key::Purge(..) | Key::PurgeBy(_))
+    }
+}
+
 /// Whether this is a purge that nobody needs any more.
 pub fn old_purge(era: Era, k: &Key, it: &Item) -> bool {
-    matches!(k, Key::Purge(..) | Key::PurgeBy(_)) && (it.ver.0 >> 32) + KEPT < era.0
+    k.is_purge() && (it.ver.0 >> 32) + KEPT < era.0
 }
 
 /// What purges say of an object: grows with each that covers it, so a copy under
--- a/crates/control-state/src/roll.rs
+++ b/crates/control-state/src/roll.rs
@@ -1,6 +1,6 @@
 //! The roll: which ledgers a key is claimed from, and how that set changes.
 use crate::items::*;
-use crate::state::{Picture, Verdict, Void};
+use crate::state::{ControlState, Verdict, Void};
 use primitives::{Addr, Birth, NodeId, Span, Version};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -79,7 +79,7 @@
     }
 }
 
-impl Picture {
+impl ControlState {
     /// Names a newer set beside the one there is. While the set changes it takes the
     /// place of the newer one, the same or another: every round since still has its quorum
     /// in the older set.
--- a/crates/control-state/src/share.rs
+++ b/crates/control-state/src/share.rs
@@ -1,7 +1,7 @@
 //! How a service's ceiling is split between the edges' own shares and what the
 //! leader lends.
+use crate::configuration::Section;
 use crate::items::*;
-use crate::sheet::Section;
 use primitives::Span;
 use std::collections::BTreeMap;
 
--- a/crates/control-state/src/show.rs
+++ b/crates/control-state/src/show.rs
@@ -1,7 +1,7 @@
 //! The control state as JSON, for operators.
+use crate::configuration::PurgeBy;
 use crate::items::*;
 use crate::roll::Seat;
-use crate::sheet::PurgeBy;
 use crate::state::*;
 use primitives::Span;
 use std::collections::HashMap;
@@ -87,15 +87,15 @@
 }
 
 /// The live items of one sort, or with `all` the tombstones too.
-pub fn show_items(p: &Picture, all: bool, want: fn(&Key) -> bool) -> JsonValue {
+pub fn show_items(p: &ControlState, all: bool, want: fn(&Key) -> bool) -> JsonValue {
     let live = p.items.iter().filter(|(k, it)| want(k) && (all || it.body.is_some()));
     list(live.map(|(k, it)| show_item(k, it)).collect())
 }
 
-pub fn show_members(p: &Picture) -> JsonValue {
+pub fn show_members(p: &ControlState) -> JsonValue {
     let one = |m: &Member| {
         obj(vec![
-            ("controller", num(m.kid.0 as u64)),
+            ("controller", num(m.member_id.0 as u64)),
             ("cohort", text(m.addr)),
             ("http", text(m.http)),
             ("zone", text(&m.zone)),
--- a/crates/control-state/src/state.rs
+++ b/crates/control-state/src/state.rs
@@ -1,9 +1,9 @@
 //! Applying decided commands.
 use crate::cmd::*;
+use crate::configuration::{EntryNumber, Flaw, PurgeBy};
 use crate::confirmed::Confirmed;
 use crate::items::*;
 use crate::purged::old_purge;
-use crate::sheet::{EntryNumber, Flaw, PurgeBy};
 use primitives::Version;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -51,13 +51,13 @@
 const PURGES: usize = 2000;
 
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Picture {
+pub struct ControlState {
     pub era: Era,
     pub members: Vec<Member>,
     /// Earlier rosters that some edge may still go by, with the era that followed.
     pub past: Vec<(Era, Vec<Member>)>,
     /// Invariant: above every controller id ever given out.
-    pub next_kid: u16,
+    pub next_member_id: u16,
     /// Stamps of the era are above this.
     pub clock: u64,
     /// Invariant: nothing is ever taken out; deletions leave tombstones. Only
@@ -72,7 +72,7 @@
     pub confirmed: Confirmed,
 }
 
-impl Picture {
+impl ControlState {
     /// The member at this address with this disk, if it has a seat.
     pub fn seat_of(&self, addr: primitives::Addr, birth: primitives::Birth) -> Option<&Member> {
         self.members.iter().find(|m| m.addr == addr && m.birth == birth)
@@ -84,7 +84,7 @@
 
     pub(crate) fn put(&mut self, k: Key, body: Option<Body>) -> Verdict {
         let it = self.items.entry(k.clone()).or_default();
-        let floor = if matches!(k, Key::Purge(..) | Key::PurgeBy(_)) { self.era.0 << 32 } else { 0 };
+        let floor = if k.is_purge() { self.era.0 << 32 } else { 0 };
         it.ver = Version(it.ver.0.max(floor) + 1);
         it.body = body;
         Verdict::Done(vec![(k, it.ver)])
@@ -202,8 +202,8 @@
         }
     }
 
-    pub fn member(&self, kid: caesar::Kid) -> Option<&Member> {
-        self.members.iter().find(|m| m.kid == kid)
+    pub fn member(&self, member_id: caesar::MemberId) -> Option<&Member> {
+        self.members.iter().find(|m| m.member_id == member_id)
     }
 
     /// A service with very many purges gets one of everything in their place:
@@ -223,17 +223,18 @@
 
     /// Ends the era. Pure, and the same on every controller: the cut clashes with
     /// all, so the state at it is the same everywhere.
-    pub fn cut(&self, members: &[Member], landed: Era, clock: u64) -> Picture {
+    pub fn cut(&self, members: &[Member], landed: Era, clock: u64) -> ControlState {
         let mut p = self.clone();
         p.era = Era(self.era.0 + 1);
         p.past.retain(|(e, _)| *e > landed);
-        let kids = |ms: &[Member]| ms.iter().map(|m| m.kid).collect::<Vec<_>>();
-        if !self.members.is_empty() && kids(members) != kids(&self.members) {
+        let member_ids = |ms: &[Member]| ms.iter().map(|m| m.member_id).collect::<Vec<_>>();
+        if !self.members.is_empty() && member_ids(members) != member_ids(&self.members) {
             p.past.push((p.era, self.members.clone()));
         }
         p.members = members.to_vec();
         p.clock = clock;
-        p.next_kid = members.iter().map(|m| m.kid.0 + 1).max().unwrap_or(0).max(self.next_kid);
+        p.next_member_id =
+            members.iter().map(|m| m.member_id.0 + 1).max().unwrap_or(0).max(self.next_member_id);
         p.items.retain(|k, it| !old_purge(p.era, k, it));
         p.gather_purges();
         while p.receipts.len() > RECEIPTS {
--- a/crates/controller/src/access.rs
+++ b/crates/controller/src/access.rs
@@ -1,13 +1,13 @@
 //! What a controller shows of itself to whoever runs it.
 use crate::controller::Controller;
-use caesar::Kid;
-use control_state::{Member, Picture};
+use caesar::MemberId;
+use control_state::{ControlState, Member};
 
 impl Controller {
     /// This controller as a member with that id.
-    pub(crate) fn member(&self, kid: Kid) -> Member {
+    pub(crate) fn member(&self, member_id: MemberId) -> Member {
         Member {
-            kid,
+            member_id,
             addr: self.env.addr,
             http: self.env.http,
             zone: self.env.zone.clone(),
@@ -15,8 +15,8 @@
         }
     }
 
-    pub fn picture(&self) -> &Picture {
-        &self.pic
+    pub fn state(&self) -> &ControlState {
+        &self.state
     }
     /// Commands of this era known here.
     pub fn known(&self) -> usize {
@@ -25,8 +25,8 @@
     pub fn tally(&self) -> caesar::Tally {
         self.mach.as_ref().map(|m| m.tally).unwrap_or_default()
     }
-    pub fn kid(&self) -> Option<Kid> {
-        self.mach.as_ref().map(|_| self.kid)
+    pub fn member_id(&self) -> Option<MemberId> {
+        self.mach.as_ref().map(|_| self.member_id)
     }
     /// See `caught_up`.
     pub fn is_caught_up(&self) -> bool {
--- a/crates/controller/src/apply.rs
+++ b/crates/controller/src/apply.rs
@@ -27,7 +27,7 @@
         for x in o {
             match x {
                 caesar::Out::Save(r) => {
-                    let b = Kept::Wag(era, r).encode();
+                    let b = Kept::Agreement(era, r).encode();
                     self.log.written += b.len();
                     out.push(Out::Save(b));
                     if self.disk.saving(now) {
@@ -36,7 +36,7 @@
                 }
                 caesar::Out::Send(to, w) => {
                     let at = self.base.member(to).map(|m| m.addr);
-                    out.extend(at.map(|a| Out::Send(a, Msg::wag(era, self.kid, w))));
+                    out.extend(at.map(|a| Out::Send(a, Msg::agreement(era, self.member_id, w))));
                 }
                 caesar::Out::Deliver(cid, cmd) => {
                     self.deliver(now, cid, cmd, out);
@@ -59,7 +59,7 @@
             }
             Cmd::Cut(members, landed) => {
                 let clock = self.mach.as_ref().map_or(0, |m| m.clock());
-                let next = self.pic.cut(&members, landed, clock);
+                let next = self.state.cut(&members, landed, clock);
                 let news = self.differs(&next);
                 self.enter(now, next, out);
                 self.number(&news, None);
@@ -68,7 +68,7 @@
                 let mut news: Vec<Key> = vec![];
                 let mut verdicts = vec![];
                 for c in all.iter() {
-                    let (verdict, first) = self.pic.apply(c);
+                    let (verdict, first) = self.state.apply(c);
                     if let (Verdict::Done(ks), true) = (&verdict, first) {
                         news.extend(ks.iter().map(|(k, _)| k.clone()));
                     }
--- a/crates/controller/src/beats.rs
+++ b/crates/controller/src/beats.rs
@@ -69,7 +69,7 @@
         }
         match b.mood {
             Mood::Leaving => self.drain_origin(now, t, b, out),
-            Mood::Gone => self.farewell(now, t, Op::SignOff(b.addr, b.birth), out),
+            Mood::Gone => self.submit_sign_off(now, t, Op::SignOff(b.addr, b.birth), out),
             Mood::Warming | Mood::Serving => {
                 if now - said <= STALE {
                     self.register(now, b, out);
@@ -81,7 +81,7 @@
 
     /// Enters an origin that is not known yet.
     fn register(&mut self, now: Mono, b: Beat, out: &mut Vec<Out>) {
-        let known = self.pic.origin(&b.addr).is_some_and(|o| o.birth == b.birth);
+        let known = self.state.origin(&b.addr).is_some_and(|o| o.birth == b.birth);
         if !known && self.heard_last(b.addr, b.birth) {
             self.derive(now, Op::Register(b.addr, Origin::of(b)), out);
         }
@@ -145,7 +145,7 @@
             t.is_none_or(|t| now - t >= self.env.vanish)
         };
         let gone: Vec<Op> = self
-            .pic
+            .state
             .items
             .iter()
             .filter_map(|(k, it)| match (k, &it.body) {
--- a/crates/controller/src/calls.rs
+++ b/crates/controller/src/calls.rs
@@ -58,7 +58,7 @@
         for o in out.iter_mut().skip(first) {
             let Out::Tell(t, r) = o else { continue };
             if let Some((to, n)) = self.calls.remove(t) {
-                *o = Out::Send(to, Msg::Called(n, Box::new(Said::of(r.clone()))));
+                *o = Out::Send(to, Msg::CallAnswered(n, Box::new(CallAnswer::of(r.clone()))));
             }
         }
     }
--- a/crates/controller/src/catch_up.rs
+++ b/crates/controller/src/catch_up.rs
@@ -1,7 +1,7 @@
 //! Members behind the era: offering, pulling and adopting the state it starts from.
 use crate::controller::Controller;
 use crate::snapshot_transfer::{Piece, Progress};
-use caesar::{Kid, Machine, Wag};
+use caesar::{Machine, MemberId, Message};
 use control_state::*;
 use primitives::{Addr, Birth, Mono, Span};
 
@@ -26,20 +26,20 @@
         self.caught_up() || alone
     }
 
-    pub(crate) fn on_wag(
+    pub(crate) fn on_agreement(
         &mut self,
         now: Mono,
         from: Addr,
         era: Era,
-        kid: Kid,
-        w: Wag<Cmd>,
+        member_id: MemberId,
+        w: Message<Cmd>,
         out: &mut Vec<Out>,
     ) {
         if era == self.base.era {
-            if self.heard.insert(kid) {
+            if self.heard.insert(member_id) {
                 self.push(now, out);
             }
-            self.with_machine(now, out, |m, o| m.take(now, kid, w, o));
+            self.with_machine(now, out, |m, o| m.take(now, member_id, w, o));
         } else if era < self.base.era {
             if self.hush(from, now) {
                 self.offer_snapshot(now, from, out);
--- a/crates/controller/src/contact.rs
+++ b/crates/controller/src/contact.rs
@@ -6,7 +6,7 @@
 //! member is *heard* proves one direction only, and of a message that waited out a freeze
 //! not even when it was sent.
 use crate::controller::Controller;
-use caesar::{classic, Kid};
+use caesar::{classic, MemberId};
 use control_state::*;
 use primitives::{Addr, Mono, Span};
 use std::collections::BTreeMap;
@@ -81,24 +81,24 @@
     }
 
     /// A round trip to that member ended lately.
-    pub(crate) fn reaches(&self, now: Mono, kid: Kid) -> bool {
+    pub(crate) fn reaches(&self, now: Mono, member_id: MemberId) -> bool {
         if !self.env.contact_by_echo {
-            return self.hears(now, kid);
+            return self.hears(now, member_id);
         }
-        let member = self.base.member(kid);
+        let member = self.base.member(member_id);
         let latest = member.and_then(|m| self.contact.reached(&m.addr));
         latest.is_some_and(|t| now - t < self.env.pace.suspect)
     }
 
     /// Some message of that member in this era was taken in lately.
-    pub(crate) fn hears(&self, now: Mono, kid: Kid) -> bool {
-        let heard = self.mach.as_ref().and_then(|m| m.heard_of(kid));
+    pub(crate) fn hears(&self, now: Mono, member_id: MemberId) -> bool {
+        let heard = self.mach.as_ref().and_then(|m| m.heard_of(member_id));
         heard.is_some_and(|t| now - t < self.env.pace.suspect)
     }
 
     fn hears_majority(&self, now: Mono) -> bool {
         let members = &self.base.members;
-        let heard = members.iter().filter(|m| m.kid == self.kid || self.hears(now, m.kid));
+        let heard = members.iter().filter(|m| m.member_id == self.member_id || self.hears(now, m.member_id));
         heard.count() >= classic(members.len())
     }
 
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -14,7 +14,7 @@
 use crate::show::Hidden;
 use crate::snapshot_transfer::SnapshotTransfer;
 use crate::subscribers::Subscriber;
-use caesar::{Cid, Kid, Machine};
+use caesar::{Cid, Machine, MemberId};
 use control_state::*;
 use primitives::{Addr, Birth, Mono, NodeId, Span, Token};
 use std::collections::{BTreeMap, BTreeSet};
@@ -24,14 +24,14 @@
     /// Invariant: the life of the disk; a new disk draws a new one.
     pub(crate) birth: Birth,
     /// The state the era started from, and the state now.
-    pub(crate) base: Picture,
-    pub(crate) pic: Picture,
+    pub(crate) base: ControlState,
+    pub(crate) state: ControlState,
     /// None while blank or retired.
     pub(crate) mach: Option<Machine<Cmd>>,
-    pub(crate) kid: Kid,
+    pub(crate) member_id: MemberId,
     /// This disk began with the deployment itself: it never founded unless it says so.
     pub(crate) first: bool,
-    pub(crate) blanks: BTreeMap<Addr, (Member, Mono)>,
+    pub(crate) unjoined: BTreeMap<Addr, (Member, Mono)>,
     pub(crate) subscribers: BTreeMap<NodeId, Subscriber>,
     /// The number of the last update stream started.
     pub(crate) last_stream: u64,
@@ -58,7 +58,7 @@
     /// Since when, in this process, it has had a seat.
     pub(crate) seated: Mono,
     /// Who was heard in this era.
-    pub(crate) heard: BTreeSet<Kid>,
+    pub(crate) heard: BTreeSet<MemberId>,
     pub(crate) readers: BTreeMap<Cid, Reader>,
     pub(crate) leadership: Leadership,
     pub(crate) lending: Lending,
@@ -91,12 +91,12 @@
     ) -> Controller {
         let mut k = Controller {
             birth: Birth(life),
-            base: Picture::default(),
-            pic: Picture::default(),
+            base: ControlState::default(),
+            state: ControlState::default(),
             mach: None,
-            kid: Kid(0),
+            member_id: MemberId(0),
             first: false,
-            blanks: BTreeMap::new(),
+            unjoined: BTreeMap::new(),
             subscribers: BTreeMap::new(),
             last_stream: life << 16,
             newcomers: BTreeMap::new(),
@@ -134,7 +134,7 @@
         let blank = kept.is_empty();
         k.wake(kept, now, out);
         if blank {
-            out.push(Out::Base(Kept::Blank(k.birth).encode()));
+            out.push(Out::Base(Kept::Unjoined(k.birth).encode()));
             k.first = k.env.open.is_some_and(|o| o.initial);
             out.extend(Some(Out::Save(Kept::First.encode())).filter(|_| k.first));
         }
@@ -158,7 +158,7 @@
 
     fn tick(&mut self, now: Mono, out: &mut Vec<Out>) {
         if self.due("blank", Span::ms(200), now) {
-            self.show_blank(out);
+            self.show_unjoined(out);
         }
         self.announce_leaving(now, out);
         self.mind_roster(now, out);
@@ -192,16 +192,16 @@
             In::Tick => self.tick(now, out),
             In::Ask(t, a) => self.ask(now, t, a, out),
             In::Msg(from, m) => match m {
-                Msg::Wag(era, kid, w) => self.on_wag(now, from, era, kid, *w, out),
-                Msg::Blank(m) => self.on_blank(now, m, out),
+                Msg::Agreement(era, member_id, w) => self.on_agreement(now, from, era, member_id, *w, out),
+                Msg::Unjoined(m) => self.on_unjoined(now, m, out),
                 Msg::Snapshot(m) => self.on_snapshot(now, from, *m, out),
                 Msg::WantSnapshot(era, birth) => self.on_want(now, from, era, birth, out),
                 Msg::Beats(bs, at, echo) => self.on_relay(now, from, bs, at, echo),
                 Msg::AskForce(era, cid) => self.on_ask_force(from, era, cid, out),
-                Msg::InForce(era, cid, kid) => self.on_in_force(now, era, cid, kid, out),
-                Msg::Applied(era, cid, kid) => self.on_applied(now, era, cid, kid, out),
+                Msg::InForce(era, cid, member_id) => self.on_in_force(now, era, cid, member_id, out),
+                Msg::Applied(era, cid, member_id) => self.on_applied(now, era, cid, member_id, out),
                 Msg::Learned(era, birth) => self.on_learned(now, from, era, birth),
-                Msg::Leaving(kid) => self.on_leaving(now, kid),
+                Msg::Leaving(member_id) => self.on_leaving(now, member_id),
                 Msg::Landed(said) => self.on_landed(now, said, out),
                 Msg::AskApplied(era, cid) => self.on_ask_applied(from, era, cid, out),
                 Msg::AskLeadership { candidate, epoch, asked } => {
@@ -211,7 +211,7 @@
                     self.on_leadership_vote(voter, epoch, granted)
                 }
                 Msg::Synced(then) if from == self.env.addr => self.disk.synced(now, then),
-                Msg::SlowDisk(kid) => self.disk.on_slow(now, kid),
+                Msg::SlowDisk(member_id) => self.disk.on_slow(now, member_id),
                 Msg::Got { id, feed, got } => self.on_got(now, id, feed, got, out),
                 Msg::Sub(s) if self.passes_on() => self.show_roster(from, &s, out),
                 Msg::Sub(s) => self.on_sub(now, from, *s, out),
--- a/crates/controller/src/disk_health.rs
+++ b/crates/controller/src/disk_health.rs
@@ -1,7 +1,7 @@
 //! Whose disk keeps up. A disk that takes long to sync holds up every vote and word of its
 //! controller, which then leaves leadership to the next in order.
 use crate::controller::Controller;
-use caesar::Kid;
+use caesar::MemberId;
 use control_state::*;
 use primitives::{Mono, Span};
 use std::collections::BTreeMap;
@@ -23,7 +23,7 @@
     probe: Option<Mono>,
     slow_until: Mono,
     /// Until when each member's disk counts as slow, this one's included.
-    slow: BTreeMap<Kid, Mono>,
+    slow: BTreeMap<MemberId, Mono>,
 }
 
 impl DiskHealth {
@@ -50,12 +50,12 @@
         self.slow_until > now || self.probe.is_some_and(|t| now - t > SLOW)
     }
 
-    pub(crate) fn on_slow(&mut self, now: Mono, kid: Kid) {
-        self.slow.insert(kid, now + STANDS);
+    pub(crate) fn on_slow(&mut self, now: Mono, member_id: MemberId) {
+        self.slow.insert(member_id, now + STANDS);
     }
 
-    pub(crate) fn keeps_up(&self, now: Mono, kid: Kid) -> bool {
-        self.slow.get(&kid).is_none_or(|t| *t <= now)
+    pub(crate) fn keeps_up(&self, now: Mono, member_id: MemberId) -> bool {
+        self.slow.get(&member_id).is_none_or(|t| *t <= now)
     }
 }
 
@@ -65,8 +65,8 @@
         if self.mach.is_none() || !self.disk.is_slow(now) || !self.due("slow disk", TELL, now) {
             return;
         }
-        self.disk.on_slow(now, self.kid);
-        let word = |m: &Member| Out::SendNow(m.addr, Msg::SlowDisk(self.kid));
-        out.extend(self.base.members.iter().filter(|m| m.kid != self.kid).map(word));
+        self.disk.on_slow(now, self.member_id);
+        let word = |m: &Member| Out::SendNow(m.addr, Msg::SlowDisk(self.member_id));
+        out.extend(self.base.members.iter().filter(|m| m.member_id != self.member_id).map(word));
     }
 }
--- a/crates/controller/src/era.rs
+++ b/crates/controller/src/era.rs
@@ -10,7 +10,7 @@
         let mut recs: Vec<Rec<Cmd>> = vec![];
         for k in kept {
             match k {
-                Kept::Blank(b) => self.birth = b,
+                Kept::Unjoined(b) => self.birth = b,
                 Kept::First => self.first = true,
                 Kept::Base(b, p) => {
                     self.birth = b;
@@ -22,11 +22,11 @@
                     self.base = *p;
                     recs = all;
                 }
-                Kept::Wag(era, r) if era == self.base.era => recs.push(r),
-                Kept::Wag(..) => (),
+                Kept::Agreement(era, r) if era == self.base.era => recs.push(r),
+                Kept::Agreement(..) => (),
             }
         }
-        self.pic = self.base.clone();
+        self.state = self.base.clone();
         self.seat(now);
         let replay = |m: &mut Machine<Cmd>, o: &mut Vec<_>| {
             recs.into_iter().for_each(|r| m.replay(r));
@@ -38,14 +38,19 @@
         self.assume_leases(until);
     }
 
-    /// Takes the seat that the roster of the picture gives this disk, if any.
+    /// Takes the seat that the membership gives this disk, if any.
     fn seat(&mut self, now: Mono) {
-        let mine = self.pic.seat_of(self.env.addr, self.birth);
+        let mine = self.state.seat_of(self.env.addr, self.birth);
         let had = self.mach.is_some();
-        self.mach = mine.map(|m| m.kid).map(|kid| {
-            self.kid = kid;
+        self.mach = mine.map(|m| m.member_id).map(|member_id| {
+            self.member_id = member_id;
             self.seated = if had { self.seated } else { now };
-            Machine::new(kid, self.pic.members.iter().map(|m| m.kid).collect(), self.env.pace, now)
+            Machine::new(
+                member_id,
+                self.state.members.iter().map(|m| m.member_id).collect(),
+                self.env.pace,
+                now,
+            )
         });
     }
 
@@ -58,12 +63,12 @@
         });
     }
 
-    /// Starts an era from a picture: the picture first, all later records after it.
-    pub(crate) fn enter(&mut self, now: Mono, p: Picture, out: &mut Vec<Out>) {
+    /// Starts an era from a snapshot: it is saved first, all later records after it.
+    pub(crate) fn enter(&mut self, now: Mono, p: ControlState, out: &mut Vec<Out>) {
         let clock = self.mach.as_ref().map_or(0, |m| m.clock()).max(p.clock);
         let tally = self.tally();
         self.base = p.clone();
-        self.pic = p;
+        self.state = p;
         self.owed.clear();
         self.hidden.clear();
         self.heard.clear();
@@ -89,14 +94,14 @@
         open.into_values().for_each(|p| self.again(now, p, out));
     }
 
-    /// What a picture has otherwise than the state now.
-    pub(crate) fn differs(&self, p: &Picture) -> Vec<Key> {
-        let other = |(k, it): &(&Key, &Item)| self.pic.items.get(*k) != Some(it);
+    /// What another state has otherwise than this one.
+    pub(crate) fn differs(&self, p: &ControlState) -> Vec<Key> {
+        let other = |(k, it): &(&Key, &Item)| self.state.items.get(*k) != Some(it);
         p.items.iter().filter(other).map(|(k, _)| k.clone()).collect()
     }
 
-    /// A picture of a later era replaces what this controller has.
-    pub(crate) fn adopt(&mut self, now: Mono, p: Picture, out: &mut Vec<Out>) {
+    /// A state of a later era replaces what this controller has.
+    pub(crate) fn adopt(&mut self, now: Mono, p: ControlState, out: &mut Vec<Out>) {
         let mine = p.seat_of(self.env.addr, self.birth).is_some();
         if p.era <= self.base.era || !(mine || self.mach.is_some()) {
             return;
--- a/crates/controller/src/force.rs
+++ b/crates/controller/src/force.rs
@@ -7,7 +7,7 @@
 //! change can be serving.
 use crate::controller::Controller;
 use crate::pending::{Asked, Pending};
-use caesar::{classic, Cid, Kid};
+use caesar::{classic, Cid, MemberId};
 use control_state::*;
 use primitives::{Addr, Mono, Span, Token};
 use std::sync::Arc;
@@ -83,7 +83,7 @@
 
     /// A word of leaving, which its origin repeats until it is answered: one command
     /// of it is under way at a time, or those of a slow core would pile up.
-    pub(crate) fn farewell(&mut self, now: Mono, t: Token, op: Op, out: &mut Vec<Out>) {
+    pub(crate) fn submit_sign_off(&mut self, now: Mono, t: Token, op: Op, out: &mut Vec<Out>) {
         if !self.join_pending(t, &op) {
             self.submit(now, Some(t), Change { id: None, op }, out);
         }
@@ -136,8 +136,8 @@
             let still: Vec<_> =
                 lacks.into_iter().filter(|(id, no)| !self.has_caught_up(now, *id, *no)).collect();
             if still.is_empty() && self.all_landed() {
-                let at = self.base.member(cid.kid).map(|m| m.addr);
-                out.extend(at.map(|a| Out::Send(a, Msg::InForce(era, cid, self.kid))));
+                let at = self.base.member(cid.member_id).map(|m| m.addr);
+                out.extend(at.map(|a| Out::Send(a, Msg::InForce(era, cid, self.member_id))));
             } else {
                 self.owed.insert(cid, still);
             }
@@ -147,7 +147,7 @@
             let waiting = self.pending.iter().filter(|(_, p)| p.verdicts.is_some());
             let asks: Vec<Out> = waiting
                 .flat_map(|(c, p)| {
-                    let silent = self.base.members.iter().filter(|m| !p.yes.contains(&m.kid));
+                    let silent = self.base.members.iter().filter(|m| !p.yes.contains(&m.member_id));
                     silent.map(|m| ask(m, c)).collect::<Vec<_>>()
                 })
                 .collect();
@@ -158,14 +158,21 @@
 
     pub(crate) fn on_ask_force(&mut self, from: Addr, era: Era, cid: Cid, out: &mut Vec<Out>) {
         if era == self.base.era && self.settled(cid) {
-            out.push(Out::Send(from, Msg::InForce(era, cid, self.kid)));
+            out.push(Out::Send(from, Msg::InForce(era, cid, self.member_id)));
         }
     }
 
-    pub(crate) fn on_in_force(&mut self, now: Mono, era: Era, cid: Cid, kid: Kid, out: &mut Vec<Out>) {
+    pub(crate) fn on_in_force(
+        &mut self,
+        now: Mono,
+        era: Era,
+        cid: Cid,
+        member_id: MemberId,
+        out: &mut Vec<Out>,
+    ) {
         if era == self.base.era {
             self.pending.entry(cid).and_modify(|p| {
-                p.yes.insert(kid);
+                p.yes.insert(member_id);
             });
             self.conclude(now, cid, out);
         }
--- a/crates/controller/src/found.rs
+++ b/crates/controller/src/found.rs
@@ -1,24 +1,24 @@
 //! Founding a deployment, and letting a replaced controller in.
 use crate::controller::Controller;
-use caesar::Kid;
+use caesar::MemberId;
 use control_state::*;
 use primitives::{Addr, Mono, Span};
 
 impl Controller {
     /// Without a seat: shows itself to the seeds, and to the members it knows of.
-    pub(crate) fn show_blank(&mut self, out: &mut Vec<Out>) {
+    pub(crate) fn show_unjoined(&mut self, out: &mut Vec<Out>) {
         if self.mach.is_none() && !self.passes_on() && !self.watch.stopping {
-            let m = self.member(Kid(0));
+            let m = self.member(MemberId(0));
             let members = self.base.members.iter().map(|x| x.addr).filter(|a| !self.env.seeds.contains(a));
             let known = self.env.seeds.iter().copied().chain(members);
-            out.extend(known.map(|a| Out::Send(a, Msg::Blank(m.clone()))));
+            out.extend(known.map(|a| Out::Send(a, Msg::Unjoined(m.clone()))));
             self.say_learned(out);
         }
     }
 
-    pub(crate) fn on_blank(&mut self, now: Mono, m: Member, out: &mut Vec<Out>) {
+    pub(crate) fn on_unjoined(&mut self, now: Mono, m: Member, out: &mut Vec<Out>) {
         let (addr, birth) = (m.addr, m.birth);
-        self.blanks.insert(addr, (m.clone(), now));
+        self.unjoined.insert(addr, (m.clone(), now));
         if self.mach.is_none() {
             return self.maybe_found(now, out);
         }
@@ -33,22 +33,22 @@
     /// The first controllers of all: every one of them must be there, each with the
     /// life its disk was given, before any of them decides anything.
     fn maybe_found(&mut self, now: Mono, out: &mut Vec<Out>) {
-        let all = self.env.seeds.iter().all(|s| self.blanks.contains_key(s));
+        let all = self.env.seeds.iter().all(|s| self.unjoined.contains_key(s));
         if !(self.env.found && all && self.base.era == Era(0)) {
             return;
         }
         let mut ms: Vec<Member> =
-            self.env.seeds.iter().filter_map(|s| self.blanks.get(s)).map(|(m, _)| m.clone()).collect();
-        ms.push(self.member(Kid(0)));
+            self.env.seeds.iter().filter_map(|s| self.unjoined.get(s)).map(|(m, _)| m.clone()).collect();
+        ms.push(self.member(MemberId(0)));
         ms.sort_by_key(|m| m.addr);
         ms.dedup_by_key(|m| m.addr);
-        ms.iter_mut().enumerate().for_each(|(i, m)| m.kid = Kid(i as u16));
-        let p = Picture::default().cut(&ms, Era(0), 0);
+        ms.iter_mut().enumerate().for_each(|(i, m)| m.member_id = MemberId(i as u16));
+        let p = ControlState::default().cut(&ms, Era(0), 0);
         self.enter(now, p, out);
         self.show_founded(now, out);
     }
 
-    /// The others may have missed one of the blanks.
+    /// The others may have missed an unjoined controller.
     fn show_founded(&mut self, now: Mono, out: &mut Vec<Out>) {
         let seeds = self.env.seeds.clone();
         seeds.into_iter().for_each(|s| self.offer_snapshot(now, s, out));
@@ -56,7 +56,7 @@
 
     pub(crate) fn replace(&mut self, now: Mono, old: Addr, new: Addr, out: &mut Vec<Out>) -> Receipt {
         let there = self.base.members.iter().any(|m| m.addr == old);
-        let heard = self.blanks.get(&new).filter(|(_, t)| now - *t < Span::secs(5)).map(|(m, _)| m.clone());
+        let heard = self.unjoined.get(&new).filter(|(_, t)| now - *t < Span::secs(5)).map(|(m, _)| m.clone());
         match (there, heard) {
             _ if !self.connected(now) => Receipt::NotNow("no quorum of controllers in reach"),
             (false, _) => Receipt::NotNow("no controller of the roster is at the old address"),
@@ -74,9 +74,9 @@
         }
         self.count("swaps");
         out.push(Out::Note("proposing a new controller in an old one's seat"));
-        let kid = Kid(self.pic.next_kid);
-        let swap = |m: &Member| if m.addr == old { Member { kid, ..new.clone() } } else { m.clone() };
-        let members: Vec<Member> = self.pic.members.iter().map(swap).collect();
+        let member_id = MemberId(self.state.next_member_id);
+        let swap = |m: &Member| if m.addr == old { Member { member_id, ..new.clone() } } else { m.clone() };
+        let members: Vec<Member> = self.state.members.iter().map(swap).collect();
         self.propose_cut(now, members, out);
     }
 }
--- a/crates/controller/src/landing.rs
+++ b/crates/controller/src/landing.rs
@@ -5,18 +5,18 @@
 //! to an edge that does not know the newer one. An edge that goes by the old roster
 //! needs a renewal from each of its classic quorums, so there is then none that serves.
 use crate::controller::Controller;
-use caesar::{classic, Kid};
+use caesar::{classic, MemberId};
 use control_state::*;
 use primitives::{Mono, Span};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// By the era that a roster was followed by: which of its members are past it.
-pub(crate) type Landed = BTreeMap<Era, BTreeSet<Kid>>;
+pub(crate) type Landed = BTreeMap<Era, BTreeSet<MemberId>>;
 
 impl Controller {
     fn down(&self, at: Era, roster: &[Member]) -> bool {
         let by = self.landed.get(&at);
-        let past = |m: &&Member| by.is_some_and(|b| b.contains(&m.kid));
+        let past = |m: &&Member| by.is_some_and(|b| b.contains(&m.member_id));
         roster.iter().filter(past).count() >= classic(roster.len())
     }
 
@@ -47,7 +47,7 @@
     /// without, this controller may have been replaced and not know it. What waited out a
     /// freeze is heard, and proves nothing.
     pub(crate) fn in_company(&self, now: Mono) -> bool {
-        let near = |k: &Kid| *k != self.kid && self.hears(now, *k) && self.reaches(now, *k);
+        let near = |k: &MemberId| *k != self.member_id && self.hears(now, *k) && self.reaches(now, *k);
         self.mach.as_ref().is_some_and(|m| m.roster().len() == 1 || m.roster().iter().any(near))
     }
 
@@ -60,16 +60,16 @@
         let knows = |e: Era| self.subscribers.values().all(|s| s.lease_until <= now || s.era >= e);
         let mine = |(e, r): &(Era, Vec<Member>)| {
             let all = r.iter().enumerate().filter(|(i, m)| knows(*e) && self.speaks_for(now, *i, m));
-            all.map(|(_, m)| (*e, m.kid)).collect::<Vec<_>>()
+            all.map(|(_, m)| (*e, m.member_id)).collect::<Vec<_>>()
         };
-        let said: Vec<(Era, Kid)> = self.base.past.iter().flat_map(mine).collect();
+        let said: Vec<(Era, MemberId)> = self.base.past.iter().flat_map(mine).collect();
         if !said.is_empty() {
             let all = self.base.members.iter();
             out.extend(all.map(|m| Out::Send(m.addr, Msg::Landed(said.clone()))));
         }
     }
 
-    pub(crate) fn on_landed(&mut self, now: Mono, said: Vec<(Era, Kid)>, out: &mut Vec<Out>) {
+    pub(crate) fn on_landed(&mut self, now: Mono, said: Vec<(Era, MemberId)>, out: &mut Vec<Out>) {
         let before = self.all_landed();
         for (e, k) in said {
             self.landed.entry(e).or_default().insert(k);
--- a/crates/controller/src/leadership.rs
+++ b/crates/controller/src/leadership.rs
@@ -5,7 +5,7 @@
 //! clock from when it asked, and a little longer by the granter's, which grants no other
 //! meanwhile. A restarted member has forgotten its grants, so it gives none for that long.
 use crate::controller::Controller;
-use caesar::{classic, Kid};
+use caesar::{classic, MemberId};
 use control_state::*;
 use primitives::{Addr, Epoch, Mono, Span};
 use std::collections::{BTreeMap, BTreeSet};
@@ -31,13 +31,13 @@
     epoch: Epoch,
     since: Mono,
     /// Until when each member's grant carries it.
-    grants: BTreeMap<Kid, Mono>,
+    grants: BTreeMap<MemberId, Mono>,
 }
 
 /// A grant this member gave.
 #[derive(Debug)]
 struct Granted {
-    to: Kid,
+    to: MemberId,
     epoch: Epoch,
 }
 
@@ -51,7 +51,7 @@
     bound_until: Mono,
     candidacy: Option<Candidacy>,
     /// When each member last asked, and when this process began.
-    asked: BTreeMap<Kid, Mono>,
+    asked: BTreeMap<MemberId, Mono>,
     began: Mono,
     /// Grants that carry a leader: a quorum.
     quorum: usize,
@@ -109,8 +109,8 @@
         self.candidacy = None;
     }
 
-    fn last_asked(&self, kid: Kid) -> Mono {
-        self.asked.get(&kid).copied().unwrap_or(self.began)
+    fn last_asked(&self, member_id: MemberId) -> Mono {
+        self.asked.get(&member_id).copied().unwrap_or(self.began)
     }
 
     /// The epoch to ask for now; true if it is a new one.
@@ -130,9 +130,9 @@
     /// Whether a candidate is granted its epoch. Two that do not hear one another would share
     /// the grants for ever: of those who ask the earlier in the order gets them, and the other
     /// raises no epoch here.
-    fn vote(&mut self, now: Mono, candidate: Kid, epoch: Epoch) -> bool {
+    fn vote(&mut self, now: Mono, candidate: MemberId, epoch: Epoch) -> bool {
         self.asked.insert(candidate, now);
-        let outranked = self.asked.iter().any(|(kid, t)| *kid < candidate && now - *t < GRANT);
+        let outranked = self.asked.iter().any(|(member_id, t)| *member_id < candidate && now - *t < GRANT);
         if outranked {
             return false;
         }
@@ -147,7 +147,7 @@
     }
 
     /// A member's answer; a grant counts from when it was asked for.
-    fn on_vote(&mut self, voter: Kid, epoch: Epoch, granted: Option<Mono>) {
+    fn on_vote(&mut self, voter: MemberId, epoch: Epoch, granted: Option<Mono>) {
         self.note_epoch(epoch);
         let current = self.candidacy.as_mut().filter(|c| c.epoch == epoch);
         if let (Some(candidacy), Some(asked)) = (current, granted) {
@@ -163,13 +163,13 @@
     pub(crate) fn first_live(&self, now: Mono) -> bool {
         // Who has just got its seat cannot have reached anybody yet.
         let settled = now - self.seated > self.env.pace.suspect;
-        let idle = |k: &Kid| now - self.leadership.last_asked(*k) > STEP_IN;
-        let absent = |k: &Kid| *k != self.kid && settled && (!self.reaches(now, *k) || idle(k));
-        let available = |k: &Kid| !self.watch.leaves(*k) && !absent(k);
-        let in_order: BTreeSet<Kid> = self.pic.members.iter().map(|m| m.kid).collect();
-        let members: Vec<Kid> = in_order.into_iter().filter(available).collect();
+        let idle = |k: &MemberId| now - self.leadership.last_asked(*k) > STEP_IN;
+        let absent = |k: &MemberId| *k != self.member_id && settled && (!self.reaches(now, *k) || idle(k));
+        let available = |k: &MemberId| !self.watch.leaves(*k) && !absent(k);
+        let in_order: BTreeSet<MemberId> = self.state.members.iter().map(|m| m.member_id).collect();
+        let members: Vec<MemberId> = in_order.into_iter().filter(available).collect();
         let keeps_up = members.iter().find(|k| self.disk.keeps_up(now, **k));
-        keeps_up.or(members.first()) == Some(&self.kid)
+        keeps_up.or(members.first()) == Some(&self.member_id)
     }
 
     /// Asks for the leadership while it falls to this member, and does a leader's work.
@@ -197,7 +197,7 @@
             self.lending.clear();
             out.push(Out::Note("asking for the leadership under a new epoch"));
         }
-        let candidate = self.kid;
+        let candidate = self.member_id;
         let ask = |m: &Member| Out::SendNow(m.addr, Msg::AskLeadership { candidate, epoch, asked: now });
         out.extend(self.base.members.iter().map(ask));
     }
@@ -206,15 +206,15 @@
         &mut self,
         now: Mono,
         from: Addr,
-        (candidate, epoch, asked): (Kid, Epoch, Mono),
+        (candidate, epoch, asked): (MemberId, Epoch, Mono),
         out: &mut Vec<Out>,
     ) {
         let granted = self.leadership.vote(now, candidate, epoch).then_some(asked);
-        let (voter, epoch) = (self.kid, self.leadership.highest);
+        let (voter, epoch) = (self.member_id, self.leadership.highest);
         out.push(Out::SendNow(from, Msg::LeadershipVote { voter, epoch, granted }));
     }
 
-    pub(crate) fn on_leadership_vote(&mut self, voter: Kid, epoch: Epoch, granted: Option<Mono>) {
+    pub(crate) fn on_leadership_vote(&mut self, voter: MemberId, epoch: Epoch, granted: Option<Mono>) {
         self.leadership.on_vote(voter, epoch, granted);
     }
 }
--- a/crates/controller/src/leaving.rs
+++ b/crates/controller/src/leaving.rs
@@ -26,10 +26,10 @@
 
     pub(crate) fn announce_leaving(&mut self, now: Mono, out: &mut Vec<Out>) {
         if self.watch.stopping && self.mach.is_some() && self.due("leaving", REPEAT, now) {
-            let kid = self.kid;
-            self.watch.note_leaving(kid, now);
-            let others = self.base.members.iter().filter(|m| m.kid != kid);
-            out.extend(others.map(|m| Out::Send(m.addr, Msg::Leaving(kid))));
+            let member_id = self.member_id;
+            self.watch.note_leaving(member_id, now);
+            let others = self.base.members.iter().filter(|m| m.member_id != member_id);
+            out.extend(others.map(|m| Out::Send(m.addr, Msg::Leaving(member_id))));
         }
     }
 
@@ -38,13 +38,13 @@
     fn may_be_let_go(&self, now: Mono) -> bool {
         let Some(open) = self.env.open.filter(|_| self.mach.is_some()) else { return false };
         let needless = self.base.members.len() > least_members(open.losses);
-        let one_stays = self.base.members.iter().any(|m| !self.watch.leaves(m.kid));
+        let one_stays = self.base.members.iter().any(|m| !self.watch.leaves(m.member_id));
         self.connected(now) && one_stays && (needless || self.hears_newcomer(now))
     }
 
-    pub(crate) fn on_leaving(&mut self, now: Mono, kid: caesar::Kid) {
-        if self.base.member(kid).is_some() {
-            self.watch.note_leaving(kid, now);
+    pub(crate) fn on_leaving(&mut self, now: Mono, member_id: caesar::MemberId) {
+        if self.base.member(member_id).is_some() {
+            self.watch.note_leaving(member_id, now);
         }
     }
 }
--- a/crates/controller/src/lending.rs
+++ b/crates/controller/src/lending.rs
@@ -49,7 +49,7 @@
         }
         let mut lent = vec![];
         for (service, wanted) in &asked.wants {
-            let share = share(&self.pic.items, service).filter(|share| !share.free());
+            let share = share(&self.state.items, service).filter(|share| !share.free());
             let Some(share) = share else { continue };
             let budget = self.lending.entry(service.clone()).or_insert_with(|| Budget::empty(now));
             let taken = budget.take(now, share.lent, *wanted);
--- a/crates/controller/src/log.rs
+++ b/crates/controller/src/log.rs
@@ -88,7 +88,7 @@
         let tidy = self.env.open.is_some() && past && self.leadership.is_held(now);
         let lately = self.cutting.is_some_and(|t| now - t < CUT_AGAIN);
         if (due || tidy) && !lately {
-            self.propose_cut(now, self.pic.members.clone(), out);
+            self.propose_cut(now, self.state.members.clone(), out);
         }
     }
 
--- a/crates/controller/src/membership.rs
+++ b/crates/controller/src/membership.rs
@@ -2,7 +2,7 @@
 //! newcomers up to date, and proposing what `membership_plan` says.
 use crate::controller::Controller;
 use crate::membership_plan::{MembershipView, Reason};
-use caesar::Kid;
+use caesar::MemberId;
 use control_state::*;
 use primitives::{Addr, Birth, Mono, Span};
 use std::collections::{BTreeMap, BTreeSet};
@@ -38,25 +38,25 @@
     learners: BTreeMap<Addr, Learner>,
     /// By member: when it was last heard, and for how long it has been silent since, by
     /// this controller's own steps.
-    silence: BTreeMap<Kid, (Option<Mono>, Span)>,
+    silence: BTreeMap<MemberId, (Option<Mono>, Span)>,
     looked: Mono,
     /// Members that announced that they stop, and when they last did.
-    leaving: BTreeMap<Kid, Mono>,
+    leaving: BTreeMap<MemberId, Mono>,
     /// This controller itself was told to stop.
     pub(crate) stopping: bool,
 }
 
 impl MembershipWatch {
-    pub(crate) fn leaves(&self, kid: Kid) -> bool {
-        self.leaving.contains_key(&kid)
+    pub(crate) fn leaves(&self, member_id: MemberId) -> bool {
+        self.leaving.contains_key(&member_id)
     }
 
-    pub(crate) fn note_leaving(&mut self, kid: Kid, now: Mono) {
-        self.leaving.insert(kid, now);
+    pub(crate) fn note_leaving(&mut self, member_id: MemberId, now: Mono) {
+        self.leaving.insert(member_id, now);
     }
 
-    fn unheard_for(&self, least: Span) -> BTreeSet<Kid> {
-        self.silence.iter().filter(|(_, (_, span))| *span >= least).map(|(kid, _)| *kid).collect()
+    fn unheard_for(&self, least: Span) -> BTreeSet<MemberId> {
+        self.silence.iter().filter(|(_, (_, span))| *span >= least).map(|(member_id, _)| *member_id).collect()
     }
 }
 
@@ -82,23 +82,23 @@
         let step = (now - self.watch.looked).min(LONGEST_STEP);
         self.watch.looked = now;
         let before = std::mem::take(&mut self.watch.silence);
-        for member in self.base.members.iter().filter(|m| m.kid != self.kid) {
-            let in_era = self.heard.contains(&member.kid);
-            let heard = self.mach.as_ref().and_then(|m| m.heard_of(member.kid)).filter(|_| in_era);
-            let (last, span) = before.get(&member.kid).copied().unwrap_or((None, Span(0)));
+        for member in self.base.members.iter().filter(|m| m.member_id != self.member_id) {
+            let in_era = self.heard.contains(&member.member_id);
+            let heard = self.mach.as_ref().and_then(|m| m.heard_of(member.member_id)).filter(|_| in_era);
+            let (last, span) = before.get(&member.member_id).copied().unwrap_or((None, Span(0)));
             let news = heard.is_some() && heard != last;
             let span = if news { Span(0) } else { span + step };
-            self.watch.silence.insert(member.kid, (heard, span));
+            self.watch.silence.insert(member.member_id, (heard, span));
         }
-        let members: BTreeSet<Kid> = self.base.members.iter().map(|m| m.kid).collect();
-        self.watch.leaving.retain(|kid, t| members.contains(kid) && now - *t < LEAVING_HEARD);
+        let members: BTreeSet<MemberId> = self.base.members.iter().map(|m| m.member_id).collect();
+        self.watch.leaving.retain(|member_id, t| members.contains(member_id) && now - *t < LEAVING_HEARD);
     }
 
     /// Newcomers are sent the snapshot that the era started from.
     fn teach_newcomers(&mut self, now: Mono, out: &mut Vec<Out>) {
         let heard = |(_, t): &&(Member, Mono)| now - *t < NEWCOMER_HEARD;
         let newcomers: BTreeMap<Addr, Birth> =
-            self.blanks.values().filter(heard).map(|(m, _)| (m.addr, m.birth)).collect();
+            self.unjoined.values().filter(heard).map(|(m, _)| (m.addr, m.birth)).collect();
         self.watch.learners.retain(|addr, l| newcomers.get(addr) == Some(&l.birth));
         let era = self.base.era;
         for (addr, birth) in newcomers {
@@ -115,19 +115,19 @@
     }
 
     /// Whether a snapshot is one to be kept without a seat: it gives this disk none.
-    pub(crate) fn learns(&self, snapshot: &Picture) -> bool {
+    pub(crate) fn learns(&self, snapshot: &ControlState) -> bool {
         let keeps = self.env.open.is_some_and(|o| o.keeps);
         let seated = snapshot.seat_of(self.env.addr, self.birth).is_some();
         self.mach.is_none() && keeps && !seated
     }
 
     /// Without a seat: keeps the snapshot, and says so from now on.
-    pub(crate) fn learn(&mut self, snapshot: Picture, out: &mut Vec<Out>) {
+    pub(crate) fn learn(&mut self, snapshot: ControlState, out: &mut Vec<Out>) {
         if snapshot.era <= self.base.era {
             return;
         }
         self.base = snapshot;
-        self.pic = self.base.clone();
+        self.state = self.base.clone();
         self.save_base(out);
         self.say_learned(out);
     }
@@ -150,7 +150,7 @@
     /// A controller without a seat shows itself.
     pub(crate) fn hears_newcomer(&self, now: Mono) -> bool {
         let seated = |a: &Addr| self.base.members.iter().any(|m| m.addr == *a);
-        self.blanks.iter().any(|(a, (_, t))| now - *t < NEWCOMER_HEARD && !seated(a))
+        self.unjoined.iter().any(|(a, (_, t))| now - *t < NEWCOMER_HEARD && !seated(a))
     }
 
     fn membership_view(&self, losses: usize) -> MembershipView {
@@ -160,16 +160,16 @@
             learner.and_then(|l| l.holds).is_some_and(|(held, _)| held == era)
         };
         let seated = |m: &&Member| self.base.seat_of(m.addr, m.birth).is_some();
-        let newcomers = self.blanks.values().map(|(m, _)| m);
+        let newcomers = self.unjoined.values().map(|(m, _)| m);
         let suspect = self.env.pace.suspect;
         MembershipView {
-            members: self.pic.members.clone(),
+            members: self.state.members.clone(),
             silent: self.watch.unheard_for(suspect.times(2)),
             suspected: self.watch.unheard_for(suspect),
             leaving: self.watch.leaving.keys().copied().collect(),
             ready: newcomers.filter(holds).filter(|m| !seated(m)).cloned().collect(),
             settled: self.all_landed() && self.enough_heard(),
-            next_kid: self.pic.next_kid,
+            next_member_id: self.state.next_member_id,
             losses,
         }
     }
--- a/crates/controller/src/membership_plan.rs
+++ b/crates/controller/src/membership_plan.rs
@@ -7,7 +7,7 @@
 //! - Whoever can be reached before and does not leave keeps its seat.
 //! - A seat is given up only while `2f + 1` members remain.
 //! - If a majority of the old members can be reached, so can a majority of the new ones.
-use caesar::{classic, Kid};
+use caesar::{classic, MemberId};
 use control_state::Member;
 use std::collections::BTreeSet;
 
@@ -16,17 +16,17 @@
 pub struct MembershipView {
     pub members: Vec<Member>,
     /// Members unheard for so long that their seats may be given away.
-    pub silent: BTreeSet<Kid>,
+    pub silent: BTreeSet<MemberId>,
     /// Members unheard for a while, which may still prove silent.
-    pub suspected: BTreeSet<Kid>,
+    pub suspected: BTreeSet<MemberId>,
     /// Members that announced that they are about to stop.
-    pub leaving: BTreeSet<Kid>,
+    pub leaving: BTreeSet<MemberId>,
     /// Newcomers that hold a synced snapshot.
     pub ready: Vec<Member>,
     /// Nothing else is under way: the last change has landed.
     pub settled: bool,
     /// The least id that was never given out.
-    pub next_kid: u16,
+    pub next_member_id: u16,
     /// Losses borne at once.
     pub losses: usize,
 }
@@ -73,12 +73,12 @@
 
     /// The old disk is provably gone: its address answers with another one.
     fn replace_disks(&self) -> Option<MembershipChange> {
-        let mut kids = self.next_kid..;
+        let mut member_ids = self.next_member_id..;
         let mut members = self.members.clone();
         for seat in &mut members {
             let successor = self.ready.iter().find(|r| r.addr == seat.addr && r.birth != seat.birth);
             if let Some(successor) = successor {
-                *seat = Member { kid: Kid(kids.next()?), ..successor.clone() };
+                *seat = Member { member_id: MemberId(member_ids.next()?), ..successor.clone() };
             }
         }
         (members != self.members).then_some(MembershipChange { members, reason: Reason::DiskLost })
@@ -91,25 +91,28 @@
 
     /// Who gives up its seat first: whoever is silent, then whoever leaves.
     fn departing(&self) -> Option<&Member> {
-        let first = |set: &BTreeSet<Kid>| self.members.iter().find(|m| set.contains(&m.kid));
+        let first = |set: &BTreeSet<MemberId>| self.members.iter().find(|m| set.contains(&m.member_id));
         first(&self.silent).or_else(|| first(&self.leaving))
     }
 
     fn give_seat(&self) -> Option<MembershipChange> {
-        let departing = self.departing()?.kid;
-        let newcomer = Member { kid: Kid(self.next_kid), ..self.newcomers().next()?.clone() };
-        let successor = |m: &Member| if m.kid == departing { newcomer.clone() } else { m.clone() };
+        let departing = self.departing()?.member_id;
+        let newcomer =
+            Member { member_id: MemberId(self.next_member_id), ..self.newcomers().next()?.clone() };
+        let successor = |m: &Member| if m.member_id == departing { newcomer.clone() } else { m.clone() };
         let members = self.members.iter().map(successor).collect();
         Some(MembershipChange { members, reason: Reason::SeatTaken })
     }
 
     fn give_up_seat(&self) -> Option<MembershipChange> {
-        let departing = self.departing()?.kid;
+        let departing = self.departing()?.member_id;
         if self.members.len() <= least_members(self.losses) {
             return None;
         }
-        let members: Vec<Member> = self.members.iter().filter(|m| m.kid != departing).cloned().collect();
-        let heard = |m: &&Member| !self.silent.contains(&m.kid) && !self.suspected.contains(&m.kid);
+        let members: Vec<Member> =
+            self.members.iter().filter(|m| m.member_id != departing).cloned().collect();
+        let heard =
+            |m: &&Member| !self.silent.contains(&m.member_id) && !self.suspected.contains(&m.member_id);
         let reachable = members.iter().filter(heard).count();
         losses_borne(members.len(), reachable)?;
         Some(MembershipChange { members, reason: Reason::SeatGivenUp })
@@ -120,8 +123,11 @@
         if !self.suspected.is_empty() && self.members.len() >= least_members(self.losses) {
             return None;
         }
-        let kids = self.next_kid..;
-        let added = self.newcomers().zip(kids).map(|(m, kid)| Member { kid: Kid(kid), ..m.clone() });
+        let member_ids = self.next_member_id..;
+        let added = self
+            .newcomers()
+            .zip(member_ids)
+            .map(|(m, member_id)| Member { member_id: MemberId(member_id), ..m.clone() });
         let members: Vec<Member> = self.members.iter().cloned().chain(added).collect();
         (members != self.members).then_some(MembershipChange { members, reason: Reason::Widened })
     }
--- a/crates/controller/src/open.rs
+++ b/crates/controller/src/open.rs
@@ -6,7 +6,7 @@
 //! none other while that one may live. A roster then grows by cuts only.
 use crate::controller::Controller;
 use crate::membership_plan::least_members;
-use caesar::Kid;
+use caesar::MemberId;
 use control_state::*;
 use primitives::{Addr, Birth, Mono, Span};
 
@@ -37,7 +37,7 @@
     }
 
     fn found_now(&mut self, now: Mono, out: &mut Vec<Out>) {
-        let p = Picture::default().cut(&[self.member(Kid(0))], Era(0), 0);
+        let p = ControlState::default().cut(&[self.member(MemberId(0))], Era(0), 0);
         out.push(Out::Note("founding the deployment"));
         self.enter(now, p, out);
     }
@@ -61,11 +61,11 @@
         }
         let (era, members) = (self.base.era, self.base.members.clone());
         let (feed, got) = (s.feed, s.got);
-        let n = News { feed, from: got, to: got, full: false, items: vec![], era, members, reply: None };
-        out.push(Out::Send(to, Msg::News(Box::new(n))));
+        let n = Update { feed, from: got, to: got, full: false, items: vec![], era, members, reply: None };
+        out.push(Out::Send(to, Msg::Update(Box::new(n))));
     }
 
-    /// Several times a second: names a founder, passes blanks on, lets them join,
+    /// Several times a second: names a founder, passes unjoined controllers on, lets them join,
     /// and tells the seeds who has a seat.
     pub(crate) fn mind_roster(&mut self, now: Mono, out: &mut Vec<Out>) {
         if self.env.open.is_none() {
@@ -73,7 +73,7 @@
         }
         if self.passes_on() {
             if self.due("pass", Span::ms(200), now) {
-                self.pass_blanks(now, out);
+                self.pass_on_unjoined(now, out);
             }
             return;
         }
@@ -85,14 +85,14 @@
         self.mind_membership(now, out);
     }
 
-    fn pass_blanks(&mut self, now: Mono, out: &mut Vec<Out>) {
-        self.blanks.retain(|_, (_, t)| now - *t < Span::secs(1));
-        let first = self.blanks.values().map(|(m, _)| m.clone()).min_by_key(|m| m.addr);
+    fn pass_on_unjoined(&mut self, now: Mono, out: &mut Vec<Out>) {
+        self.unjoined.retain(|_, (_, t)| now - *t < Span::secs(1));
+        let first = self.unjoined.values().map(|(m, _)| m.clone()).min_by_key(|m| m.addr);
         if !self.base.members.is_empty() {
-            let shown = self.blanks.values().map(|(b, _)| b);
+            let shown = self.unjoined.values().map(|(b, _)| b);
             let to = |b: &Member| {
                 let b = b.clone();
-                self.base.members.iter().map(move |m| Out::Send(m.addr, Msg::Blank(b.clone())))
+                self.base.members.iter().map(move |m| Out::Send(m.addr, Msg::Unjoined(b.clone())))
             };
             out.extend(shown.flat_map(to));
             return;
@@ -100,7 +100,7 @@
         let mine = self.first_seed() == Some(self.env.addr) && self.env.open.is_some_and(|o| o.initial);
         let Some(m) = first.filter(|_| mine) else { return };
         let (birth, since) = *self.named.get_or_insert((m.birth, now));
-        let at = self.blanks.values().find(|(b, _)| b.birth == birth).map(|(b, _)| b.addr);
+        let at = self.unjoined.values().find(|(b, _)| b.birth == birth).map(|(b, _)| b.addr);
         match at {
             Some(a) if now - since >= LISTEN => out.push(Out::Send(a, Msg::Found(birth))),
             // Gone without a word, and blank when last heard: another may be named.
@@ -114,7 +114,7 @@
     pub(crate) fn gathered(&self, now: Mono, c: &Change) -> bool {
         let Some(o) = self.env.open.filter(|_| matches!(c.op, Op::Edit(_))) else { return true };
         let need = least_members(o.losses);
-        let roll = Roll::of(&self.pic.items);
+        let roll = Roll::of(&self.state.items);
         let members = self.base.members.len();
         let enough = members >= need && roll.sets.last().is_some_and(|s| s.len() >= need);
         enough || (members >= self.least_copies() && now - self.seated >= PATIENT)
--- a/crates/controller/src/origin_leaving.rs
+++ b/crates/controller/src/origin_leaving.rs
@@ -15,8 +15,8 @@
         if self.drain_in_force(addr, birth) {
             return out.push(Out::Tell(token, Receipt::Took));
         }
-        if self.pic.origin(&addr).is_some() || !self.heard_last(addr, birth) {
-            return self.farewell(now, token, Op::Drain(addr, birth), out);
+        if self.state.origin(&addr).is_some() || !self.heard_last(addr, birth) {
+            return self.submit_sign_off(now, token, Op::Drain(addr, birth), out);
         }
         self.register_leaving(now, token, beat, out);
     }
@@ -37,14 +37,14 @@
 
     fn drain_in_force(&self, addr: Addr, birth: Birth) -> bool {
         let leaving = |o: &Origin| o.birth == birth && o.standing == Standing::Leaving;
-        self.drained.get(&addr) == Some(&birth) && self.pic.origin(&addr).is_some_and(leaving)
+        self.drained.get(&addr) == Some(&birth) && self.state.origin(&addr).is_some_and(leaving)
     }
 
     /// A change of which a quorum reports that it is in force.
     pub(crate) fn note_drained(&mut self, change: &Change) {
         if let Op::Drain(addr, birth) = change.op {
-            let picture = &self.pic;
-            self.drained.retain(|a, b| picture.origin(a).is_some_and(|o| o.birth == *b));
+            let state = &self.state;
+            self.drained.retain(|a, b| state.origin(a).is_some_and(|o| o.birth == *b));
             self.drained.insert(addr, birth);
         }
     }
@@ -52,12 +52,12 @@
     /// An origin's last word, by the name of its life. Where the name is not known, the
     /// agreed order decides whether anybody has it.
     pub(crate) fn sign_off(&mut self, now: Mono, token: Token, tag: &str, out: &mut Vec<Out>) {
-        let known = self.pic.named_origin(tag);
+        let known = self.state.named_origin(tag);
         let heard = self.beats.values().find(|(b, _)| b.tag == tag).map(|(b, _)| (b.addr, b.birth));
         let op = match known.or(heard) {
             Some((addr, birth)) => Op::SignOff(addr, birth),
             None => Op::SignOffName(tag.to_string()),
         };
-        self.farewell(now, token, op, out);
+        self.submit_sign_off(now, token, op, out);
     }
 }
--- a/crates/controller/src/pending.rs
+++ b/crates/controller/src/pending.rs
@@ -4,7 +4,7 @@
 //! wait for the command that carries them already; edits confirmed before need no second
 //! command that carries them.
 use crate::controller::Controller;
-use caesar::{Cid, Kid};
+use caesar::{Cid, MemberId};
 use control_state::*;
 use primitives::{Mono, Token};
 use std::collections::BTreeSet;
@@ -26,7 +26,7 @@
     pub asked: Vec<Asked>,
     /// In the order of `asked`, once delivered.
     pub verdicts: Option<Vec<Verdict>>,
-    pub yes: BTreeSet<Kid>,
+    pub yes: BTreeSet<MemberId>,
     pub began: Mono,
     /// Proposed here in this life; otherwise the command is another's, and only those who
     /// wait for it count.
@@ -62,7 +62,7 @@
     /// they are in force, which edits of nothing find out.
     pub(crate) fn shortened(&self, change: Change) -> Change {
         match &change.op {
-            Op::Edit(edits) if change.id.is_none() && self.pic.confirmed_all(edits) => {
+            Op::Edit(edits) if change.id.is_none() && self.state.confirmed_all(edits) => {
                 Change { id: None, op: Op::Edit(vec![]) }
             }
             _ => change,
--- a/crates/controller/src/reading.rs
+++ b/crates/controller/src/reading.rs
@@ -27,11 +27,11 @@
     /// The reading has come to its place in the order.
     pub(crate) fn answer_reader(&mut self, now: Mono, cid: Cid, out: &mut Vec<Out>) {
         let Some(reader) = self.readers.remove(&cid) else { return };
-        let digest = || ItemsDigest::of(self.base.era, &self.pic.items);
+        let digest = || ItemsDigest::of(self.base.era, &self.state.items);
         let receipt = if reader.holds.is_some_and(|held| held == digest()) {
             Receipt::Unchanged
         } else {
-            Receipt::Table(Box::new(self.pic.shown()), self.beats_now(now))
+            Receipt::Table(Box::new(self.state.shown()), self.beats_now(now))
         };
         out.push(Out::Tell(reader.token, receipt));
     }
--- a/crates/controller/src/recs.rs
+++ b/crates/controller/src/recs.rs
@@ -1,19 +1,19 @@
 //! What a controller writes to its ring.
 use caesar::Rec;
-use control_state::{Cmd, Era, Picture};
+use control_state::{Cmd, ControlState, Era};
 use primitives::Birth;
 use serde::{Deserialize, Serialize};
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Kept {
     /// This disk's life; none of an agreement yet.
-    Blank(Birth),
-    /// The state an era starts from. Invariant: together with the `Wag` records
+    Unjoined(Birth),
+    /// The state an era starts from. Invariant: together with the `Agreement` records
     /// of the same era after it, all that this disk ever promised.
-    Base(Birth, Box<Picture>),
-    Wag(Era, Rec<Cmd>),
+    Base(Birth, Box<ControlState>),
+    Agreement(Era, Rec<Cmd>),
     /// All of an era so far, in short.
-    Whole(Birth, Box<Picture>, Vec<Rec<Cmd>>),
+    Whole(Birth, Box<ControlState>, Vec<Rec<Cmd>>),
     /// This disk began with the deployment itself.
     First,
 }
--- a/crates/controller/src/roll.rs
+++ b/crates/controller/src/roll.rs
@@ -39,13 +39,13 @@
 
 impl Controller {
     pub(crate) fn mind_roll(&mut self, now: Mono, out: &mut Vec<Out>) {
-        let (expect, roll) = (self.pic.item(&Key::Roll).ver, Roll::of(&self.pic.items));
+        let (expect, roll) = (self.state.item(&Key::Roll).ver, Roll::of(&self.state.items));
         if self.name_wanted(now, expect, &roll, out) || roll.sets.len() < 2 {
             return;
         }
         let since = self.roll.force.filter(|(v, _)| *v == expect).map(|(_, t)| t);
         let Some(since) = since else { return self.name_again(now, expect, &roll, out) };
-        let early = !self.pic.rows();
+        let early = !self.state.rows();
         let newer = &roll.sets[1];
         let filled = newer.iter().all(|s| self.roll.filled(expect, s.id));
         if early || filled || now - since >= self.env.window.padded() {
@@ -127,7 +127,7 @@
             }
             _ => None,
         };
-        self.pic.items.iter().filter_map(seat)
+        self.state.items.iter().filter_map(seat)
     }
 }
 
--- a/crates/controller/src/show.rs
+++ b/crates/controller/src/show.rs
@@ -5,14 +5,14 @@
 //! given only to an edge that holds all its controller applied; so whatever any edge
 //! ever showed, no edge, not even one that starts anew, serves without.
 use crate::controller::Controller;
-use caesar::{classic, Cid, Kid};
+use caesar::{classic, Cid, MemberId};
 use control_state::*;
 use primitives::{Addr, Mono, Span};
 use std::collections::BTreeSet;
 
 pub(crate) struct Hidden {
     pub keys: BTreeSet<Key>,
-    pub by: BTreeSet<Kid>,
+    pub by: BTreeSet<MemberId>,
     pub asked: Mono,
 }
 
@@ -43,20 +43,27 @@
             return;
         }
         self.number(news, Some(cid));
-        let by = BTreeSet::from([self.kid]);
+        let by = BTreeSet::from([self.member_id]);
         self.hidden.insert(cid, Hidden { keys: news.iter().cloned().collect(), by, asked: now });
-        let (era, kid, me) = (self.base.era, self.kid, self.env.addr);
+        let (era, member_id, me) = (self.base.era, self.member_id, self.env.addr);
         let others = self.base.members.iter().filter(|m| m.addr != me);
-        out.extend(others.map(|m| Out::Send(m.addr, Msg::Applied(era, cid, kid))));
+        out.extend(others.map(|m| Out::Send(m.addr, Msg::Applied(era, cid, member_id))));
     }
 
-    pub(crate) fn on_applied(&mut self, now: Mono, era: Era, cid: Cid, kid: Kid, out: &mut Vec<Out>) {
+    pub(crate) fn on_applied(
+        &mut self,
+        now: Mono,
+        era: Era,
+        cid: Cid,
+        member_id: MemberId,
+        out: &mut Vec<Out>,
+    ) {
         if era != self.base.era {
             return;
         }
         let need = self.quorum();
         let enough = self.hidden.get_mut(&cid).is_some_and(|h| {
-            h.by.insert(kid);
+            h.by.insert(member_id);
             h.by.len() >= need
         });
         if enough {
@@ -70,7 +77,7 @@
         let (era, me) = (self.base.era, self.env.addr);
         for (cid, h) in self.hidden.iter_mut().filter(|(_, h)| now - h.asked >= Span::ms(100)) {
             h.asked = now;
-            let others = self.base.members.iter().filter(|m| m.addr != me && !h.by.contains(&m.kid));
+            let others = self.base.members.iter().filter(|m| m.addr != me && !h.by.contains(&m.member_id));
             out.extend(others.map(|m| Out::Send(m.addr, Msg::AskApplied(era, *cid))));
         }
     }
@@ -78,7 +85,7 @@
     pub(crate) fn on_ask_applied(&self, from: Addr, era: Era, cid: Cid, out: &mut Vec<Out>) {
         let has = self.mach.as_ref().is_some_and(|m| m.delivered(cid));
         if era == self.base.era && has {
-            out.push(Out::Send(from, Msg::Applied(era, cid, self.kid)));
+            out.push(Out::Send(from, Msg::Applied(era, cid, self.member_id)));
         }
     }
 
@@ -92,7 +99,7 @@
         };
         let mut counts: Vec<_> = self.counts.iter().map(|(k, v)| (*k, *v)).collect();
         counts.extend([
-            ("era", self.pic.era.0),
+            ("era", self.state.era.0),
             ("proposed", t.proposed),
             ("fast", t.fast),
             ("slow", t.slow),
--- a/crates/controller/src/snapshot_transfer.rs
+++ b/crates/controller/src/snapshot_transfer.rs
@@ -34,8 +34,8 @@
 
 impl Encoded {
     /// Without the clock, which is each member's own.
-    fn of(state: &Picture, now: Mono) -> Encoded {
-        let plain = Picture { clock: 0, ..state.clone() };
+    fn of(state: &ControlState, now: Mono) -> Encoded {
+        let plain = ControlState { clock: 0, ..state.clone() };
         let bytes = postcard::to_stdvec(&plain).expect("plain data always encodes");
         let (size, digest) = (bytes.len() as u64, primitives::hash(&bytes));
         let id = SnapshotId { era: state.era, size, digest };
@@ -62,7 +62,7 @@
 
 impl SnapshotSender {
     /// What a member behind is told first: all of it if that is small.
-    pub fn offer(&mut self, now: Mono, state: &Picture) -> SnapshotMessage {
+    pub fn offer(&mut self, now: Mono, state: &ControlState) -> SnapshotMessage {
         if self.encoded.last().is_none_or(|e| e.id.era != state.era) {
             // One under way is not taken from its receiver by a new era.
             self.encoded.retain(|e| e.served.is_some_and(|t| now - t < IDLE));
@@ -89,7 +89,7 @@
     }
 
     /// The next piece, once its time has come.
-    pub fn tick(&mut self, now: Mono, state: &Picture) -> Option<Letter> {
+    pub fn tick(&mut self, now: Mono, state: &ControlState) -> Option<Letter> {
         self.encoded.retain(|e| now - e.served.unwrap_or(e.made) < IDLE);
         if now < self.next {
             return None;
@@ -119,7 +119,7 @@
 pub enum Progress {
     Nothing,
     Ask(Letter),
-    Whole(Box<Picture>),
+    Whole(Box<ControlState>),
     /// All pieces came, and they are not what was promised.
     Spoiled,
 }
@@ -212,10 +212,10 @@
 }
 
 impl Incoming {
-    fn decode(self) -> Option<Picture> {
+    fn decode(self) -> Option<ControlState> {
         let fits = self.bytes.len() as u64 == self.id.size && primitives::hash(&self.bytes) == self.id.digest;
-        let state: Picture = postcard::from_bytes(&self.bytes).ok().filter(|_| fits)?;
-        (state.era == self.id.era).then_some(Picture { clock: self.clock, ..state })
+        let state: ControlState = postcard::from_bytes(&self.bytes).ok().filter(|_| fits)?;
+        (state.era == self.id.era).then_some(ControlState { clock: self.clock, ..state })
     }
 }
 
--- a/crates/controller/src/subscribers.rs
+++ b/crates/controller/src/subscribers.rs
@@ -43,7 +43,7 @@
     /// As if every node had been given a lease until then.
     pub(crate) fn assume_leases(&mut self, until: Mono) {
         let node = |key: &Key| if let Key::Node(id) = key { Some(*id) } else { None };
-        let nodes = self.pic.items.keys().filter_map(node);
+        let nodes = self.state.items.keys().filter_map(node);
         self.subscribers = nodes.map(|id| (id, Subscriber::unheard(until))).collect();
     }
 
@@ -77,7 +77,7 @@
     fn is_registered(&self, asked: &Sub) -> bool {
         let same =
             |n: &Node| n.birth == asked.node.birth && n.addr == asked.node.addr && n.role == asked.node.role;
-        self.pic.node(&asked.id).is_some_and(same)
+        self.state.node(&asked.id).is_some_and(same)
     }
 
     fn see_to_newcomer(&mut self, now: Mono, asked: &Sub, registered: bool, out: &mut Vec<Out>) {
@@ -95,9 +95,9 @@
     /// ones step in if it does not.
     fn my_turn(&mut self, now: Mono, asked: &Sub) -> bool {
         let since = *self.newcomers.entry(asked.id).or_insert(now);
-        let kids: Vec<_> = self.base.members.iter().map(|m| m.kid).collect();
-        let order = primitives::rank(&asked.id, &kids, |k| k.0 as u64);
-        let place = order.iter().position(|k| *k == self.kid).unwrap_or(0) as u64;
+        let member_ids: Vec<_> = self.base.members.iter().map(|m| m.member_id).collect();
+        let order = primitives::rank(&asked.id, &member_ids, |k| k.0 as u64);
+        let place = order.iter().position(|k| *k == self.member_id).unwrap_or(0) as u64;
         now - since >= NEXT_TURN.times(place)
     }
 
@@ -118,7 +118,7 @@
             stream.retry(now);
         } else if may_start && stream.may_start(now, wait) {
             self.last_stream += 1;
-            let keys: Arc<[Key]> = self.pic.items.keys().cloned().collect();
+            let keys: Arc<[Key]> = self.state.items.keys().cloned().collect();
             stream.start(now, self.last_stream, keys);
             subscriber.beats = Mono(0);
             subscriber.life = asked.life;
@@ -153,7 +153,7 @@
         Reply {
             ask: asked.ask,
             life: asked.life,
-            kid: self.kid,
+            member_id: self.member_id,
             lent,
             beats: self.beats_since(now, told).filter(|_| is_edge).collect(),
             slices: self.lend(now, asked),
@@ -165,14 +165,14 @@
     fn next_piece(&self, now: Mono, stream: &mut UpdateStream) -> Option<Piece> {
         let ready = self.enough_heard() && self.all_landed();
         let seen = |key: &Key, cid| self.may_be_seen(key, cid);
-        ready.then(|| stream.next_piece(now, &self.pic, seen)).flatten()
+        ready.then(|| stream.next_piece(now, &self.state, seen)).flatten()
     }
 
     fn update_message(&self, stream: &UpdateStream, piece: Option<Piece>, reply: Option<Reply>) -> Msg {
         let position = stream.position();
         let nothing = Piece { from: position, to: position, starts: false, items: vec![] };
         let piece = piece.unwrap_or(nothing);
-        Msg::News(Box::new(News {
+        Msg::Update(Box::new(Update {
             feed: stream.id(),
             from: piece.from,
             to: piece.to,
--- a/crates/controller/src/update_stream.rs
+++ b/crates/controller/src/update_stream.rs
@@ -173,7 +173,7 @@
     pub fn next_piece(
         &mut self,
         now: Mono,
-        state: &Picture,
+        state: &ControlState,
         may_be_seen: impl Fn(&Key, Option<Cid>) -> bool,
     ) -> Option<Piece> {
         let room = self.under_way.is_empty() || self.bytes_under_way() < WINDOW;
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -1,5 +1,5 @@
 use crate::copies::Copies;
-use crate::errand::Errands;
+use crate::forwarded_calls::ForwardedCalls;
 use crate::jobs::Job;
 use crate::keyed::Outgoing;
 use crate::origins::Seen;
@@ -56,7 +56,7 @@
     pub(crate) solo: BTreeMap<(Svc, Lane, String), Mono>,
     /// Edges that lately did not answer.
     pub(crate) mute: BTreeMap<Addr, Mono>,
-    pub(crate) errands: Errands,
+    pub(crate) forwarded_calls: ForwardedCalls,
     /// When the copies were last looked through.
     swept: Mono,
     pub(crate) next: u64,
@@ -81,7 +81,7 @@
             outgoing: vec![],
             solo: BTreeMap::new(),
             mute: BTreeMap::new(),
-            errands: Errands::default(),
+            forwarded_calls: ForwardedCalls::default(),
             swept: Mono(0),
             // Lives begin at different numbers, for some choices are spread by them.
             // Answers find their questions by the life as well, see `answers`.
@@ -153,7 +153,7 @@
         self.serve_line(now, out);
         self.expire_jobs(now, out);
         self.push_outcomes(now, out);
-        self.mind_errands(now, out);
+        self.mind_forwarded_calls(now, out);
         if now - self.swept >= Span::ms(500) {
             self.swept = now;
             self.copies.drop_old(now);
@@ -188,15 +188,15 @@
                     out.push(Out::Tell(t, Receipt::Health(self.health(now))));
                 }
                 Ask::Table => out.push(Out::Tell(t, self.own_table(now))),
-                Ask::Change(c) => self.run_errand(now, t, Call::Change(c), out),
-                Ask::Beat(b, _) => self.run_errand(now, t, Call::Beat(b), out),
-                Ask::SignOff(tag) => self.run_errand(now, t, Call::SignOff(tag), out),
-                Ask::Read => self.run_errand(now, t, Call::Read(self.follow.digest()), out),
+                Ask::Change(c) => self.forward_call(now, t, Call::Change(c), out),
+                Ask::Beat(b, _) => self.forward_call(now, t, Call::Beat(b), out),
+                Ask::SignOff(tag) => self.forward_call(now, t, Call::SignOff(tag), out),
+                Ask::Read => self.forward_call(now, t, Call::Read(self.follow.digest()), out),
                 _ => out.push(Out::Tell(t, Receipt::NotNow("not asked of an edge"))),
             },
             In::Msg(from, m) => match m {
-                Msg::Called(n, said) => self.on_called(now, from, n, *said, out),
-                Msg::News(n) => self.on_news(now, from, *n, out),
+                Msg::CallAnswered(n, said) => self.on_call_answered(now, from, n, *said, out),
+                Msg::Update(n) => self.on_update(now, from, *n, out),
                 Msg::CopyAsk { ask, svc, lane, path, heads } => {
                     self.on_copy_ask(now, (from, ask), (svc, lane, path), heads, out)
                 }
--- a/crates/edge/src/jobs.rs
+++ b/crates/edge/src/jobs.rs
@@ -72,7 +72,7 @@
     pub fn safe(&self) -> bool {
         match self.kind {
             Kind::Read => true,
-            // What the sheet calls repeatable is, whatever its method.
+            // What the configuration calls repeatable is, whatever its method.
             Kind::Plain => self.req.host.is_some() || harmless(&self.req.method),
             Kind::Once | Kind::Keyed => false,
         }
--- a/crates/edge/src/news.rs
+++ b/crates/edge/src/updates.rs
@@ -1,4 +1,4 @@
-//! What news from the controllers changes in an edge.
+//! What updates from the controllers change in an edge.
 use crate::edge::Edge;
 use crate::table::Table;
 use control_state::*;
@@ -13,16 +13,17 @@
         }
     }
 
-    pub(crate) fn on_news(&mut self, now: Mono, from: Addr, n: News, out: &mut Vec<Out>) {
-        // A lapse is seen before this news may end it.
+    pub(crate) fn on_update(&mut self, now: Mono, from: Addr, n: Update, out: &mut Vec<Out>) {
+        // A lapse is seen before this update may end it.
         self.check_lapse(now);
         let sure = self.follow.sure;
-        let new = self.follow.on_news(from, &n, out);
+        let new = self.follow.on_update(from, &n, out);
         // One that served on for so long may have missed purges that nobody remembers.
         if !mark_holds(sure, self.follow.sure) {
             self.forget();
         }
-        if !new.is_empty() {
+        // The table has nothing of purges in it, and they are the most frequent of all changes.
+        if new.iter().any(|key| !key.is_purge()) {
             self.table = Arc::new(Table::build(&self.follow.items));
         }
         for k in &new {
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -187,8 +187,8 @@
             }
             In::Ask(t, _) => out.push(Out::Tell(t, Receipt::NotNow("not asked of a ledger"))),
             In::Msg(from, m) => match m {
-                Msg::News(n) => {
-                    self.follow.on_news(from, &n, out);
+                Msg::Update(n) => {
+                    self.follow.on_update(from, &n, out);
                     self.maybe_open(now, out);
                 }
                 Msg::Claim { key, print, round, roll } => {
--- a/crates/runtime/src/net/expiry.rs
+++ b/crates/runtime/src/net/expiry.rs
@@ -10,7 +10,7 @@
 pub(super) fn lifetime(m: &Msg) -> Duration {
     match m {
         Msg::Beats(..)
-        | Msg::Blank(_)
+        | Msg::Unjoined(_)
         | Msg::Roster(..)
         | Msg::Found(_)
         | Msg::Landed(_)
--- a/crates/scale-model/src/fleet.rs
+++ b/crates/scale-model/src/fleet.rs
@@ -25,7 +25,7 @@
     (0..CONTROLLERS).map(|i| controller(i, &state, now)).collect()
 }
 
-fn controller(i: usize, state: &Picture, now: Mono) -> Started {
+fn controller(i: usize, state: &ControlState, now: Mono) -> Started {
     let env = ControllerEnv {
         addr: controller_addr(i),
         http: controller_addr(i),
--- a/crates/scale-model/src/part.rs
+++ b/crates/scale-model/src/part.rs
@@ -24,8 +24,8 @@
     fn step(&mut self, now: Mono, input: In, outputs: &mut Vec<Out>) {
         match input {
             In::Tick if self.0.due(now) => self.0.subscribe(now, &[], Epoch(0), outputs),
-            In::Msg(from, Msg::News(news)) => {
-                self.0.on_news(from, &news, outputs);
+            In::Msg(from, Msg::Update(news)) => {
+                self.0.on_update(from, &news, outputs);
                 self.0.items.clear();
             }
             _ => (),
--- a/crates/scale-model/src/state.rs
+++ b/crates/scale-model/src/state.rs
@@ -1,6 +1,6 @@
 //! The control state with which the model starts: all nodes, origins and rows of a plan.
 use crate::plan::*;
-use caesar::Kid;
+use caesar::MemberId;
 use control_state::*;
 use primitives::{Addr, Birth, NodeId, Span, Version};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -81,7 +81,7 @@
 
 fn member(i: usize) -> Member {
     let (addr, zone, birth) = (controller_addr(i), zone(i), birth(i));
-    Member { kid: Kid(i as u16), addr, http: addr, zone, birth }
+    Member { member_id: MemberId(i as u16), addr, http: addr, zone, birth }
 }
 
 fn entry(key: Key, body: Body) -> (Key, Item) {
@@ -109,16 +109,16 @@
 }
 
 /// The state that the controllers' disks hold.
-pub(crate) fn initial_state(plan: &Plan) -> Picture {
+pub(crate) fn initial_state(plan: &Plan) -> ControlState {
     let nodes = (0..plan.nodes).map(|i| node(plan, i));
     let origins = (0..plan.origins()).map(|i| origin(plan, i));
     let rows =
         (0..plan.services()).map(|i| entry(Key::Row(lane(i), service(i)), Body::Row(row(HIGH_CEILING))));
-    Picture {
+    ControlState {
         era: Era(1),
         members: (0..CONTROLLERS).map(member).collect(),
-        next_kid: CONTROLLERS as u16,
+        next_member_id: CONTROLLERS as u16,
         items: nodes.chain(origins).chain(rows).chain([ledger_set(plan)]).collect(),
-        ..Picture::default()
+        ..ControlState::default()
     }
 }
--- a/crates/simulator/src/numbers.rs
+++ b/crates/simulator/src/numbers.rs
@@ -45,7 +45,7 @@
         Some(format!("confirmed, then {verdict:?}")).filter(|_| wrong).into_iter().collect()
     }
 
-    fn read_back(&self, p: &Picture) -> Vec<String> {
+    fn read_back(&self, p: &ControlState) -> Vec<String> {
         let other = |(section, name, it): (Section, &String, &Item)| {
             let stands = Edit::new(section, name, it.ver, it.body.clone());
             let confirmed = self.0.get(&(stands.key(), it.ver));
--- a/crates/simulator/src/open.rs
+++ b/crates/simulator/src/open.rs
@@ -1,11 +1,11 @@
-//! The stage of a deployment that nobody counted, with an operator's sheet.
+//! The stage of a deployment that nobody counted, with an operator's configuration.
 use crate::people::{req, Want};
 use crate::stage::{addr, Fleet};
 use crate::world::{Plan, World};
 use control_state::*;
 use primitives::{Addr, Span, Token, Version};
 
-/// The one host of the sheet that every such stage begins with.
+/// The one host of the configuration that every such stage begins with.
 pub const HOST: &str = "a.example";
 
 impl Plan {
@@ -121,7 +121,7 @@
         f.desks.iter().enumerate().for_each(|(i, a)| w.bloom(*a, "desk", z[i % 3]));
         w.blooms.values_mut().for_each(|b| b.tags = b.svc.0 == "pages");
         let founded = |w: &World| {
-            let all = |k: &Addr| w.controller(*k).is_some_and(|k| k.picture().members.len() == 4);
+            let all = |k: &Addr| w.controller(*k).is_some_and(|k| k.state().members.len() == 4);
             f.ledgers.iter().all(|c| w.ledger(*c).is_some_and(|c| c.is_open()))
                 && f.controllers.iter().all(all)
         };
@@ -130,7 +130,7 @@
         w.allow("ask", "desk", u32::MAX, Span(0));
         w.allow("pay", "desk", u32::MAX, Span(0));
         let service = |n: &str| edit(Section::Services, n, 1, Some(Body::Service(service_entry(None))));
-        let sheet = vec![
+        let configuration = vec![
             service("pages"),
             service("desk"),
             lane_edit("read", 1, lane_entry("read", Kind::Read, "pages", Span::secs(5))),
@@ -140,7 +140,7 @@
         // Fewer disks than the losses call for hold the first edit up for a few seconds.
         let mut said = None;
         for _ in 0..3 {
-            let t = w.edit(f.edges[0], sheet.clone());
+            let t = w.edit(f.edges[0], configuration.clone());
             assert!(w.until(Span::secs(20), |w| !w.wants.contains_key(&t)), "the sheet was not answered");
             said = w.seen.last().map(|s| s.receipt.clone());
             if !matches!(said, Some(Receipt::NotNow(_))) {
--- a/crates/simulator/src/rules.rs
+++ b/crates/simulator/src/rules.rs
@@ -113,7 +113,7 @@
 
     fn change(&mut self, seen: &Seen, c: &Change, ks: &[(Key, Version)]) {
         let now = seen.told;
-        // Purges are checked by what is served, and gathered in time. Of the sheet's
+        // Purges are checked by what is served, and gathered in time. Of the configuration's
         // entries this version or a higher one stands, whoever brought it about.
         let edits: Vec<(Key, Version)> = match &c.op {
             Op::Edit(es) => es.iter().map(|e| (e.key(), e.ver)).collect(),
@@ -149,7 +149,7 @@
         }
     }
 
-    fn read_back(&mut self, asked: Mono, p: &Picture) {
+    fn read_back(&mut self, asked: Mono, p: &ControlState) {
         let lost = |(k, (v, at)): &(&Key, &(Version, Mono))| *at <= asked && p.item(k).ver < *v;
         let missing: Vec<String> =
             self.acked.iter().filter(lost).map(|(k, v)| format!("{k:?} {v:?}")).collect();
--- a/crates/simulator/src/trouble.rs
+++ b/crates/simulator/src/trouble.rs
@@ -81,12 +81,12 @@
     pub fn watch_origins(&mut self, controller: Addr, span: Span) {
         for i in 0..span.as_ms() / 100 {
             self.later(Span::ms(i * 100), move |w| {
-                let Some(picture) = w.controller(controller).map(|c| c.picture().clone()) else { return };
+                let Some(state) = w.controller(controller).map(|c| c.state().clone()) else { return };
                 let missing: Vec<Addr> = w
                     .blooms
                     .iter()
                     .filter(|(_, b)| b.up && b.mood == Mood::Serving)
-                    .filter(|(a, b)| picture.origin(a).is_none_or(|o| o.birth != b.birth))
+                    .filter(|(a, b)| state.origin(a).is_none_or(|o| o.birth != b.birth))
                     .map(|(a, _)| *a)
                     .collect();
                 for origin in missing {
