--- a/crates/caesar/src/lib.rs
+++ b/crates/caesar/src/lib.rs
@@ -1,16 +1,21 @@
 //! CAESAR ("Speeding up Consensus by Chasing Fast Decisions") as a pure state
 //! machine: inputs are messages and ticks, outputs are saves, sends and
 //! deliveries. It knows no socket, disk, thread or wall clock.
+#![deny(missing_docs)]
+#![deny(clippy::too_many_lines)]
+
 mod accept;
 mod catch_up;
 mod deliver;
 mod disk;
 mod lead;
 mod machine;
+mod pace;
 mod recover;
 mod types;
 
-pub use machine::{Machine, Pace};
+pub use machine::Machine;
+pub use pace::Pace;
 pub use types::*;
 
 /// `floor(N/2) + 1`.
--- a/crates/caesar/src/machine.rs
+++ b/crates/caesar/src/machine.rs
@@ -1,40 +1,10 @@
+//! One replica: its state, and where each message goes.
 use crate::catch_up::CatchUp;
+use crate::pace::Pace;
 use crate::types::*;
 use primitives::{Mono, Span};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// How patient the machine is. Free parameters of the paper's design.
-#[derive(Copy, Clone, Debug)]
-pub struct Pace {
-    /// Taken as the quorum round trip until one was measured.
-    pub first_rtt: Span,
-    /// A member unheard for this long is suspected.
-    pub suspect: Span,
-    /// A command unfinished for this long is recovered if its leader is suspected,
-    /// and after five times this anyway.
-    pub patience: Span,
-    /// How often digests of the stable sets are compared.
-    pub compare: Span,
-    /// The wait rule; switched off only by the checker's own planted fault.
-    pub wait_rule: bool,
-    /// Recovery as the paper has it to the letter; switched on only to show what it
-    /// leads to, see docs/paper.md.
-    pub to_the_letter: bool,
-}
-
-impl Default for Pace {
-    fn default() -> Pace {
-        Pace {
-            first_rtt: Span::ms(50),
-            suspect: Span::ms(1000),
-            patience: Span::ms(400),
-            compare: Span::ms(200),
-            wait_rule: true,
-            to_the_letter: false,
-        }
-    }
-}
-
 /// A leader's work on one command under one ballot.
 #[derive(Clone, Debug, Hash)]
 pub(crate) struct Lead<C> {
@@ -62,6 +32,7 @@
     pub offer: Offer<C>,
 }
 
+/// One replica of the agreement, for one membership.
 #[derive(Clone)]
 pub struct Machine<C> {
     pub(crate) me: MemberId,
@@ -89,10 +60,12 @@
     pub(crate) catch_up: CatchUp,
     /// Of all commands in `h`.
     pub(crate) bytes: usize,
+    /// Counters.
     pub tally: Tally,
 }
 
 impl<C: Command> Machine<C> {
+    /// A replica that holds nothing yet.
     pub fn new(me: MemberId, mut roster: Vec<MemberId>, pace: Pace, now: Mono) -> Machine<C> {
         roster.sort();
         let heard = roster.iter().map(|k| (*k, now)).collect();
@@ -133,9 +106,11 @@
         primitives::hash(&(self.clock, &self.h, &self.ballots, &self.waits, &self.leads, &self.done))
     }
 
+    /// The highest timestamp handled so far.
     pub fn clock(&self) -> u64 {
         self.clock
     }
+    /// Commands known here.
     pub fn size(&self) -> usize {
         self.h.len()
     }
@@ -148,12 +123,15 @@
     pub fn bytes(&self) -> usize {
         self.bytes
     }
+    /// All replicas, in order.
     pub fn roster(&self) -> &[MemberId] {
         &self.roster
     }
+    /// Whether the command was delivered here.
     pub fn delivered(&self, cid: Cid) -> bool {
         self.done.contains(&cid)
     }
+    /// When a message of that replica last came in.
     pub fn heard_of(&self, k: MemberId) -> Option<Mono> {
         self.heard.get(&k).copied()
     }
@@ -214,6 +192,7 @@
         }
     }
 
+    /// Takes a message in; those of strangers are passed over.
     pub fn take(&mut self, now: Mono, from: MemberId, msg: Message<C>, out: &mut Vec<Out<C>>) {
         if !self.roster.contains(&from) {
             return;
@@ -236,6 +215,7 @@
         self.ask_waiters(now, out);
     }
 
+    /// To be called every few milliseconds: timeouts, recoveries, catching up.
     pub fn tick(&mut self, now: Mono, out: &mut Vec<Out<C>>) {
         self.heard.insert(self.me, now);
         self.push_leads(now, out);
--- a/crates/caesar/src/recover.rs
+++ b/crates/caesar/src/recover.rs
@@ -92,17 +92,7 @@
             self.start(now, offer(t), Phase::Slow, false, out);
         } else if let Some(t) = pending.first().filter(|_| maybe_fast || with(Status::Rejected).is_none()) {
             let mut o = offer(t);
-            let all: Preds = pending.iter().flat_map(|t| t.pred.iter().copied()).collect();
-            let white = if let Some(f) = pending.iter().find(|t| t.forced) {
-                // Forced sets of one ballot may differ; the paper takes their union.
-                debug_assert_eq!(f.stamp, t.stamp);
-                Some(all)
-            } else if pending.len() >= need {
-                let lacking = |c: &Cid| pending.iter().filter(|t| !t.pred.contains(c)).count();
-                Some(all.into_iter().filter(|c| lacking(c) < need).collect())
-            } else {
-                None
-            };
+            let white = whitelist(&pending, need);
             let forced = white.is_some();
             o.pred = white.unwrap_or_default();
             self.start(now, o, Phase::Fast, forced, out);
@@ -167,3 +157,19 @@
         }
     }
 }
+
+/// The predecessors that a fast decision may have had, if there may have been one: of commands
+/// that are pending at a classic quorum, those that so many have that a fast quorum may.
+fn whitelist<C>(pending: &[&Tuple<C>], need: usize) -> Option<Preds> {
+    let all: Preds = pending.iter().flat_map(|t| t.pred.iter().copied()).collect();
+    if let Some(forced) = pending.iter().find(|t| t.forced) {
+        // Forced sets of one ballot may differ; the paper takes their union.
+        debug_assert_eq!(Some(forced.stamp), pending.first().map(|t| t.stamp));
+        return Some(all);
+    }
+    if pending.len() < need {
+        return None;
+    }
+    let lacking = |c: &Cid| pending.iter().filter(|t| !t.pred.contains(c)).count();
+    Some(all.into_iter().filter(|c| lacking(c) < need).collect())
+}
--- a/crates/caesar/src/types.rs
+++ b/crates/caesar/src/types.rs
@@ -12,7 +12,9 @@
 /// A logical timestamp `<k, i>`, ordered by `k`, then by controller.
 #[derive(Copy, Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Stamp {
+    /// The logical clock.
     pub k: u64,
+    /// Whose clock it is.
     pub i: MemberId,
 }
 
@@ -20,7 +22,9 @@
 /// Invariant: unique for all time, because the clock bound is synced ahead of use.
 #[derive(Copy, Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Cid {
+    /// Its first leader.
     pub member_id: MemberId,
+    /// That leader's clock.
     pub seq: u64,
 }
 
@@ -28,7 +32,9 @@
 /// above that the recovering controller's id makes ballots unique.
 #[derive(Copy, Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Ballot {
+    /// How often the command was recovered.
     pub n: u32,
+    /// Who recovers it.
     pub i: MemberId,
 }
 
@@ -36,13 +42,19 @@
 /// (rejected and slow-pending stand side by side, both before accepted).
 #[derive(Copy, Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Status {
+    /// Proposed for a fast decision, and agreed to.
     FastPending,
+    /// Refused at its timestamp.
     Rejected,
+    /// Proposed to a classic quorum, and agreed to.
     SlowPending,
+    /// Bound to its timestamp by a Retry.
     Accepted,
+    /// Decided.
     Stable,
 }
 
+/// Commands that are delivered before another one: the paper's `Pred`.
 pub type Preds = BTreeSet<Cid>;
 
 /// What a command must tell the protocol about itself.
@@ -61,11 +73,17 @@
 /// One entry of H: `<c, T, Pred, status, ballot, forced>`.
 #[derive(Clone, Debug, PartialEq, Hash, Serialize, Deserialize)]
 pub struct Tuple<C> {
+    /// The command.
     pub cmd: C,
+    /// Its timestamp.
     pub stamp: Stamp,
+    /// Its predecessors.
     pub pred: Preds,
+    /// How far it has come.
     pub status: Status,
+    /// The ballot under which it came there.
     pub ballot: Ballot,
+    /// Its predecessors were given by a recovery's whitelist.
     pub forced: bool,
 }
 
@@ -80,7 +98,9 @@
 /// What reaches the disk. Replaying all of them in order rebuilds the acceptor.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Rec<C> {
+    /// The tuple now held under the id.
     Tuple(Cid, Tuple<C>),
+    /// The highest ballot promised for the id.
     Ballot(Cid, Ballot),
     /// No stamp above this one was used before the next such record.
     Clock(u64),
@@ -91,41 +111,62 @@
 /// A command on offer under a ballot.
 #[derive(Clone, Debug, PartialEq, Hash, Serialize, Deserialize)]
 pub struct Offer<C> {
+    /// The command's id.
     pub cid: Cid,
+    /// The command.
     pub cmd: C,
+    /// The ballot it is offered under.
     pub ballot: Ballot,
+    /// The timestamp it is to have.
     pub stamp: Stamp,
+    /// The predecessors it is to have.
     pub pred: Preds,
 }
 
 /// The phase an acceptor replies to.
 #[derive(Copy, Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Phase {
+    /// `FastPropose`: decided by a fast quorum.
     Fast,
+    /// `SlowPropose`: decided by a classic quorum.
     Slow,
+    /// `Retry`: never refused.
     Retry,
 }
 
 /// An acceptor's reply; `ok` false is the paper's NACK.
 #[derive(Clone, Debug, PartialEq, Hash, Serialize, Deserialize)]
 pub struct Vote {
+    /// The command voted on.
     pub cid: Cid,
+    /// The ballot voted in.
     pub ballot: Ballot,
+    /// The phase replied to.
     pub phase: Phase,
+    /// Whether the acceptor agrees.
     pub ok: bool,
+    /// The timestamp agreed to, or a later one suggested instead.
     pub stamp: Stamp,
+    /// Predecessors known to the acceptor.
     pub pred: Preds,
 }
 
+/// What replicas say to one another to agree.
 #[derive(Clone, Debug, PartialEq, Hash, Serialize, Deserialize)]
 pub enum Message<C> {
     /// `Offer::pred` holds the whitelist when the flag says there is one.
     FastPropose(Offer<C>, bool),
+    /// The second try, where a fast quorum did not answer in time.
     SlowPropose(Offer<C>),
+    /// The last try, at a timestamp that nobody refuses.
     Retry(Offer<C>),
+    /// The decision.
     Stable(Offer<C>),
+    /// An acceptor's reply.
     Vote(Vote),
+    /// A recovering replica asks for promises, and for what is known.
     Recover(Cid, Ballot),
+    /// The promise, with the tuple held if any.
     RecoverR(Cid, Ballot, Option<Tuple<C>>),
     /// Count and digest of the sender's stable commands.
     Have(u64, u64),
@@ -143,19 +184,31 @@
 /// after every `Save` before it has been synced ("sync, then send").
 #[derive(Clone, Debug, PartialEq)]
 pub enum Out<C> {
+    /// Append this to the disk's log.
     Save(Rec<C>),
+    /// Send this to a replica.
     Send(MemberId, Message<C>),
+    /// The command has come to its place in the order.
     Deliver(Cid, C),
 }
 
+/// Counters of one replica, from its start on.
 #[derive(Copy, Clone, Debug, Default, PartialEq, Eq)]
 pub struct Tally {
+    /// Commands proposed here.
     pub proposed: u64,
+    /// Of those: decided by a fast quorum.
     pub fast: u64,
+    /// Of those: tried again with a classic quorum.
     pub slow: u64,
+    /// Of those: decided by a Retry.
     pub retried: u64,
+    /// Commands recovered here.
     pub recovered: u64,
+    /// Proposals held back by the wait rule.
     pub waited: u64,
+    /// Proposals refused.
     pub nacked: u64,
+    /// Messages sent.
     pub sent: u64,
 }
--- a/crates/controller/src/access.rs
+++ b/crates/controller/src/access.rs
@@ -15,6 +15,7 @@
         }
     }
 
+    /// The control state as it is here.
     pub fn state(&self) -> &ControlState {
         &self.state
     }
@@ -22,9 +23,11 @@
     pub fn known(&self) -> usize {
         self.mach.as_ref().map_or(0, |m| m.size())
     }
+    /// Counters of the agreement, in this membership and those before it.
     pub fn tally(&self) -> caesar::Tally {
         self.mach.as_ref().map(|m| m.tally).unwrap_or_default()
     }
+    /// Its id among the members, if it is one.
     pub fn member_id(&self) -> Option<MemberId> {
         self.mach.as_ref().map(|_| self.member_id)
     }
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -19,6 +19,7 @@
 use primitives::{Addr, Birth, Mono, NodeId, Span, Token};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// One controller: a member of the membership, or one that has yet to join it.
 pub struct Controller {
     pub(crate) env: ControllerEnv,
     /// Invariant: the life of the disk; a new disk draws a new one.
--- a/crates/controller/src/membership_plan.rs
+++ b/crates/controller/src/membership_plan.rs
@@ -14,6 +14,7 @@
 /// What the planner knows.
 #[derive(Clone, Debug)]
 pub struct MembershipView {
+    /// Who has a seat now.
     pub members: Vec<Member>,
     /// Members unheard for so long that their seats may be given away.
     pub silent: BTreeSet<MemberId>,
@@ -40,13 +41,16 @@
     SeatTaken,
     /// A silent or leaving member is not needed.
     SeatGivenUp,
+    /// Newcomers are added.
     Widened,
 }
 
 /// The next membership.
 #[derive(Clone, Debug, PartialEq)]
 pub struct MembershipChange {
+    /// Who will have a seat.
     pub members: Vec<Member>,
+    /// Why it changes.
     pub reason: Reason,
 }
 
--- a/crates/controller/src/settings.rs
+++ b/crates/controller/src/settings.rs
@@ -19,9 +19,13 @@
 /// What a controller is told about itself.
 #[derive(Clone, Debug)]
 pub struct ControllerEnv {
+    /// Where other nodes reach it.
     pub addr: Addr,
+    /// Where operators reach it.
     pub http: Addr,
+    /// Where its machine stands.
     pub zone: Zone,
+    /// Controllers that it is told of at its start.
     pub seeds: Vec<Addr>,
     /// This controller and its seeds are the first ones of a new deployment.
     pub found: bool,
@@ -42,5 +46,6 @@
     /// Bytes that the state and the log behind it may take on disk: three eighths of the
     /// ring, so that both written anew find room beside them.
     pub room: usize,
+    /// Timeouts of the agreement.
     pub pace: Pace,
 }
--- a/crates/controller/src/snapshot_transfer.rs
+++ b/crates/controller/src/snapshot_transfer.rs
@@ -117,8 +117,11 @@
 /// What comes of a message to the receiver.
 #[derive(Debug, PartialEq)]
 pub enum Progress {
+    /// Nothing is to be done.
     Nothing,
+    /// This is to be sent.
     Ask(Letter),
+    /// All pieces came, and they are what was promised.
     Whole(Box<ControlState>),
     /// All pieces came, and they are not what was promised.
     Spoiled,
@@ -221,15 +224,21 @@
 
 /// One part of a snapshot as it came.
 pub struct Piece {
+    /// Of which snapshot.
     pub id: SnapshotId,
+    /// The sender's logical clock.
     pub clock: u64,
+    /// Where it begins, in bytes.
     pub offset: u64,
+    /// Its bytes.
     pub bytes: Vec<u8>,
 }
 
 /// Both sides, as a controller has them.
 #[derive(Default)]
 pub struct SnapshotTransfer {
+    /// Serves others.
     pub sender: SnapshotSender,
+    /// Catches up.
     pub receiver: SnapshotReceiver,
 }
--- a/crates/controller/src/update_stream.rs
+++ b/crates/controller/src/update_stream.rs
@@ -45,9 +45,11 @@
 pub struct Piece {
     /// The numbers `from + 1 ..= to`.
     pub from: u64,
+    /// The last number that it holds.
     pub to: u64,
     /// The stream starts with it.
     pub starts: bool,
+    /// Each key with what it stands for now.
     pub items: Vec<(Key, Item)>,
 }
 
@@ -72,14 +74,17 @@
 }
 
 impl UpdateStream {
+    /// Which stream it is; 0 until it is started.
     pub fn id(&self) -> u64 {
         self.id
     }
 
+    /// The last number given.
     pub fn last(&self) -> u64 {
         self.last
     }
 
+    /// Whether the subscriber has been sent anything that counts.
     pub fn is_started(&self) -> bool {
         self.id != 0
     }
