--- a/crates/control-state/src/part.rs
+++ b/crates/control-state/src/part.rs
@@ -6,6 +6,7 @@
 use crate::heads::Heads;
 use crate::items::*;
 use crate::msg::*;
+use crate::report::Report;
 use crate::state::{ControlState, Verdict};
 use crate::whole::Whole;
 use primitives::{Addr, Birth, Mono, Span, Token};
@@ -185,6 +186,8 @@
     Note(&'static str),
     /// Something went wrong: the log ring is written out.
     Alarm(&'static str),
+    /// A call that was slow or not answered; written out at once.
+    Report(Report),
 }
 
 impl Out {
--- a/crates/controller/src/calls.rs
+++ b/crates/controller/src/calls.rs
@@ -26,9 +26,9 @@
             Ask::Beat(b, mark) if self.takes_beats(now) => return self.first_hand(now, t, b, mark, out),
             Ask::SignOff(tag) if ready => return self.sign_off(now, t, &tag, out),
             Ask::Replace { old, new } => self.replace(now, old, new, out),
-            Ask::Table if ready => return self.read(now, Reader { token: t, holds: None }, out),
+            Ask::Table if ready => return self.read(now, Reader { token: t, asked: now, holds: None }, out),
             Ask::TableUnless(held) if ready => {
-                return self.read(now, Reader { token: t, holds: Some(held) }, out)
+                return self.read(now, Reader { token: t, asked: now, holds: Some(held) }, out)
             }
             Ask::Change(_) | Ask::Beat(..) | Ask::SignOff(_) | Ask::Table | Ask::TableUnless(_) => NO_QUORUM,
             Ask::Read => Receipt::NotNow("controllers are read by their table"),
--- a/crates/controller/src/contact.rs
+++ b/crates/controller/src/contact.rs
@@ -104,9 +104,9 @@
 
     /// Contact was lost: whoever waits is told at once that there is no clear answer. What
     /// was proposed may still be decided; what only waited in line is dropped.
-    pub(crate) fn release_callers(&mut self, out: &mut Vec<Out>) {
+    pub(crate) fn release_callers(&mut self, now: Mono, out: &mut Vec<Out>) {
         const LOST: &str = "contact with the other controllers was lost";
-        self.deny_all_readers(LOST, out);
+        self.deny_all_readers(now, LOST, out);
         let queued = std::mem::take(&mut self.line);
         let (waiting, derived): (Vec<_>, Vec<_>) = queued.into_iter().partition(|a| !a.tokens.is_empty());
         self.line = derived;
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -167,7 +167,7 @@
         let in_touch = self.may_decide(now);
         if self.in_touch && !in_touch {
             out.push(Out::Alarm("out of contact with most controllers: nothing can be decided"));
-            self.release_callers(out);
+            self.release_callers(now, out);
         }
         self.in_touch = in_touch;
         self.send_line(now, out);
--- a/crates/controller/src/era.rs
+++ b/crates/controller/src/era.rs
@@ -72,7 +72,7 @@
         self.owed.clear();
         self.hidden.clear();
         self.heard.clear();
-        self.deny_all_readers("the era ended; ask again", out);
+        self.deny_all_readers(now, "the era ended; ask again", out);
         self.cutting = None;
         self.save_base(out);
         self.transfer.receiver.cancel();
--- a/crates/controller/src/reading.rs
+++ b/crates/controller/src/reading.rs
@@ -9,10 +9,24 @@
 #[derive(Copy, Clone, Debug)]
 pub(crate) struct Reader {
     pub token: Token,
+    pub asked: Mono,
     /// What it holds itself: it is sent nothing if that is all there is.
     pub holds: Option<ItemsDigest>,
 }
 
+impl Reader {
+    /// A line for the log if this one waited long.
+    fn report(&self, now: Mono, outcome: &'static str) -> Option<Out> {
+        let took = now - self.asked;
+        (took >= SLOW_CALL).then_some(Out::Report(Report::Reading { outcome, took }))
+    }
+
+    fn deny(self, now: Mono, why: &'static str, out: &mut Vec<Out>) {
+        out.push(Out::Tell(self.token, Receipt::NotNow(why)));
+        out.push(Out::Report(Report::Reading { outcome: why, took: now - self.asked }));
+    }
+}
+
 impl Controller {
     /// Proposes a reading; the answer comes when it is delivered.
     pub(crate) fn read(&mut self, now: Mono, reader: Reader, out: &mut Vec<Out>) {
@@ -34,18 +48,18 @@
             Receipt::Table(Box::new(self.state.shown()), self.beats_now(now))
         };
         out.push(Out::Tell(reader.token, receipt));
+        out.extend(reader.report(now, "answered"));
     }
 
     /// The reading has lost its place in the order.
-    pub(crate) fn deny_reader(&mut self, cid: Cid, out: &mut Vec<Out>) {
-        let reader = self.readers.remove(&cid);
-        let overtaken = Receipt::NotNow("the reading was overtaken; ask again");
-        out.extend(reader.map(|r| Out::Tell(r.token, overtaken)));
+    pub(crate) fn deny_reader(&mut self, now: Mono, cid: Cid, out: &mut Vec<Out>) {
+        let Some(reader) = self.readers.remove(&cid) else { return };
+        reader.deny(now, "the reading was overtaken; ask again", out);
     }
 
     /// All readings are void, for this reason.
-    pub(crate) fn deny_all_readers(&mut self, why: &'static str, out: &mut Vec<Out>) {
+    pub(crate) fn deny_all_readers(&mut self, now: Mono, why: &'static str, out: &mut Vec<Out>) {
         let readers = std::mem::take(&mut self.readers);
-        out.extend(readers.into_values().map(|r| Out::Tell(r.token, Receipt::NotNow(why))));
+        readers.into_values().for_each(|reader| reader.deny(now, why, out));
     }
 }
--- a/crates/machine/src/lib.rs
+++ b/crates/machine/src/lib.rs
@@ -3,6 +3,7 @@
 mod leave;
 mod parts;
 mod run;
+mod slow_calls;
 
 pub use run::{run, Fronts, StartProblem};
 
--- a/crates/machine/src/run.rs
+++ b/crates/machine/src/run.rs
@@ -1,5 +1,6 @@
 //! Starting, running and stopping the parts of one machine.
 use crate::leave::leave;
+use crate::slow_calls::SlowCalls;
 use crate::{MachineEnv, Seat};
 use control_state::*;
 use primitives::{Addr, Mono, Span};
@@ -150,10 +151,14 @@
             let (h, f) = (h.clone(), f.clone());
             l.map(|l| door::open(l, lim, move |v| f(&h, v)))
         };
+        let slow_calls = SlowCalls::new(log.clone());
+        let watch = Arc::new(move |exchange| slow_calls.note(runtime::now(), &exchange));
         let (hl, lf) = (h.clone(), fronts.limits.clone());
         let callers = serve(front, &fronts.callers, now_and_then(move || lf(&hl)));
         let _ready = serve(ready, &fronts.ready, Arc::new(inner));
-        let _control = serve(control, &fronts.control, Arc::new(inner));
+        let (control_handle, answer) = (h.clone(), fronts.control.clone());
+        let serve_control = move |visit| answer(&control_handle, visit);
+        let _control = control.map(|l| door::open_watched(l, Arc::new(inner), serve_control, Some(watch)));
         thread::spawn(move || {
             // Settings count from the next start: a word that they changed ends nothing.
             if let Some(s) = signals.forever().find(|s| *s != SIGHUP) {
--- a/crates/runtime/src/door.rs
+++ b/crates/runtime/src/door.rs
@@ -5,12 +5,15 @@
 mod answer;
 mod body;
 mod conn;
+mod exchange;
 mod head;
 mod input;
 mod refused;
 
 use crate::front::Reply;
 use control_state::Heads;
+use exchange::Service;
+pub use exchange::{Exchange, Watch};
 use nix::sys::socket::sockopt::{TcpNoDelay, TcpUserTimeout};
 use nix::sys::socket::{setsockopt, shutdown, Shutdown::Both};
 use primitives::{Mono, Span};
@@ -70,8 +73,6 @@
 /// How long to let others give back descriptors when there are none left.
 const SHORT: Duration = Duration::from_millis(20);
 
-type Serve = dyn Fn(Visit) -> Reply + Send + Sync;
-
 /// A connection. Invariant: `idle` while nothing of a next request was read.
 struct Guest {
     stream: TcpStream,
@@ -153,7 +154,7 @@
     }
 
     /// A place, if there is one, and a thread.
-    fn let_in(self: &Arc<Door>, guest: &Arc<Guest>, f: &Arc<Serve>) -> bool {
+    fn let_in(self: &Arc<Door>, guest: &Arc<Guest>, f: &Arc<Service>) -> bool {
         let most = (self.limits)().connections;
         let id = self.came.fetch_add(1, SeqCst);
         {
@@ -164,11 +165,11 @@
             g.insert(id, guest.clone());
         }
         let (place, guest, f) = (Place(self.clone(), id), guest.clone(), f.clone());
-        let job = move || conn::run(&place.0, &guest, &*f);
+        let job = move || conn::run(&place.0, &guest, &f);
         thread::Builder::new().stack_size(STACK).spawn(job).is_ok()
     }
 
-    fn accept(self: Arc<Door>, l: &TcpListener, f: Arc<Serve>) {
+    fn accept(self: Arc<Door>, l: &TcpListener, f: Arc<Service>) {
         let mut refused = Refused::default();
         loop {
             match l.accept() {
@@ -202,6 +203,17 @@
     limits: Arc<dyn Fn() -> Limits + Send + Sync>,
     f: impl Fn(Visit) -> Reply + Send + Sync + 'static,
 ) -> Arc<Door> {
+    open_watched(l, limits, f, None)
+}
+
+/// As `open`; `watch` is told of each request once its answer was written.
+pub fn open_watched(
+    l: TcpListener,
+    limits: Arc<dyn Fn() -> Limits + Send + Sync>,
+    f: impl Fn(Visit) -> Reply + Send + Sync + 'static,
+    watch: Option<Arc<Watch>>,
+) -> Arc<Door> {
+    let service = Service { serve: Box::new(f), watch };
     // Accepted connections inherit these.
     let _ = setsockopt(&l, TcpNoDelay, &true);
     let _ = setsockopt(&l, TcpUserTimeout, &(UNHEARD.as_ms() as u32));
@@ -215,7 +227,7 @@
         shut: AtomicBool::new(false),
         listening: Mutex::new(None),
     });
-    let (l, door, f): (_, _, Arc<Serve>) = (Arc::new(l), d.clone(), Arc::new(f));
+    let (l, door, f) = (Arc::new(l), d.clone(), Arc::new(service));
     let at = l.clone();
     let t = thread::spawn(move || door.accept(&at, f));
     *d.listening.lock().expect("no thread panics with it") = Some((l, t));
--- a/crates/runtime/src/door/conn.rs
+++ b/crates/runtime/src/door/conn.rs
@@ -1,7 +1,7 @@
 //! One connection's requests, one after the other.
 use super::head::{self, Head, Persist};
 use super::input::{Input, Stop};
-use super::{answer, body, Door, Guest, Hand, Limits, Serve, Visit};
+use super::{answer, body, Door, Exchange, Guest, Hand, Limits, Service, Visit};
 use crate::front::Reply;
 use crate::intake::Body;
 use primitives::Span;
@@ -31,7 +31,7 @@
     Close,
 }
 
-pub fn run(door: &Door, guest: &Guest, f: &Serve) {
+pub fn run(door: &Door, guest: &Guest, f: &Service) {
     let (input, limits) = (Input::new(&guest.stream), (door.limits)());
     let mut c = Conn { door, guest, input, limits, send: None };
     let after = loop {
@@ -62,7 +62,7 @@
         came
     }
 
-    fn next(&mut self, f: &Serve) -> After {
+    fn next(&mut self, f: &Service) -> After {
         if !self.begin() {
             return After::Close;
         }
@@ -72,14 +72,28 @@
             Ok(None) => After::Next,
             Ok(Some((v, p))) => {
                 self.door.requests.fetch_add(1, SeqCst);
-                let asked_head = v.method == "HEAD";
-                let r = f(v);
-                self.answer(r, asked_head, p)
+                self.serve(f, v, p)
             }
             Err(s) => self.last_word(s),
         }
     }
 
+    fn serve(&mut self, f: &Service, v: Visit, p: Persist) -> After {
+        let asked_head = v.method == "HEAD";
+        let Some(watch) = &f.watch else {
+            return self.answer((f.serve)(v), asked_head, p);
+        };
+        let (method, target, read) = (v.method.clone(), v.target.clone(), v.read);
+        let r = (f.serve)(v);
+        let answered = crate::now();
+        let (status, bytes) = (r.status, r.body.len());
+        let after = self.answer(r, asked_head, p);
+        let (waited, sending) = (answered - read, crate::now() - answered);
+        let written = after != After::Close;
+        watch(Exchange { method, target, status, bytes, waited, sending, written });
+        after
+    }
+
     /// None if there was but an empty line, which some callers send after a body.
     fn request(&mut self) -> Result<Option<(Visit, Persist)>, Stop> {
         let (mut seen, mut until) = (0, None);
--- a/crates/runtime/src/shell.rs
+++ b/crates/runtime/src/shell.rs
@@ -167,6 +167,7 @@
             }),
             Out::Note(what) => info!(self.log, "{}", what),
             Out::Alarm(why) => error!(self.log, "{}", why),
+            Out::Report(report) => error!(self.log, "{}", report),
             Out::Save(_) | Out::Base(_) => (),
         }
     }
--- a/crates/simulator/src/carry.rs
+++ b/crates/simulator/src/carry.rs
@@ -78,6 +78,7 @@
                 self.at(Span(50), Ev::Leave(a, life, r));
             }
             Out::Alarm(_) => self.count("alarms"),
+            Out::Report(_) => self.count("reports"),
             Out::Save(_) | Out::Base(_) | Out::Note(_) => (),
         }
     }
