--- a/crates/control-state/src/shelf.rs
+++ b/crates/control-state/src/shelf.rs
@@ -66,6 +66,10 @@
         self.all.values()
     }
 
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     pub fn len(&self) -> usize {
         self.all.len()
     }
--- a/crates/controller/src/show.rs
+++ b/crates/controller/src/show.rs
@@ -107,6 +107,13 @@
             ("recovered", t.recovered),
             ("messages", t.sent),
             ("tuples", self.mach.as_ref().map_or(0, |m| m.size()) as u64),
+            ("agreement bytes", self.mach.as_ref().map_or(0, |m| m.bytes()) as u64),
+            ("log bytes", self.log.written as u64),
+            ("items", self.state.items.len() as u64),
+            ("streams' numbers", self.subscribers.values().map(|s| s.stream.unacknowledged()).sum()),
+            ("calls", self.calls.len() as u64),
+            ("owed", self.owed.len() as u64),
+            ("hidden", self.hidden.len() as u64),
         ]);
         Health { ready: why.is_empty(), why, in_hand: self.pending.len() as u64, counts, ..Health::default() }
     }
--- a/crates/controller/src/update_stream.rs
+++ b/crates/controller/src/update_stream.rs
@@ -84,6 +84,11 @@
         self.last
     }
 
+    /// Numbers given and not known to be held.
+    pub fn unacknowledged(&self) -> u64 {
+        self.last - self.acknowledged.min(self.last)
+    }
+
     /// Whether the subscriber has been sent anything that counts.
     pub fn is_started(&self) -> bool {
         self.id != 0
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -138,7 +138,13 @@
             _ => "",
         };
         let mut counts: Vec<_> = self.counts.iter().map(|(k, v)| (*k, *v)).collect();
-        counts.extend([("copies", self.copies.len() as u64), ("items", self.follow.items.len() as u64)]);
+        counts.extend([
+            ("copies", self.copies.len() as u64),
+            ("copies bytes", self.copies.bytes() as u64),
+            ("items", self.follow.items.len() as u64),
+            ("outcomes on their way", self.outgoing.len() as u64),
+            ("forwarded calls", self.forwarded_calls.open() as u64),
+        ]);
         let in_hand = (self.jobs.len() + self.outgoing.len()) as u64;
         Health { ready: why.is_empty(), why, in_hand, taking: leaving && !drained, counts }
     }
--- a/crates/edge/src/forwarded_calls.rs
+++ b/crates/edge/src/forwarded_calls.rs
@@ -89,6 +89,13 @@
     }
 }
 
+impl ForwardedCalls {
+    /// How many are open.
+    pub(crate) fn open(&self) -> usize {
+        self.open.len()
+    }
+}
+
 impl Edge {
     pub(crate) fn forward_call(&mut self, now: Mono, token: Token, call: Call, out: &mut Vec<Out>) {
         let edits = matches!(call, Call::Change(Change { op: Op::Edit(_), .. }));
--- a/crates/machine/src/run.rs
+++ b/crates/machine/src/run.rs
@@ -1,5 +1,6 @@
 //! Starting, running and stopping the parts of one machine.
 use crate::leave::leave;
+use crate::memory_watch;
 use crate::slow_calls::SlowCalls;
 use crate::{MachineEnv, Seat};
 use control_state::*;
@@ -144,7 +145,7 @@
     let (front, ready, control) = (listen(env.front)?, listen(env.ready)?, listen(env.control)?);
     let part = Box::new(env.edge(runtime::life()));
     let edge = Start { part, first: vec![], ring: None, seat: Seat::Edge, rounds: Some(tx) };
-    let grace = env.grace;
+    let (grace, memory) = (env.grace, env.memory);
     edge.run(&env, &log.clone(), move |h| {
         start(h.clone());
         let serve = |l: Option<TcpListener>, f: &Arc<Answer>, lim: Arc<dyn Fn() -> Limits + Send + Sync>| {
@@ -160,13 +161,15 @@
         let serve_control = move |visit| answer(&control_handle, visit);
         let _control = control.map(|l| door::open_watched(l, Arc::new(inner), serve_control, Some(watch)));
         thread::spawn(move || {
+            let Ok(controller) = controller.recv() else { return h.stop() };
+            let ledger = ledger.and_then(|l| l.recv().ok());
+            let mut parts = vec![("edge", h.clone()), ("controller", controller.clone())];
+            parts.extend(ledger.iter().map(|l| ("ledger", l.clone())));
+            memory_watch::watch(memory, parts, log.clone());
             // Settings count from the next start: a word that they changed ends nothing.
             if let Some(s) = signals.forever().find(|s| *s != SIGHUP) {
                 info!(log, "leaving"; "signal" => s);
-                let ledger = ledger.and_then(|l| l.try_recv().ok());
-                if let Ok(controller) = controller.recv() {
-                    leave(&h, &controller, ledger.as_ref(), callers.as_deref(), grace);
-                }
+                leave(&h, &controller, ledger.as_ref(), callers.as_deref(), grace);
                 h.stop();
             }
         });
--- a/crates/runtime/src/net.rs
+++ b/crates/runtime/src/net.rs
@@ -68,6 +68,11 @@
         count(&self.counts.sent, 1);
     }
 
+    /// Bytes that wait to be written, over all links.
+    pub fn queued_bytes(&self) -> usize {
+        self.links.values().map(|link| link.queued_bytes()).sum()
+    }
+
     /// Something waits for a flush.
     pub fn has_queued(&self) -> bool {
         !self.touched.is_empty()
--- a/crates/runtime/src/net/link.rs
+++ b/crates/runtime/src/net/link.rs
@@ -76,6 +76,10 @@
         !std::mem::replace(&mut s.touched, true)
     }
 
+    pub(super) fn queued_bytes(&self) -> usize {
+        self.lock().queue.bytes()
+    }
+
     /// Writes what is due if the peer takes it; true if the I/O thread has to see to
     /// the rest.
     pub(super) fn flush(&self, now: Instant) -> bool {
--- a/crates/runtime/src/net/send_queue.rs
+++ b/crates/runtime/src/net/send_queue.rs
@@ -50,6 +50,11 @@
         self.frames.is_empty()
     }
 
+    /// What waits here, with what it costs beside its content.
+    pub(super) fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// When the first frame may leave.
     pub(super) fn due(&self) -> Option<Instant> {
         self.frames.front().map(|f| f.due)
--- a/crates/runtime/src/shell/handle.rs
+++ b/crates/runtime/src/shell/handle.rs
@@ -1,7 +1,7 @@
 //! How other threads reach a part's actor.
+use super::inbox::Inbox;
 use control_state::*;
 use primitives::Addr;
-use stakker::sync::Channel;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{channel, Sender};
 use std::sync::Arc;
@@ -17,10 +17,10 @@
 
 /// Speaks to a shell from any thread.
 #[derive(Clone)]
-pub struct Handle(Channel<Event>, Arc<AtomicBool>);
+pub struct Handle(Inbox, Arc<AtomicBool>);
 
 impl Handle {
-    pub(super) fn new(events: Channel<Event>) -> Handle {
+    pub(super) fn new(events: Inbox) -> Handle {
         Handle(events, Arc::default())
     }
     /// Asks and waits for the receipt, at most so long.
--- a/crates/simulator/src/carry.rs
+++ b/crates/simulator/src/carry.rs
@@ -109,6 +109,20 @@
             let late = Span(d.0 * self.rng.u64(2..20));
             self.at(late, Ev::Msg(from, to, m.clone()));
         }
+        let d = d + self.waits(to, d);
         self.at(d, Ev::Msg(from, to, m));
     }
+
+    /// How long a message that arrives after `way` waits for its receiver's processor.
+    fn waits(&mut self, to: Addr, way: Span) -> Span {
+        let arrives = self.now + way;
+        let work = self.plan.work.filter(|_| self.role_of(to) == Some(Role::Controller));
+        let (Some(work), Some(p)) = (work, self.procs.get_mut(&to)) else { return Span(0) };
+        p.processor_free = p.processor_free.max(arrives) + work;
+        p.processor_free - arrives
+    }
+
+    fn role_of(&self, a: Addr) -> Option<Role> {
+        self.procs.get(&a).map(|p| p.role)
+    }
 }
--- a/crates/simulator/src/procs.rs
+++ b/crates/simulator/src/procs.rs
@@ -38,6 +38,8 @@
     pub syncing: bool,
     /// When its link is free again.
     pub link_free: Mono,
+    /// When its processor is free again.
+    pub processor_free: Mono,
     /// Bytes sent to it, where links are limited.
     pub bytes_to: u64,
     /// The disk does not come back from a sync while this is set.
@@ -71,6 +73,7 @@
             line: VecDeque::new(),
             syncing: false,
             link_free: Mono(0),
+            processor_free: Mono(0),
             bytes_to: 0,
             stalled: false,
             slow: Span(0),
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -20,6 +20,8 @@
     pub drop: f64,
     /// Bytes a second that a process can send, if that is limited.
     pub link: Option<u64>,
+    /// What a controller's processor takes over each message, if that is limited.
+    pub work: Option<Span>,
     /// Bytes of a controller's disk: what counts and a new base must fit it together.
     pub controller_disk: usize,
     pub dup: f64,
@@ -58,6 +60,7 @@
             stock: true,
             drop: 0.0,
             link: None,
+            work: None,
             controller_disk: 8 << 20,
             dup: 0.0,
             away: [100, 750, 750],
