--- a/crates/control-state/src/cmd.rs
+++ b/crates/control-state/src/cmd.rs
@@ -107,11 +107,11 @@
     fn asks_rows(&self) -> bool {
         matches!(self, Op::Settle { early: true, .. })
     }
-    /// Those that come together travel as one command: purges, what a start of many
-    /// processes brings, and edits, which all clash and would each be weighed against all
+    /// Those that come together travel as one command: purges, what the start or the end of
+    /// many processes brings, and edits, which all clash and would each be weighed against all
     /// others under way.
     pub fn gathers(&self) -> bool {
-        matches!(self, Op::Purge(_) | Op::PurgeBy(_) | Op::Join(..) | Op::Register(..) | Op::Edit(_))
+        matches!(self, Op::Purge(_) | Op::PurgeBy(_) | Op::Join(..) | Op::Edit(_)) || self.is_origin()
     }
     fn is_origin(&self) -> bool {
         let by_name = matches!(self, Op::SignOffName(_));
--- a/crates/controller/src/apply.rs
+++ b/crates/controller/src/apply.rs
@@ -75,7 +75,7 @@
                     verdicts.push(verdict);
                 }
                 self.hide(now, cid, &news, out);
-                self.owe(now, cid);
+                self.owe(now, cid, out);
                 self.pending.entry(cid).and_modify(|p| p.verdicts = Some(verdicts));
                 self.conclude(now, cid, out);
                 self.send_line(now, out);
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -52,6 +52,8 @@
     pub(crate) line: Vec<Asked>,
     /// Delivered changes that some edge with a live lease from here still lacks.
     pub(crate) owed: BTreeMap<Cid, Vec<(NodeId, u64)>>,
+    /// Members to be told, beside its leader, when a change is in force here.
+    pub(crate) force_askers: BTreeMap<Cid, BTreeSet<Addr>>,
     /// Applied here, but not yet known to be applied by a classic quorum.
     pub(crate) hidden: BTreeMap<Cid, Hidden>,
     /// Who of earlier rosters is past them.
@@ -110,6 +112,7 @@
             pending: BTreeMap::new(),
             line: vec![],
             owed: BTreeMap::new(),
+            force_askers: BTreeMap::new(),
             hidden: BTreeMap::new(),
             landed: Landed::new(),
             seated: now,
--- a/crates/controller/src/era.rs
+++ b/crates/controller/src/era.rs
@@ -70,6 +70,7 @@
         self.base = p.clone();
         self.state = p;
         self.owed.clear();
+        self.force_askers.clear();
         self.hidden.clear();
         self.heard.clear();
         self.deny_all_readers(now, "the era ended; ask again", out);
--- a/crates/controller/src/force.rs
+++ b/crates/controller/src/force.rs
@@ -14,6 +14,8 @@
 
 const NOT_A_MEMBER: Receipt = Receipt::NotNow("not a member any more");
 const FORGET: Span = Span::secs(60);
+/// How often changes that wait are looked through.
+const LOOK: Span = Span::ms(50);
 /// Purges in one command.
 const BATCH: usize = 100;
 const BYTES: usize = 32 << 10;
@@ -91,7 +93,8 @@
 
     /// Whether the same is under way, so that its answer will be this caller's too.
     pub(crate) fn join_pending(&mut self, token: Token, op: &Op) -> bool {
-        let mut under_way = self.pending.values_mut().flat_map(|p| &mut p.asked);
+        let under_way = self.pending.values_mut().flat_map(|p| &mut p.asked);
+        let mut under_way = under_way.chain(&mut self.line);
         let same = under_way.find(|a| a.change.id.is_none() && a.change.op == *op);
         same.map(|a| a.tokens.push(token)).is_some()
     }
@@ -115,14 +118,24 @@
         }
     }
 
-    /// Notes who must still learn of a command just applied.
-    pub(crate) fn owe(&mut self, now: Mono, cid: Cid) {
+    /// Notes who must still learn of a command just applied. If nobody has to, that is said.
+    pub(crate) fn owe(&mut self, now: Mono, cid: Cid, out: &mut Vec<Out>) {
         let lacks = self.lacking(now);
-        if !lacks.is_empty() {
+        if lacks.is_empty() && self.all_landed() {
+            self.say_in_force(cid, out);
+        } else {
             self.owed.insert(cid, lacks);
         }
     }
 
+    /// Tells whoever leads the command, and whoever asked.
+    fn say_in_force(&mut self, cid: Cid, out: &mut Vec<Out>) {
+        let mut to = self.force_askers.remove(&cid).unwrap_or_default();
+        to.extend(self.base.member(cid.member_id).map(|m| m.addr));
+        let (era, me) = (self.base.era, self.member_id);
+        out.extend(to.into_iter().map(|a| Out::Send(a, Msg::InForce(era, cid, me))));
+    }
+
     fn settled(&self, cid: Cid) -> bool {
         let here = self.mach.as_ref().is_some_and(|m| m.delivered(cid));
         here && !self.owed.contains_key(&cid) && self.all_landed()
@@ -130,35 +143,43 @@
 
     /// Clears what was paid, tells the leaders, asks for what is missing.
     pub(crate) fn force(&mut self, now: Mono, out: &mut Vec<Out>) {
-        let era = self.base.era;
         let open = std::mem::take(&mut self.owed);
         for (cid, lacks) in open {
             let still: Vec<_> =
                 lacks.into_iter().filter(|(id, no)| !self.has_caught_up(now, *id, *no)).collect();
             if still.is_empty() && self.all_landed() {
-                let at = self.base.member(cid.member_id).map(|m| m.addr);
-                out.extend(at.map(|a| Out::Send(a, Msg::InForce(era, cid, self.member_id))));
+                self.say_in_force(cid, out);
             } else {
                 self.owed.insert(cid, still);
             }
         }
-        if self.due("force", Span::ms(50), now) {
-            let ask = |m: &Member, c: &Cid| Out::Send(m.addr, Msg::AskForce(era, *c));
-            let waiting = self.pending.iter().filter(|(_, p)| p.verdicts.is_some());
-            let asks: Vec<Out> = waiting
-                .flat_map(|(c, p)| {
-                    let silent = self.base.members.iter().filter(|m| !p.yes.contains(&m.member_id));
-                    silent.map(|m| ask(m, c)).collect::<Vec<_>>()
-                })
-                .collect();
-            out.extend(asks);
+        if self.due("force", LOOK, now) {
+            self.ask_silent_members(now, out);
             self.pending.retain(|_, p| now - p.began < FORGET);
         }
     }
 
+    /// Members' words may be lost on their way, or were due at once.
+    fn ask_silent_members(&mut self, now: Mono, out: &mut Vec<Out>) {
+        let era = self.base.era;
+        let members = &self.base.members;
+        let waiting = self.pending.iter_mut().filter(|(_, p)| p.verdicts.is_some());
+        for (cid, pending) in waiting {
+            if pending.ask_again.due(now) {
+                let silent = members.iter().filter(|m| !pending.yes.contains(&m.member_id));
+                out.extend(silent.map(|m| Out::Send(m.addr, Msg::AskForce(era, *cid))));
+            }
+        }
+    }
+
     pub(crate) fn on_ask_force(&mut self, from: Addr, era: Era, cid: Cid, out: &mut Vec<Out>) {
-        if era == self.base.era && self.settled(cid) {
+        if era != self.base.era {
+            return;
+        }
+        if self.settled(cid) {
             out.push(Out::Send(from, Msg::InForce(era, cid, self.member_id)));
+        } else if self.base.members.iter().any(|m| m.addr == from) {
+            self.force_askers.entry(cid).or_default().insert(from);
         }
     }
 
--- a/crates/controller/src/pending.rs
+++ b/crates/controller/src/pending.rs
@@ -6,9 +6,16 @@
 use crate::controller::Controller;
 use caesar::{Cid, MemberId};
 use control_state::*;
-use primitives::{Mono, Token};
+use primitives::{Backoff, Mono, Span, Token};
 use std::collections::BTreeSet;
 
+/// Members say by themselves that a change is in force, to whoever leads it and to all who
+/// asked once. After so long they are asked by who leads it, and by who has joined it.
+const ASK_OWN: Span = Span::ms(400);
+const ASK_JOINED: Span = Span::ms(50);
+/// The longest pause between two askings.
+const ASK_LONGEST: Span = Span::ms(1600);
+
 /// A change, and who is told what becomes of it.
 pub(crate) struct Asked {
     pub change: Change,
@@ -28,6 +35,8 @@
     pub verdicts: Option<Vec<Verdict>>,
     pub yes: BTreeSet<MemberId>,
     pub began: Mono,
+    /// When members whose word is lacking are asked for it.
+    pub ask_again: Backoff,
     /// Proposed here in this life; otherwise the command is another's, and only those who
     /// wait for it count.
     pub own: bool,
@@ -35,7 +44,9 @@
 
 impl Pending {
     pub(crate) fn new(asked: Vec<Asked>, began: Mono, own: bool) -> Pending {
-        Pending { asked, verdicts: None, yes: BTreeSet::new(), began, own }
+        let first = if own { ASK_OWN } else { ASK_JOINED };
+        let ask_again = Backoff::new(began, first, ASK_LONGEST);
+        Pending { asked, verdicts: None, yes: BTreeSet::new(), began, ask_again, own }
     }
 
     /// What has to be proposed anew if this command comes to nothing.
--- a/crates/controller/src/show.rs
+++ b/crates/controller/src/show.rs
@@ -7,15 +7,20 @@
 use crate::controller::Controller;
 use caesar::{classic, Cid, MemberId};
 use control_state::*;
-use primitives::{Addr, Mono, Span};
+use primitives::{Addr, Backoff, Mono, Span};
 use std::collections::BTreeSet;
 
 pub(crate) struct Hidden {
     pub keys: BTreeSet<Key>,
     pub by: BTreeSet<MemberId>,
-    pub asked: Mono,
+    /// When members that are not known to have it are asked.
+    pub ask_again: Backoff,
 }
 
+/// Members say by themselves what they applied: the first and the longest pause after which
+/// they are asked.
+const ASK_AGAIN: (Span, Span) = (Span::ms(100), Span::ms(800));
+
 impl Controller {
     fn quorum(&self) -> usize {
         classic(self.base.members.len())
@@ -44,7 +49,8 @@
         }
         self.number(news, Some(cid));
         let by = BTreeSet::from([self.member_id]);
-        self.hidden.insert(cid, Hidden { keys: news.iter().cloned().collect(), by, asked: now });
+        let ask_again = Backoff::new(now, ASK_AGAIN.0, ASK_AGAIN.1);
+        self.hidden.insert(cid, Hidden { keys: news.iter().cloned().collect(), by, ask_again });
         let (era, member_id, me) = (self.base.era, self.member_id, self.env.addr);
         let others = self.base.members.iter().filter(|m| m.addr != me);
         out.extend(others.map(|m| Out::Send(m.addr, Msg::Applied(era, cid, member_id))));
@@ -75,8 +81,10 @@
     /// Asks again for what was lost on the way.
     pub(crate) fn ask_applied(&mut self, now: Mono, out: &mut Vec<Out>) {
         let (era, me) = (self.base.era, self.env.addr);
-        for (cid, h) in self.hidden.iter_mut().filter(|(_, h)| now - h.asked >= Span::ms(100)) {
-            h.asked = now;
+        for (cid, h) in self.hidden.iter_mut() {
+            if !h.ask_again.due(now) {
+                continue;
+            }
             let others = self.base.members.iter().filter(|m| m.addr != me && !h.by.contains(&m.member_id));
             out.extend(others.map(|m| Out::Send(m.addr, Msg::AskApplied(era, *cid))));
         }
--- a/crates/controller/src/update_stream.rs
+++ b/crates/controller/src/update_stream.rs
@@ -17,6 +17,8 @@
 const LONGEST: u64 = 2000;
 /// Unacknowledged updates are sent again after this, and what their bytes take at 200 kB/s.
 const RETRY: Span = Span::ms(100);
+/// Each further time the pause is twice as long, so often at the most.
+const RETRY_DOUBLINGS: u32 = 3;
 pub(crate) const MICROS_A_BYTE: u64 = 5;
 
 /// Changed keys under consecutive numbers, shared by all streams.
@@ -71,6 +73,8 @@
     under_way: VecDeque<(u64, usize)>,
     /// When something was last sent or acknowledged.
     progress: Mono,
+    /// Times that something was sent again since the last acknowledgement.
+    retries: u32,
 }
 
 impl UpdateStream {
@@ -130,6 +134,7 @@
             batches: VecDeque::from_iter(Some(batch).filter(|b| !b.keys.is_empty())),
             under_way: VecDeque::new(),
             progress: now,
+            retries: 0,
         };
     }
 
@@ -159,6 +164,7 @@
         }
         self.acknowledged = number;
         self.progress = now;
+        self.retries = 0;
         self.batches.retain(|b| b.last() > number);
         self.under_way.retain(|(to, _)| *to > number);
     }
@@ -169,11 +175,13 @@
 
     /// Goes back to the last acknowledged number if nothing came of what was sent.
     pub fn retry(&mut self, now: Mono) -> bool {
-        let wait = RETRY + Span(self.bytes_under_way() as u64 * MICROS_A_BYTE);
+        let pause = RETRY + Span(self.bytes_under_way() as u64 * MICROS_A_BYTE);
+        let wait = pause.times(1 << self.retries.min(RETRY_DOUBLINGS));
         let lost = self.is_started() && self.acknowledged < self.sent && now - self.progress >= wait;
         if lost {
             self.sent = self.acknowledged;
             self.under_way.clear();
+            self.retries += 1;
         }
         lost
     }
--- a/crates/edge/src/claim.rs
+++ b/crates/edge/src/claim.rs
@@ -1,6 +1,6 @@
 //! A claim of a key at the ledgers that are its replicas.
 use control_state::*;
-use primitives::{Addr, Mono, Version};
+use primitives::{Addr, Backoff, Version};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A key claimed for one round.
@@ -15,8 +15,8 @@
     pub roll: Version,
     /// Who had granted it when it was won.
     pub granted: BTreeSet<Addr>,
-    /// When it was last sent.
-    pub asked: Mono,
+    /// When ledgers that keep silent are asked again.
+    pub ask_again: Backoff,
 }
 
 impl Claim {
--- a/crates/edge/src/forwarded_calls.rs
+++ b/crates/edge/src/forwarded_calls.rs
@@ -2,7 +2,7 @@
 //! that can answer, and on to the next one if it does not in time.
 use crate::edge::Edge;
 use control_state::*;
-use primitives::{Addr, Mono, Span, Token};
+use primitives::{Addr, Backoff, Mono, Span, Token};
 use std::collections::BTreeMap;
 
 /// Invariant: whatever is asked may be asked twice: edits and beats carry versions,
@@ -13,7 +13,8 @@
     waits: Vec<(Token, Mono)>,
     call: Call,
     began: Mono,
-    sent: Mono,
+    /// When the next controller is asked as well.
+    next: Backoff,
     /// Controllers asked in this round.
     asked: Vec<Addr>,
     /// All that were asked, for the report of a slow call.
@@ -25,11 +26,11 @@
     fn new(now: Mono, token: Token, call: Call) -> ForwardedCall {
         let why = "no controller is known yet";
         let waits = vec![(token, now)];
-        ForwardedCall { waits, call, began: now, sent: now, asked: vec![], attempts: vec![], why }
+        let next = Backoff::new(now, next_after(&call), NEXT_LONGEST);
+        ForwardedCall { waits, call, began: now, next, asked: vec![], attempts: vec![], why }
     }
 
     fn note_sent(&mut self, now: Mono, to: Addr) {
-        self.sent = now;
         self.asked.push(to);
         let (after, result) = (now - self.began, Attempt::Silent);
         self.attempts.push(ForwardAttempt { to, after, took: None, result });
@@ -70,6 +71,8 @@
 /// More of it for each edit of a call, since a large one is long on its way; and the most.
 const NEXT_EACH: Span = Span::ms(2);
 const NEXT_MOST: Span = Span::ms(1400);
+/// Between two controllers, at the most: all of them may be slow rather than one lost.
+const NEXT_LONGEST: Span = Span::ms(1400);
 
 fn next_after(c: &Call) -> Span {
     match c {
@@ -127,7 +130,6 @@
         if let Call::Read(held) = &mut e.call {
             *held = self.follow.digest();
         }
-        e.sent = now;
         if let Some(a) = to {
             e.note_sent(now, a);
             out.push(Out::Send(a, Msg::Call(self.ask_id(n), Box::new(e.call.clone()))));
@@ -187,9 +189,9 @@
             e.waits.retain(|w| !late(w));
         }
         self.forwarded_calls.open.retain(|_, e| !e.waits.is_empty());
-        let due = |e: &ForwardedCall| now - e.sent >= next_after(&e.call);
-        let due: Vec<u64> =
-            self.forwarded_calls.open.iter().filter(|(_, e)| due(e)).map(|(n, _)| *n).collect();
+        let due = |e: &mut ForwardedCall| e.next.due(now);
+        let open = self.forwarded_calls.open.iter_mut();
+        let due: Vec<u64> = open.filter_map(|(n, e)| due(e).then_some(*n)).collect();
         due.into_iter().for_each(|n| self.send_forwarded_call(now, n, out));
     }
 }
--- a/crates/edge/src/keyed.rs
+++ b/crates/edge/src/keyed.rs
@@ -5,7 +5,7 @@
 use crate::edge::Edge;
 use crate::jobs::*;
 use control_state::*;
-use primitives::{Addr, Mono, Span};
+use primitives::{Addr, Backoff, Mono, Span};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// An outcome on its way to the key's ledgers.
@@ -19,20 +19,30 @@
     /// Asked instead if the one chosen keeps silent; the next one last.
     others: Vec<Addr>,
     began: Mono,
-    sent: Mono,
+    send_again: Backoff,
     chosen: Mono,
 }
 
 impl Outgoing {
-    /// Turns from a ledger that kept silent for long to the next one.
-    fn choose_again(&mut self, now: Mono) {
+    /// Turns from a ledger that kept silent for long to the next one; whether it did.
+    fn choose_again(&mut self, now: Mono) -> bool {
         if now - self.chosen < CHOICE {
-            return;
-        }
-        if let Some(next) = self.others.pop() {
-            self.chosen = now;
-            self.to = BTreeSet::from([next]);
+            return false;
         }
+        let Some(next) = self.others.pop() else { return false };
+        self.chosen = now;
+        self.to = BTreeSet::from([next]);
+        true
+    }
+
+    fn messages(&self) -> impl Iterator<Item = Out> + '_ {
+        let outcome = || Msg::Outcome {
+            key: self.key.clone(),
+            print: self.print,
+            round: self.round,
+            whole: self.whole.clone(),
+        };
+        self.to.iter().map(move |a| Out::Send(*a, outcome()))
     }
 }
 
@@ -40,8 +50,10 @@
 const CLAIMS_ON: Span = Span::secs(5);
 /// How long the one ledger that is to keep an outcome may keep silent.
 const CHOICE: Span = Span::secs(1);
-/// How long a ledger may keep silent before it is asked again.
-const AGAIN: Span = Span::ms(120);
+/// The first and the longest pause after which silent ledgers are asked again.
+const ASK_AGAIN: (Span, Span) = (Span::ms(120), Span::ms(480));
+/// The same for an outcome that is not known to be kept.
+const SEND_AGAIN: (Span, Span) = (Span::ms(250), Span::secs(2));
 
 impl Edge {
     /// Only under a lease that holds or lapsed a moment ago: a set of ledgers loses its
@@ -59,7 +71,8 @@
         let round = RoundId { node: self.follow.env.id, birth: self.follow.env.birth, n };
         let named = self.table.roll.named(&key, self.env.losses);
         let roll = self.table.roll_version;
-        let c = Claim { round, key, print, named, roll, granted: BTreeSet::new(), asked: now };
+        let ask_again = Backoff::new(now, ASK_AGAIN.0, ASK_AGAIN.1);
+        let c = Claim { round, key, print, named, roll, granted: BTreeSet::new(), ask_again };
         out.extend(c.ledgers().into_iter().map(|a| c.ask(a)));
         j.claim = Some(c);
         j.must_leave = now + self.env.leave;
@@ -81,8 +94,7 @@
     pub(crate) fn claim_again(&mut self, now: Mono, id: u64, out: &mut Vec<Out>) {
         let Some(j) = self.jobs.get_mut(&id) else { return };
         let (Stage::Claim(votes), Some(c)) = (&j.stage, &mut j.claim) else { return };
-        if now - c.asked >= AGAIN {
-            c.asked = now;
+        if c.ask_again.due(now) {
             let silent = c.ledgers().into_iter().filter(|a| !votes.contains_key(a));
             out.extend(silent.map(|a| c.ask(a)));
         }
@@ -176,9 +188,11 @@
                 false => std::mem::take(&mut others).into_iter().collect(),
             };
             let Claim { round, key, print, .. } = c;
-            let (began, sent, chosen) = (now, Mono(0), now);
-            self.outgoing.push(Outgoing { key, print, round, whole: w, to, others, began, sent, chosen });
-            self.push_outcomes(now, out);
+            let send_again = Backoff::new(now, SEND_AGAIN.0, SEND_AGAIN.1);
+            let (began, chosen) = (now, now);
+            let outgoing = Outgoing { key, print, round, whole: w, to, others, began, send_again, chosen };
+            out.extend(outgoing.messages());
+            self.outgoing.push(outgoing);
         }
         self.finish(now, id, s, out);
     }
@@ -203,17 +217,9 @@
     }
 
     pub(crate) fn push_outcomes(&mut self, now: Mono, out: &mut Vec<Out>) {
-        for o in self.outgoing.iter_mut().filter(|o| now - o.sent >= Span::ms(250)) {
-            o.sent = now;
-            o.choose_again(now);
-            for a in &o.to {
-                let m = Msg::Outcome {
-                    key: o.key.clone(),
-                    print: o.print,
-                    round: o.round,
-                    whole: o.whole.clone(),
-                };
-                out.push(Out::Send(*a, m));
+        for o in &mut self.outgoing {
+            if o.choose_again(now) || o.send_again.due(now) {
+                out.extend(o.messages());
             }
         }
         self.outgoing.retain(|o| !o.to.is_empty() && now - o.began < Span::secs(8));
--- a/crates/ledger/src/mend.rs
+++ b/crates/ledger/src/mend.rs
@@ -3,11 +3,15 @@
 use crate::ledger::Ledger;
 use control_state::*;
 use primitives::{Addr, Mono, Span};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Ranges by the top bits of a key's hash.
 const RANGES: usize = 64;
+/// Between two comparisons at least, and for each key held: looking through all keys, here and
+/// at every other ledger, stays a small part of a small processor however many there are.
 const EVERY: Span = Span::secs(2);
+const EVERY_EACH: Span = Span(500);
+const EVERY_MOST: Span = Span::secs(10);
 
 fn range(key: &str) -> usize {
     primitives::hash(&key) as usize % RANGES
@@ -19,36 +23,59 @@
         Roll::of(&self.follow.items).seats().map(|s| s.addr).filter(|a| *a != me).collect()
     }
 
-    /// Only keys that both ledgers are named for count between the two, and only
-    /// grants that are no longer in the making, of a round that is known.
-    fn shared(&self, now: Mono, other: Addr) -> impl Iterator<Item = (&String, &Grant)> {
+    /// Grants that are no longer in the making, of a round that is known, each with the
+    /// ledgers that are named for its key, if this one is among them.
+    fn settled(&self, now: Mono) -> impl Iterator<Item = (&String, &Grant, Vec<Vec<Addr>>)> {
         let roll = Roll::of(&self.follow.items);
         let me = self.follow.env.addr;
         // Where outcomes stay where they are, they do not tell when a grant is made.
         let known = |g: &Grant| g.whole.is_some() && !self.env.sparing;
         let settled = move |g: &Grant| known(g) || (now - g.at > Span::secs(8) && g.round != RoundId::NONE);
-        self.grants.keys.iter().filter(move |(_, g)| settled(g)).filter(move |(k, _)| {
-            let named = roll.named(k, self.env.losses);
-            named.iter().any(|n| n.contains(&me)) && named.iter().any(|n| n.contains(&other))
-        })
+        let named = move |k: &String| roll.named(k, self.env.losses);
+        let all = self.grants.keys.iter().filter(move |(_, g)| settled(g));
+        all.map(move |(k, g)| (k, g, named(k))).filter(move |(.., n)| n.iter().any(|n| n.contains(&me)))
+    }
+
+    /// Only keys that both ledgers are named for count between the two.
+    fn shared(&self, now: Mono, other: Addr) -> impl Iterator<Item = (&String, &Grant)> {
+        let both = self.settled(now).filter(move |(.., n)| n.iter().any(|n| n.contains(&other)));
+        both.map(|(k, g, _)| (k, g))
+    }
+
+    fn digest(&self, key: &str, g: &Grant) -> u64 {
+        primitives::hash(&(key, g.round, g.whole.is_some() && !self.env.sparing))
     }
 
     fn digests(&self, now: Mono, other: Addr) -> Vec<u64> {
-        let mut d = vec![0u64; RANGES];
-        for (k, g) in self.shared(now, other) {
-            d[range(k)] ^= primitives::hash(&(k, g.round, g.whole.is_some() && !self.env.sparing));
+        let mut digests = vec![0u64; RANGES];
+        for (key, g) in self.shared(now, other) {
+            digests[range(key)] ^= self.digest(key, g);
         }
-        d
+        digests
+    }
+
+    /// For every other ledger, in one pass over the keys.
+    fn all_digests(&self, now: Mono) -> BTreeMap<Addr, Vec<u64>> {
+        let mut all: BTreeMap<Addr, Vec<u64>> =
+            self.others().into_iter().map(|a| (a, vec![0u64; RANGES])).collect();
+        for (key, g, named) in self.settled(now) {
+            let (at, digest) = (range(key), self.digest(key, g));
+            let others: BTreeSet<Addr> = named.into_iter().flatten().collect();
+            for other in others {
+                all.entry(other).and_modify(|digests| digests[at] ^= digest);
+            }
+        }
+        all
     }
 
     pub(crate) fn mend(&mut self, now: Mono, out: &mut Vec<Out>) {
-        if now - self.mended < EVERY {
+        let pause = EVERY + EVERY_EACH.times(self.grants.keys.len() as u64);
+        if now - self.mended < pause.min(EVERY_MOST) {
             return;
         }
         self.mended = now;
-        for a in self.others() {
-            out.push(Out::Send(a, Msg::Digests(self.digests(now, a))));
-        }
+        let all = self.all_digests(now);
+        out.extend(all.into_iter().map(|(other, digests)| Out::Send(other, Msg::Digests(digests))));
     }
 
     /// A record as other ledgers are to see it.
--- a/crates/primitives/src/lib.rs
+++ b/crates/primitives/src/lib.rs
@@ -3,9 +3,11 @@
 #![deny(missing_docs)]
 #![deny(clippy::too_many_lines)]
 
+mod backoff;
 mod ids;
 mod look;
 
+pub use backoff::*;
 pub use ids::*;
 pub use look::*;
 
