--- a/crates/ledger/src/claims.rs
+++ b/crates/ledger/src/claims.rs
@@ -21,7 +21,7 @@
             Claimed::Granted if !self.may_grant(roll) => Claimed::Unable,
             said => said,
         };
-        if said == Claimed::Granted && !self.grants.keys.contains_key(&key) {
+        if said == Claimed::Granted && !self.grants.contains(&key) {
             self.count("granted");
             self.save(now, Kept::Grant { key: key.clone(), print, round }, out);
             self.leaving.note(&key);
@@ -40,7 +40,7 @@
             self.count("claims by an earlier roll");
             return false;
         }
-        if self.grants.bytes > self.env.most {
+        if self.grants.bytes() > self.env.most {
             self.count("no room for keys");
             return false;
         }
@@ -50,7 +50,7 @@
     pub(crate) fn on_release(&mut self, now: Mono, key: String, round: RoundId, out: &mut Vec<Out>) {
         self.recall.released(round);
         let ours = |g: &crate::grants::Grant| g.round == round && g.whole.is_none();
-        if self.grants.keys.get(&key).is_some_and(ours) {
+        if self.grants.get(&key).is_some_and(ours) {
             self.save(now, Kept::Release { key, round }, out);
         }
     }
@@ -65,13 +65,13 @@
         out: &mut Vec<Out>,
     ) {
         let Kept::Grant { key, round, .. } = grant.clone() else { return };
-        let held = self.grants.keys.get(&key).map(|g| (g.round == round, g.whole.is_some()));
+        let held = self.grants.get(&key).map(|g| (g.round == round, g.whole.is_some()));
         if held.is_none() {
             self.save(now, grant, out);
         }
         // Too large to keep: later tries are in doubt, as if the answer were lost.
         // Nor may an outcome that may as well be lost take the room of grants.
-        let room = !self.env.sparing || self.grants.bytes < self.env.most / 4 * 3;
+        let room = !self.env.sparing || self.grants.bytes() < self.env.most / 4 * 3;
         let small = whole.size() <= self.env.most / 16 && room;
         if small && held.is_none_or(|(same, known)| same && !known) {
             self.count("outcomes");
--- a/crates/ledger/src/grants.rs
+++ b/crates/ledger/src/grants.rs
@@ -3,7 +3,7 @@
 use control_state::{Claimed, Held, Print, RoundId, Whole};
 use primitives::{Birth, Mono, Span, Version};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Kept {
@@ -62,14 +62,45 @@
 
 /// Invariant: a key is granted to one round until its window is over or that
 /// round gave it back unsent.
+///
+/// Kept by age beside by key, and their size counted as they change: nothing that is done
+/// for one key looks through the others.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Grants {
-    pub keys: BTreeMap<String, Grant>,
-    /// What they come to, as of the last look at their ages.
-    pub bytes: usize,
+    keys: BTreeMap<String, Grant>,
+    by_age: BTreeSet<(Mono, String)>,
+    bytes: usize,
+}
+
+/// What a grant takes in memory, roughly, beside its key and its outcome.
+const GRANT: usize = 128;
+
+fn size(key: &str, grant: &Grant) -> usize {
+    GRANT + key.len() + grant.whole.as_ref().map_or(0, |whole| whole.size())
 }
 
 impl Grants {
+    pub fn get(&self, key: &str) -> Option<&Grant> {
+        self.keys.get(key)
+    }
+
+    pub fn contains(&self, key: &str) -> bool {
+        self.keys.contains_key(key)
+    }
+
+    pub fn len(&self) -> usize {
+        self.keys.len()
+    }
+
+    /// What they come to.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (&String, &Grant)> {
+        self.keys.iter()
+    }
+
     /// What to say to a claim; `Granted` to a new round must be saved first.
     pub fn look(&self, key: &str, print: Print, round: RoundId) -> Claimed {
         let held = self.keys.get(key);
@@ -80,36 +111,63 @@
         })
     }
 
+    fn insert(&mut self, key: String, grant: Grant) {
+        self.remove(&key);
+        self.bytes += size(&key, &grant);
+        self.by_age.insert((grant.at, key.clone()));
+        self.keys.insert(key, grant);
+    }
+
+    fn remove(&mut self, key: &str) -> Option<Grant> {
+        let grant = self.keys.remove(key)?;
+        self.bytes -= size(key, &grant);
+        self.by_age.remove(&(grant.at, key.to_string()));
+        Some(grant)
+    }
+
+    /// Counts a grant's age from another moment.
+    pub fn set_at(&mut self, key: &str, at: Mono) {
+        if let Some(grant) = self.remove(key) {
+            self.insert(key.to_string(), Grant { at, ..grant });
+        }
+    }
+
     pub fn apply(&mut self, k: Kept, now: Mono) {
         match k {
             Kept::Grant { key, print, round } => {
-                self.keys.insert(key, Grant { print, round, whole: None, at: now });
+                self.insert(key, Grant { print, round, whole: None, at: now });
             }
             Kept::Outcome { key, round, whole } => {
-                if let Some(g) = self.keys.get_mut(&key).filter(|g| g.round == round) {
-                    g.whole = Some(whole);
+                if self.keys.get(&key).is_some_and(|g| g.round == round) {
+                    let grant = self.remove(&key);
+                    grant.into_iter().for_each(|g| {
+                        self.insert(key.clone(), Grant { whole: Some(whole.clone()), ..g });
+                    });
                 }
             }
             Kept::Release { key, round } => {
                 if self.keys.get(&key).is_some_and(|g| g.round == round && g.whole.is_none()) {
-                    self.keys.remove(&key);
+                    self.remove(&key);
                 }
             }
             Kept::Base(_, _, all, _) | Kept::Whole(_, _, _, all, _) => {
-                let grant = |(key, print, round, whole)| (key, Grant { print, round, whole, at: now });
-                self.keys = all.into_iter().map(grant).collect();
+                *self = Grants::default();
+                for (key, print, round, whole) in all {
+                    self.insert(key, Grant { print, round, whole, at: now });
+                }
             }
             Kept::Birth(_) | Kept::Open | Kept::Copy(_) | Kept::Fence(_) => (),
         }
     }
 
+    /// Drops those whose window is over, the oldest first.
     pub fn drop_old(&mut self, now: Mono, window: Span) {
-        self.keys.retain(|_, g| now - g.at < window);
-        let size = |(k, g): (&String, &Grant)| 128 + k.len() + g.whole.as_ref().map_or(0, |w| w.size());
-        self.bytes = self.keys.iter().map(size).sum();
-    }
-
-    pub fn dump(&self) -> Vec<(String, Print, RoundId, Option<Whole>)> {
-        self.keys.iter().map(|(k, g)| (k.clone(), g.print, g.round, g.whole.clone())).collect()
+        while let Some((at, key)) = self.by_age.first() {
+            if now - *at < window {
+                return;
+            }
+            let key = key.clone();
+            self.remove(&key);
+        }
     }
 }
--- a/crates/ledger/src/leave.rs
+++ b/crates/ledger/src/leave.rs
@@ -46,7 +46,7 @@
         self.leaving.since = Some(now);
         self.follow.standing = Standing::Leaving;
         self.follow.subscribe(now, &[], Epoch(0), out);
-        self.leaving.keys = self.grants.keys.keys().cloned().collect();
+        self.leaving.keys = self.grants.iter().map(|(key, _)| key.clone()).collect();
         self.hand_over(now, out);
     }
 
@@ -60,7 +60,7 @@
             return;
         }
         self.leaving.last = now;
-        self.leaving.keys.retain(|key| self.grants.keys.contains_key(key));
+        self.leaving.keys.retain(|key| self.grants.contains(key));
         let others = self.others();
         if others.is_empty() {
             self.leaving.keys.clear();
@@ -76,8 +76,7 @@
         let named = |key: &str| roll.named(key, losses).iter().any(|n| n.contains(&other));
         let keys = self.leaving.keys.iter().filter(|key| named(key));
         // With the outcome, also where others usually do without: this one goes.
-        let held: Vec<Held> =
-            keys.filter_map(|key| self.grants.keys.get(key).map(|g| g.show(now, key))).collect();
+        let held: Vec<Held> = keys.filter_map(|key| self.grants.get(key).map(|g| g.show(now, key))).collect();
         for held in in_parts(held, PART).into_iter().filter(|part| !part.is_empty()) {
             self.leaving.next += 1;
             let ask = self.leaving.next;
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -4,6 +4,7 @@
 use crate::grants::*;
 use crate::leave::Leaving;
 use crate::recall::Recall;
+use crate::short_form::ShortForm;
 use crate::stock::Stock;
 use control_state::*;
 use primitives::{Birth, Epoch, Mono, NodeId, Span, Version};
@@ -131,8 +132,8 @@
             _ => "",
         };
         let mut counts: Vec<_> = self.counts.iter().map(|(k, v)| (*k, *v)).collect();
-        counts.push(("keys", self.grants.keys.len() as u64));
-        counts.push(("key bytes", self.grants.bytes as u64));
+        counts.push(("keys", self.grants.len() as u64));
+        counts.push(("key bytes", self.grants.bytes() as u64));
         counts.push(("copies", self.stock.len() as u64));
         let in_hand = self.leaving.left() as u64;
         Health { ready: why.is_empty(), why, in_hand, counts, ..Health::default() }
@@ -148,14 +149,9 @@
         }
         if self.written > self.env.base_after {
             self.written = 0;
-            let b = Kept::Whole(
-                self.follow.env.birth,
-                self.open,
-                self.fence,
-                self.grants.dump(),
-                self.stock.values().cloned().collect(),
-            );
-            out.push(Out::Base(b.encode()));
+            let (birth, open, fence) = (self.follow.env.birth, self.open, self.fence);
+            let short = ShortForm { birth, open, fence, grants: &self.grants, stock: &self.stock };
+            out.push(Out::Base(short.encode()));
         }
         self.mend(now, out);
         self.recall(now, out);
@@ -168,7 +164,7 @@
     }
     /// Keys held now.
     pub fn held(&self) -> usize {
-        self.grants.keys.len()
+        self.grants.len()
     }
     pub fn is_open(&self) -> bool {
         self.open
--- a/crates/ledger/src/mend.rs
+++ b/crates/ledger/src/mend.rs
@@ -32,7 +32,7 @@
         let known = |g: &Grant| g.whole.is_some() && !self.env.sparing;
         let settled = move |g: &Grant| known(g) || (now - g.at > Span::secs(8) && g.round != RoundId::NONE);
         let named = move |k: &String| roll.named(k, self.env.losses);
-        let all = self.grants.keys.iter().filter(move |(_, g)| settled(g));
+        let all = self.grants.iter().filter(move |(_, g)| settled(g));
         all.map(move |(k, g)| (k, g, named(k))).filter(move |(.., n)| n.iter().any(|n| n.contains(&me)))
     }
 
@@ -69,7 +69,7 @@
     }
 
     pub(crate) fn mend(&mut self, now: Mono, out: &mut Vec<Out>) {
-        let pause = EVERY + EVERY_EACH.times(self.grants.keys.len() as u64);
+        let pause = EVERY + EVERY_EACH.times(self.grants.len() as u64);
         if now - self.mended < pause.min(EVERY_MOST) {
             return;
         }
@@ -113,14 +113,14 @@
         if h.age >= self.env.window {
             return;
         }
-        if !self.grants.keys.contains_key(&h.key) {
+        if !self.grants.contains(&h.key) {
             self.count("mended");
             self.save(now, Kept::Grant { key: h.key.clone(), print: h.print, round: h.round }, out);
             // As old as it was there, so that it is not passed round for ever.
-            self.grants.keys.entry(h.key.clone()).and_modify(|g| g.at = now - h.age);
+            self.grants.set_at(&h.key, now - h.age);
         }
         let lacks = |g: &Grant| g.round == h.round && g.whole.is_none();
-        if let (Some(whole), true) = (h.whole, self.grants.keys.get(&h.key).is_some_and(lacks)) {
+        if let (Some(whole), true) = (h.whole, self.grants.get(&h.key).is_some_and(lacks)) {
             self.save(now, Kept::Outcome { key: h.key, round: h.round, whole }, out);
         }
     }
--- a/crates/ledger/src/recall.rs
+++ b/crates/ledger/src/recall.rs
@@ -169,7 +169,7 @@
         self.grants.drop_old(now, self.env.window);
         let r = Roll::of(&self.follow.items);
         let theirs = |k: &str| r.named(k, self.env.losses).iter().any(|n| n.contains(&from));
-        let keys = self.grants.keys.iter().filter(|(k, _)| theirs(k));
+        let keys = self.grants.iter().filter(|(k, _)| theirs(k));
         let held = keys.map(|(k, g)| self.show_for(now, purpose, &r, k, g)).collect();
         let parts = in_parts(held, PART);
         let of = parts.len() as u32;
@@ -206,7 +206,7 @@
             self.take_over(now, h, out);
         }
         self.grants.drop_old(now, self.env.window);
-        if self.grants.bytes > self.env.most {
+        if self.grants.bytes() > self.env.most {
             // No room for what it must know: it waits for the window.
             return self.count("no room for keys");
         }
@@ -226,7 +226,7 @@
         if h.age >= self.env.window {
             return;
         }
-        let was = self.grants.keys.get(&h.key).map(|g| (g.round, g.whole.is_some(), g.at));
+        let was = self.grants.get(&h.key).map(|g| (g.round, g.whole.is_some(), g.at));
         let round = match was {
             None => h.round,
             Some((r, known, _)) if known || r == h.round => r,
@@ -238,7 +238,7 @@
             self.save(now, Kept::Grant { key: h.key.clone(), print: h.print, round }, out);
         }
         let at = was.map_or(Mono(0), |(.., t)| t).max(now - h.age);
-        self.grants.keys.entry(h.key.clone()).and_modify(|g| g.at = at);
+        self.grants.set_at(&h.key, at);
         let known = was.is_some_and(|(_, known, _)| known);
         if let (Some(whole), true) = (h.whole, round == h.round && !known) {
             self.save(now, Kept::Outcome { key: h.key, round, whole }, out);
--- a/crates/runtime/src/shell.rs
+++ b/crates/runtime/src/shell.rs
@@ -4,7 +4,7 @@
 mod handle;
 mod inbox;
 
-pub use disk::unpack;
+pub use disk::{pack_one, unpack};
 pub use handle::{Event, Handle};
 
 use crate::net::{self, Counts, Net};
--- a/crates/runtime/src/shell/disk.rs
+++ b/crates/runtime/src/shell/disk.rs
@@ -24,7 +24,7 @@
             Out::Base(b) => {
                 // All before it is void now, written or not.
                 plain.clear();
-                ring.base(&pack(&[b]))?;
+                ring.base(&pack_one(b))?;
             }
             Out::Save(b) => plain.push(b),
             _ => (),
@@ -41,6 +41,14 @@
     postcard::to_stdvec(b).expect("bytes always encode")
 }
 
+/// As `pack` packs one entry, in its own memory: a base may be large.
+pub fn pack_one(mut entry: Vec<u8>) -> Vec<u8> {
+    const ONE: usize = 1;
+    let ahead = postcard::to_stdvec(&(ONE, entry.len())).expect("numbers always encode");
+    entry.splice(0..0, ahead);
+    entry
+}
+
 /// The entries of all records read back; none if one does not unpack.
 pub fn unpack(recs: Vec<Vec<u8>>) -> Option<Vec<Vec<u8>>> {
     let each = recs.iter().map(|r| postcard::from_bytes::<Vec<Vec<u8>>>(r).ok());
--- a/crates/runtime/tests/shell.rs
+++ b/crates/runtime/tests/shell.rs
@@ -97,3 +97,13 @@
     }
     h.stop();
 }
+
+#[test]
+fn given_one_entry_packed_in_its_own_memory_then_it_unpacks_as_any_other() {
+    for length in [0, 1, 127, 128, 70_000] {
+        let entry = vec![7u8; length];
+        let packed = shell::pack_one(entry.clone());
+        assert_eq!(packed, postcard::to_stdvec(&vec![entry.clone()]).expect("bytes encode"));
+        assert_eq!(shell::unpack(vec![packed]), Some(vec![entry]));
+    }
+}
