--- a/crates/runtime/src/net.rs
+++ b/crates/runtime/src/net.rs
@@ -3,7 +3,7 @@
 mod counts;
 mod decoder;
 mod event_loop;
-mod expiry;
+pub(crate) mod expiry;
 mod inbound;
 mod io_thread;
 mod link;
--- a/crates/runtime/src/net/counts.rs
+++ b/crates/runtime/src/net/counts.rs
@@ -15,6 +15,10 @@
     pub expired: AtomicU64,
     /// Of those: pushed out by newer ones when a link's queue was full.
     pub overflowed: AtomicU64,
+    /// Messages that arrived and were not taken in: the part had fallen behind, and too many
+    /// waited, or they meant nothing any more when it came to them.
+    pub inbox_full: AtomicU64,
+    pub inbox_expired: AtomicU64,
     /// Connections ended for what came on them, and
     pub bad_frames: AtomicU64,
     /// those among them that spoke another version.
@@ -39,6 +43,8 @@
             ("links dropped", &self.dropped),
             ("links expired", &self.expired),
             ("links overflowed", &self.overflowed),
+            ("inbox full", &self.inbox_full),
+            ("inbox expired", &self.inbox_expired),
             ("links bad frames", &self.bad_frames),
             ("links other versions", &self.other_versions),
             ("links connected", &self.connected),
--- a/crates/runtime/src/shell.rs
+++ b/crates/runtime/src/shell.rs
@@ -7,18 +7,20 @@
 pub use disk::{pack_one, unpack};
 pub use handle::{Event, Handle};
 
+use crate::net::expiry::lifetime;
 use crate::net::{self, Counts, Net};
 use crate::process;
 use crate::ring::Ring;
 use control_state::*;
 use disk::keep_disk;
 use inbox::{Inbox, Waiting};
-use primitives::Token;
+use primitives::{Addr, Token};
 use slog::{error, info, Logger};
 use stakker::sync::Channel;
 use stakker::{actor, after, fwd_to, lazy, ret_shutdown, stop, Stakker, CX};
 use std::collections::{HashMap, VecDeque};
 use std::net::TcpListener;
+use std::sync::atomic::Ordering::Relaxed;
 use std::sync::mpsc::{channel, sync_channel, Sender};
 use std::sync::Arc;
 use std::thread;
@@ -107,7 +109,7 @@
         self.active = true;
         self.waiting.done();
         match e {
-            Event::Msg(from, m) => self.step(In::Msg(from, m)),
+            Event::Msg(from, m, came) => self.take(from, m, came),
             Event::Ask(a, tx) => {
                 self.next += 1;
                 self.asks.insert(Token(self.next), tx);
@@ -131,6 +133,16 @@
         self.flush_links_later(cx);
     }
 
+    /// What waited until it means nothing any more is dropped, so that a part that has fallen
+    /// behind catches up with what still does.
+    fn take(&mut self, from: Addr, m: Msg, came: Instant) {
+        if came.elapsed() < lifetime(&m) {
+            self.step(In::Msg(from, m));
+        } else {
+            self.net.counts.inbox_expired.fetch_add(1, Relaxed);
+        }
+    }
+
     fn step(&mut self, i: In) {
         let mut out = vec![];
         self.part.step(crate::now(), i, &mut out);
@@ -213,7 +225,8 @@
     }
     let take = chan.clone();
     let _ = counts.log.set(log.clone());
-    net::listen(listener, counts, move |from, m| take.send(Event::Msg(from, m)));
+    let counted = counts.clone();
+    net::listen(listener, counts, move |from, m| take.offer(from, m, &counted));
     front(Handle::new(chan));
     info!(log, "serving");
     s.run(Instant::now(), false);
--- a/crates/runtime/src/shell/handle.rs
+++ b/crates/runtime/src/shell/handle.rs
@@ -5,11 +5,12 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{channel, Sender};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// What reaches a part's actor from other threads.
 pub enum Event {
-    Msg(Addr, Msg),
+    /// With the time of its arrival.
+    Msg(Addr, Msg, Instant),
     Ask(Ask, Sender<Receipt>),
     Synced(bool),
     Stop,
