--- a/crates/controller/src/apply.rs
+++ b/crates/controller/src/apply.rs
@@ -53,7 +53,7 @@
         match cmd {
             Cmd::Look => self.answer_reader(now, cid, out),
             Cmd::Noop => {
-                self.deny_reader(now, cid, out);
+                self.overtaken_reader(now, cid, out);
                 let p = self.pending.remove(&cid);
                 p.into_iter().for_each(|p| self.again(now, p, out));
             }
--- a/crates/controller/src/era.rs
+++ b/crates/controller/src/era.rs
@@ -73,7 +73,6 @@
         self.force_askers.clear();
         self.hidden.clear();
         self.heard.clear();
-        self.deny_all_readers(now, "the era ended; ask again", out);
         self.cutting = None;
         self.save_base(out);
         self.transfer.receiver.cancel();
@@ -93,6 +92,7 @@
         }
         let open = std::mem::take(&mut self.pending);
         open.into_values().for_each(|p| self.again(now, p, out));
+        self.read_again(now, out);
     }
 
     /// What another state has otherwise than this one.
--- a/crates/controller/src/reading.rs
+++ b/crates/controller/src/reading.rs
@@ -51,10 +51,22 @@
         out.extend(reader.report(now, "answered"));
     }
 
-    /// The reading has lost its place in the order.
-    pub(crate) fn deny_reader(&mut self, now: Mono, cid: Cid, out: &mut Vec<Out>) {
-        let Some(reader) = self.readers.remove(&cid) else { return };
-        reader.deny(now, "the reading was overtaken; ask again", out);
+    /// The reading has lost its place in the order, which was filled without effect: it takes
+    /// another one.
+    pub(crate) fn overtaken_reader(&mut self, now: Mono, cid: Cid, out: &mut Vec<Out>) {
+        if let Some(reader) = self.readers.remove(&cid) {
+            self.read(now, reader, out);
+        }
+    }
+
+    /// An era has ended with these readings under way: they are proposed anew in the next one,
+    /// if this controller has a seat in it.
+    pub(crate) fn read_again(&mut self, now: Mono, out: &mut Vec<Out>) {
+        if self.mach.is_none() {
+            return self.deny_all_readers(now, "not a member any more", out);
+        }
+        let readers = std::mem::take(&mut self.readers);
+        readers.into_values().for_each(|reader| self.read(now, reader, out));
     }
 
     /// All readings are void, for this reason.
