--- a/crates/edge/src/press.rs
+++ b/crates/edge/src/press.rs
@@ -1,7 +1,7 @@
 //! How hard a service may be pressed: its ceiling, and the budget of extra tries.
 use crate::edge::Edge;
 use control_state::*;
-use primitives::{Addr, Epoch, Mono, Span};
+use primitives::{Addr, Backoff, Epoch, Mono, Span};
 use std::collections::BTreeMap;
 
 #[derive(Debug, Default)]
@@ -26,13 +26,26 @@
     asked: Mono,
     /// Extra tries that may still be made.
     extra: f64,
-    wait: u32,
+    /// Requests in line that the leader was told of and has not lent for.
+    told: u32,
+    /// When the leader is asked out of turn again, while some wait.
+    urging: Option<Urging>,
 }
 
 /// Saved up at the most, where the deployment allows no more.
 const EXTRA_MOST: f64 = 1.0;
-/// Out of turn at most this often.
+/// Out of turn at most this often, and so often only for as long as a lender with something
+/// saved up would take; after that ever more seldom.
 const URGE: Span = Span::ms(20);
+const URGE_EAGERLY: Span = Span::ms(160);
+const URGE_LONGEST: Span = Span::secs(1);
+
+/// Asking out of turn, while some wait.
+#[derive(Debug)]
+struct Urging {
+    since: Mono,
+    again: Backoff,
+}
 
 impl Purse {
     fn fill(&mut self, now: Mono, s: &Share) {
@@ -45,6 +58,24 @@
         self.own = (self.own + s.own * since.0 as f64 / 1e6).min(cap);
         self.lent.retain(|t| *t > now);
     }
+
+    /// The leader is told how many wait.
+    fn tell(&mut self, waiting: u32) {
+        self.told = waiting;
+        if waiting == 0 {
+            self.urging = None;
+        }
+    }
+
+    fn note_lent(&mut self, lent: u32) {
+        self.tell(self.told.saturating_sub(lent));
+    }
+
+    fn may_urge(&mut self, now: Mono) -> bool {
+        let begin = || Urging { since: now, again: Backoff::new(now, URGE_EAGERLY, URGE_LONGEST) };
+        let urging = self.urging.get_or_insert_with(begin);
+        now - urging.since < URGE_EAGERLY || urging.again.due(now)
+    }
 }
 
 impl Edge {
@@ -117,9 +148,9 @@
             p.asked = now;
             let more = (p.recent as f64 - s.own * gone).max(0.0).ceil() as u32;
             p.recent = 0;
-            p.wait = line.get(svc).copied().unwrap_or(0);
+            p.tell(line.get(svc).copied().unwrap_or(0));
             // With a line there is no telling what will come; without, as much as lately.
-            let ask = if p.wait > 0 { p.wait } else { more };
+            let ask = if p.told > 0 { p.told } else { more };
             let want = ask.saturating_sub(p.lent.len() as u32);
             if want > 0 {
                 v.push((svc.clone(), want));
@@ -128,9 +159,13 @@
         v
     }
 
-    /// Somebody waits in line: the holder is asked at once, not in turn.
-    pub(crate) fn urge(&mut self, now: Mono, out: &mut Vec<Out>) {
+    /// Somebody waits in line: the holder is asked at once, not in turn. One that has nothing
+    /// to lend is asked ever more seldom.
+    pub(crate) fn urge(&mut self, now: Mono, svc: &Svc, out: &mut Vec<Out>) {
         let Some(to) = self.press.holder.filter(|_| now - self.press.urged >= URGE) else { return };
+        if !self.purse(now, svc).is_some_and(|p| p.may_urge(now)) {
+            return;
+        }
         self.press.urged = now;
         let wants = self.wants(now);
         out.push(self.follow.sub(now, to, &wants, self.press.epoch));
@@ -148,6 +183,7 @@
         for (svc, n) in &r.slices {
             let until = r.ask + LENT;
             self.purse(now, svc).into_iter().for_each(|p| {
+                p.note_lent(*n);
                 p.lent.extend((0..*n).map(|_| until));
                 p.lent.sort();
                 p.lent.retain(|t| *t > now);
--- a/crates/edge/src/rounds.rs
+++ b/crates/edge/src/rounds.rs
@@ -78,7 +78,7 @@
         if lease <= now || leave <= now {
             return self.deny(now, id, Denied::NoLease, out);
         }
-        let Some(token) = self.spend(now, &svc) else { return self.urge(now, out) };
+        let Some(token) = self.spend(now, &svc) else { return self.urge(now, &svc, out) };
         let n = self.number();
         let req = self.conditional(id, req);
         let r = Round {
