--- a/crates/machine/src/lib.rs
+++ b/crates/machine/src/lib.rs
@@ -1,6 +1,7 @@
 //! A nucleus lanewing: all parts of one machine in one process, for deployments that
 //! place a program on each machine and tell it little about the others.
 mod leave;
+mod memory;
 mod memory_watch;
 mod parts;
 mod run;
--- a/crates/machine/src/parts.rs
+++ b/crates/machine/src/parts.rs
@@ -45,7 +45,7 @@
             follow: self.follow(Seat::Edge, Role::Edge, life, life),
             fresh: self.beat.times(3),
             patience: Span::secs(30),
-            copies: self.memory / 3,
+            copies: self.copies_memory(),
             hands: (1024, 2048),
             grace: Span(self.grace.0 * 2 / 5),
             policy: EdgePolicy {
@@ -83,8 +83,7 @@
             window: self.window + LATE,
             vanish: self.beat.times(4),
             base_after: (file * 3 / 4) as usize,
-            // Three eighths of four files.
-            room: (file * 3 / 2) as usize,
+            room: self.controller_room(),
             contact_by_echo: true,
             pace: caesar::Pace::default(),
         };
@@ -92,13 +91,12 @@
     }
 
     pub(crate) fn ledger(&self, kept: Vec<ledger::Kept>, now: Mono, out: &mut Vec<Out>) -> ledger::Ledger {
-        let file = self.file(LEDGER_FILE) as usize;
         let env = LedgerEnv {
             follow: self.follow(Seat::Ledger, Role::Ledger, 0, runtime::life()),
             window: self.window + LATE,
-            base_after: file * 3 / 4,
+            base_after: self.ledger_most(),
             room: 0,
-            most: file * 3 / 4,
+            most: self.ledger_most(),
             boot: runtime::boot(),
             losses: self.losses,
             leave: LEAVE,
@@ -122,6 +120,16 @@
             self.file(CONTROLLER_FILE)
         }
     }
+    /// Three eighths of four files.
+    pub(crate) fn controller_room(&self) -> usize {
+        (self.controller_file() * 3 / 2) as usize
+    }
+
+    /// Bytes of grants and outcomes that the ledger may hold.
+    pub(crate) fn ledger_most(&self) -> usize {
+        self.ledger_file() as usize * 3 / 4
+    }
+
     pub(crate) fn ledger_file(&self) -> u64 {
         self.file(LEDGER_FILE)
     }
--- a/crates/machine/src/run.rs
+++ b/crates/machine/src/run.rs
@@ -138,7 +138,7 @@
         Some((dir, _)) => Some(ledger(&env, dir)?.spawn(&env, &log)?),
         None => None,
     };
-    let room = Room::new(env.memory / 4);
+    let room = Room::new(env.answers_memory());
     let exec = ExecEnv { answer: 64 << 20, room, manner: fronts.manner.clone() };
     let (tx, start) = runtime::exec::rounds(exec);
     let listen = |a: Option<SocketAddr>| a.map(bind).transpose();
--- /dev/null
+++ b/crates/machine/tests/memory.rs
@@ -0,0 +1,48 @@
+//! How memory is shared out on a machine whose disk is counted, and on one without.
+use machine::MachineEnv;
+use primitives::Span;
+
+const MB: usize = 1_000_000;
+
+fn env(memory: usize, disk_mb: Option<u64>) -> MachineEnv {
+    MachineEnv {
+        ip: [127, 0, 0, 1].into(),
+        port: 7000,
+        zone: "a/b".into(),
+        seeds: vec![],
+        initial: true,
+        disk: disk_mb.map(|mb| ("/nowhere/lanewing-test".into(), mb)),
+        counted: true,
+        losses: 2,
+        memory,
+        window: Span::secs(60),
+        grace: Span::secs(6),
+        retry: (0.2, 100.0),
+        beat: Span::secs(1),
+        front: None,
+        ready: None,
+        control: None,
+    }
+}
+
+#[test]
+fn given_a_small_machine_that_keeps_data_then_copies_and_answers_leave_room_for_it() {
+    let machine = env(78 * MB, Some(64));
+    let (kept, copies, answers) = (machine.kept_memory(), machine.copies_memory(), machine.answers_memory());
+    // Grants of 4.5 MB and a state of 2.25 MB, several times each.
+    assert!((25 * MB..30 * MB).contains(&kept), "{kept} bytes set aside");
+    let left = 78 * MB - kept - copies - answers;
+    assert!(left >= 20 * MB, "{left} bytes for all the rest");
+}
+
+#[test]
+fn given_a_machine_that_keeps_nothing_then_nothing_is_set_aside() {
+    let machine = env(78 * MB, None);
+    assert_eq!((machine.kept_memory(), machine.copies_memory()), (0, 26 * MB));
+}
+
+#[test]
+fn given_a_disk_that_is_large_beside_the_memory_then_half_is_left() {
+    let machine = env(78 * MB, Some(4096));
+    assert_eq!(machine.kept_memory(), 39 * MB);
+}
