--- a/crates/ledger/tests/many_keys.rs
+++ b/crates/ledger/tests/many_keys.rs
@@ -85,3 +85,45 @@
     assert!(grants.iter().all(|(.., whole)| whole.as_ref().is_some_and(|w| w.body.len() == 40)));
     assert_eq!(decoded.encode(), record, "it is encoded as it would be from a copy");
 }
+
+/// Keys that two ledgers compare, and how much longer it may take where all of them differ than
+/// where none does. It took 50 times as long when each range looked through all keys.
+const COMPARED: u64 = 6_000;
+const COMPARING: u32 = 12;
+/// Grants are compared once they are this old.
+const SETTLED: Mono = Mono(START + 20_000_000);
+
+/// What this ledger says of its keys to the other one of the roll.
+fn own_digests(ledger: &mut Ledger) -> Vec<u64> {
+    let mut out = vec![];
+    ledger.step(SETTLED, In::Tick, &mut out);
+    let said = out.into_iter().find_map(|o| match o {
+        Out::Send(to, Msg::Digests(digests)) if to == addr(2) => Some(digests),
+        _ => None,
+    });
+    said.expect("it compares with the other ledger")
+}
+
+fn time_of(ledger: &mut Ledger, digests: &[u64]) -> (Duration, usize) {
+    let mut shown = 0;
+    let mut once = || {
+        let (began, mut out) = (Instant::now(), vec![]);
+        ledger.step(SETTLED, In::Msg(addr(2), Msg::Digests(digests.to_vec())), &mut out);
+        shown = out.iter().map(|o| if let Out::Send(_, Msg::Ranges(all)) = o { all.len() } else { 0 }).sum();
+        began.elapsed()
+    };
+    ((0..RUNS).map(|_| once()).min().expect("some runs"), shown)
+}
+
+#[test]
+fn given_many_keys_that_all_differ_then_comparing_them_takes_few_times_what_it_takes_if_none_does() {
+    let mut ledger = common::ledger(1, 1, 1 << 30);
+    ledger.step(Mono(START), In::Msg(addr(common::CONTROLLER), common::news()), &mut vec![]);
+    (0..COMPARED).for_each(|n| claim(&mut ledger, Mono(START), n));
+    let same = own_digests(&mut ledger);
+    let other: Vec<u64> = same.iter().map(|d| !d).collect();
+    let (equal, none) = time_of(&mut ledger, &same);
+    let (differing, all) = time_of(&mut ledger, &other);
+    assert_eq!((none, all), (0, same.len()));
+    assert!(differing < equal * COMPARING, "{equal:?} if none differs, {differing:?} if all do");
+}
