--- a/crates/ledger/src/mend.rs
+++ b/crates/ledger/src/mend.rs
@@ -12,6 +12,18 @@
 const EVERY: Span = Span::secs(2);
 const EVERY_EACH: Span = Span(500);
 const EVERY_MOST: Span = Span::secs(10);
+/// Bytes of records shown in one answer, roughly: where everything differs, after a loss of
+/// power, the rest is shown in the answers to later comparisons.
+const ANSWER: usize = 128 << 10;
+/// By how many ranges the first one shown moves on.
+const TURN: usize = 7;
+
+/// One range of the keys that two ledgers share.
+#[derive(Clone, Default)]
+struct SharedRange<'a> {
+    digest: u64,
+    grants: Vec<(&'a String, &'a Grant)>,
+}
 
 fn range(key: &str) -> usize {
     primitives::hash(&key) as usize % RANGES
@@ -46,12 +58,15 @@
         primitives::hash(&(key, g.round, g.whole.is_some() && !self.env.sparing))
     }
 
-    fn digests(&self, now: Mono, other: Addr) -> Vec<u64> {
-        let mut digests = vec![0u64; RANGES];
+    /// What is compared with another ledger, by range, in one pass over the keys.
+    fn shared_ranges(&self, now: Mono, other: Addr) -> Vec<SharedRange<'_>> {
+        let mut ranges = vec![SharedRange::default(); RANGES];
         for (key, g) in self.shared(now, other) {
-            digests[range(key)] ^= self.digest(key, g);
+            let range = &mut ranges[range(key)];
+            range.digest ^= self.digest(key, g);
+            range.grants.push((key, g));
         }
-        digests
+        ranges
     }
 
     /// For every other ledger, in one pass over the keys.
@@ -90,15 +105,32 @@
 
     /// Shows the ranges that differ.
     pub(crate) fn on_digests(&mut self, now: Mono, from: Addr, theirs: Vec<u64>, out: &mut Vec<Out>) {
-        let mine = self.digests(now, from);
-        let differs = |i: &usize| theirs.get(*i).is_some_and(|d| *d != mine[*i]);
-        let show = |i: usize| {
-            let held =
-                self.shared(now, from).filter(|(k, _)| range(k) == i).map(|(k, g)| self.show(now, k, g));
-            (i as u16, held.collect::<Vec<_>>())
+        if theirs.len() != RANGES {
+            return;
+        }
+        let mine = self.shared_ranges(now, from);
+        let differs = |(_, (range, theirs)): &(usize, (&SharedRange, &u64))| {
+            range.digest != **theirs && !range.grants.is_empty()
+        };
+        let show = |(index, (range, _)): (usize, (&SharedRange, &u64))| {
+            let held = range.grants.iter().map(|(key, g)| self.show(now, key, g));
+            (index as u16, held.collect::<Vec<_>>())
         };
-        let ranges: Vec<_> = (0..RANGES).filter(differs).map(show).filter(|(_, h)| !h.is_empty()).collect();
-        if !ranges.is_empty() && theirs.len() == RANGES {
+        // Another time it begins with another range, so that each has its turn.
+        let first = (now.0 / EVERY.0) as usize * TURN % RANGES;
+        let all = mine.iter().zip(&theirs).enumerate();
+        let in_turn = all.clone().skip(first).chain(all.take(first));
+        let mut bytes = 0;
+        let ranges: Vec<_> = in_turn
+            .filter(differs)
+            .map(show)
+            .take_while(|(_, held)| {
+                let before = bytes;
+                bytes += held.iter().map(Held::size).sum::<usize>();
+                before < ANSWER
+            })
+            .collect();
+        if !ranges.is_empty() {
             out.push(Out::Send(from, Msg::Ranges(ranges)));
         }
     }
