--- a/crates/control-state/tests/late_heartbeats.rs
+++ b/crates/control-state/tests/late_heartbeats.rs
@@ -53,3 +53,15 @@
     assert!(!serving(9).replaces(later, heard(beat(1, 4, Mood::Leaving)).as_ref()), "it said that it leaves");
     assert!(beat(2, 1, Mood::Serving).replaces(later, heard(beat(1, 4, Mood::Leaving)).as_ref()));
 }
+
+#[test]
+fn given_a_sign_off_sent_again_and_again_then_only_the_first_changes_anything() {
+    let mut state = ControlState::default();
+    applied(&mut state, register(1));
+    applied(&mut state, Op::SignOff(addr(), Birth(1)));
+    let version = state.item(&Key::Origin(addr())).ver;
+    for _ in 0..5 {
+        assert_eq!(applied(&mut state, Op::SignOff(addr(), Birth(1))), Verdict::Void(Void::NothingNew));
+    }
+    assert_eq!(state.item(&Key::Origin(addr())).ver, version);
+}
--- a/crates/simulator/tests/storm.rs
+++ b/crates/simulator/tests/storm.rs
@@ -112,3 +112,10 @@
         assert!(!enough || seen(want), "no {want} in all seeds");
     }
 }
+
+/// Its origin says again and again that it is gone, in step with an edge's askings: each word was
+/// a change, and the edge never held all of them when it asked for its lease.
+#[test]
+fn given_the_seed_in_which_an_origin_signs_off_again_and_again_then_edges_keep_their_leases() {
+    storm(42, &mut Counts::new());
+}
