--- a/crates/control-state/src/leaving.rs
+++ b/crates/control-state/src/leaving.rs
@@ -37,12 +37,15 @@
         }
     }
 
+    /// A word that is repeated changes nothing: a change goes to every edge, and holds up what
+    /// waits to be in force.
     pub(crate) fn sign_off(&mut self, addr: Addr, birth: Birth) -> Verdict {
         self.gone.insert(addr, birth);
-        if self.origin(&addr).is_some_and(|o| o.birth != birth) {
-            return Verdict::Void(Void::OtherLife);
+        match self.origin(&addr) {
+            None => Verdict::Void(Void::NothingNew),
+            Some(o) if o.birth != birth => Verdict::Void(Void::OtherLife),
+            Some(_) => self.put(Key::Origin(addr), None),
         }
-        self.put(Key::Origin(addr), None)
     }
 
     /// Signs off whoever has that name at this place of the order.
