--- a/crates/simulator/tests/common/disks.rs
+++ b/crates/simulator/tests/common/disks.rs
@@ -53,6 +53,21 @@
     start_machine(w, m);
 }
 
+/// From its next start on the machine, which is down, knows these seeds; its disk stays.
+pub fn set_seeds(w: &mut World, m: u8, seeds: &[Addr]) {
+    let kept = machine(m).map(|a| w.procs.get(&a).map(|p| (p.disk.clone(), p.life)));
+    let (open, zone) = (w.plan.open, zone(w, m));
+    w.plan.open = open.map(|o| controller::Open { initial: false, ..o });
+    w.add_controller(addr(m, 1), zone, seeds.to_vec(), false);
+    w.plan.open = open;
+    w.add_ledger(200 + m as u16, addr(m, 3), zone, seeds);
+    w.add_edge(100 + m as u16, addr(m, 2), zone, seeds);
+    for (a, kept) in machine(m).into_iter().zip(kept) {
+        let p = w.procs.get_mut(&a).expect("just added");
+        (p.disk, p.life) = kept.unwrap_or_default();
+    }
+}
+
 /// Told to stop, and killed once the grace is over.
 pub fn stop_machine(w: &mut World, m: u8) {
     let life = w.procs[&addr(m, 1)].life;
