--- a/crates/controller/src/catch_up.rs
+++ b/crates/controller/src/catch_up.rs
@@ -68,6 +68,8 @@
         let known = self.base.members.iter().any(|m| m.birth == birth) || era.0 > 0;
         if known && era < self.base.era {
             self.offer_snapshot(now, from, out);
+        } else {
+            self.tell_membership(from, out);
         }
     }
 
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -1,5 +1,6 @@
 use crate::beats::Pulse;
 use crate::contact::Contact;
+use crate::directory::Directory;
 use crate::disk_health::DiskHealth;
 use crate::landing::Landed;
 use crate::leadership::Leadership;
@@ -58,6 +59,8 @@
     pub(crate) hidden: BTreeMap<Cid, Hidden>,
     /// Who of earlier rosters is past them.
     pub(crate) landed: Landed,
+    /// When this process began.
+    pub(crate) started: Mono,
     /// Since when, in this process, it has had a seat.
     pub(crate) seated: Mono,
     /// Who was heard in this era.
@@ -79,6 +82,7 @@
     pub(crate) log: LogSize,
     pub(crate) disk: DiskHealth,
     pub(crate) transfer: SnapshotTransfer,
+    pub(crate) directory: Directory,
     pub(crate) counts: BTreeMap<&'static str, u64>,
     last: BTreeMap<&'static str, Mono>,
 }
@@ -115,6 +119,7 @@
             force_askers: BTreeMap::new(),
             hidden: BTreeMap::new(),
             landed: Landed::new(),
+            started: now,
             seated: now,
             heard: BTreeSet::new(),
             readers: BTreeMap::new(),
@@ -131,6 +136,7 @@
             log: LogSize::default(),
             disk: DiskHealth::default(),
             transfer: SnapshotTransfer::default(),
+            directory: Directory::default(),
             counts: BTreeMap::new(),
             last: BTreeMap::new(),
             env,
@@ -162,8 +168,9 @@
 
     fn tick(&mut self, now: Mono, out: &mut Vec<Out>) {
         if self.due("blank", Span::ms(200), now) {
-            self.show_unjoined(out);
+            self.show_unjoined(now, out);
         }
+        self.search_members(now, out);
         self.announce_leaving(now, out);
         self.mind_roster(now, out);
         self.with_machine(now, out, |m, o| m.tick(now, o));
@@ -217,7 +224,7 @@
                 Msg::Synced(then) if from == self.env.addr => self.disk.synced(now, then),
                 Msg::SlowDisk(member_id) => self.disk.on_slow(now, member_id),
                 Msg::Got { id, feed, got } => self.on_got(now, id, feed, got, out),
-                Msg::Sub(s) if self.passes_on() => self.show_roster(from, &s, out),
+                Msg::Sub(s) if self.mach.is_none() => self.show_roster(from, &s, out),
                 Msg::Sub(s) => self.on_sub(now, from, *s, out),
                 Msg::Roster(era, ms) => self.on_roster(era, ms),
                 Msg::Found(b) => self.on_found(now, b, out),
--- a/crates/controller/src/found.rs
+++ b/crates/controller/src/found.rs
@@ -5,20 +5,10 @@
 use primitives::{Addr, Mono, Span};
 
 impl Controller {
-    /// Without a seat: shows itself to the seeds, and to the members it knows of.
-    pub(crate) fn show_unjoined(&mut self, out: &mut Vec<Out>) {
-        if self.mach.is_none() && !self.passes_on() && !self.watch.stopping {
-            let m = self.member(MemberId(0));
-            let members = self.base.members.iter().map(|x| x.addr).filter(|a| !self.env.seeds.contains(a));
-            let known = self.env.seeds.iter().copied().chain(members);
-            out.extend(known.map(|a| Out::Send(a, Msg::Unjoined(m.clone()))));
-            self.say_learned(out);
-        }
-    }
-
     pub(crate) fn on_unjoined(&mut self, now: Mono, m: Member, out: &mut Vec<Out>) {
         let (addr, birth) = (m.addr, m.birth);
         self.unjoined.insert(addr, (m.clone(), now));
+        self.tell_membership(addr, out);
         if self.mach.is_none() {
             return self.maybe_found(now, out);
         }
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -6,6 +6,7 @@
 mod catch_up;
 mod contact;
 mod controller;
+mod directory;
 mod disk_health;
 mod era;
 mod force;
--- a/crates/controller/src/open.rs
+++ b/crates/controller/src/open.rs
@@ -48,23 +48,6 @@
         }
     }
 
-    pub(crate) fn on_roster(&mut self, era: Era, ms: Vec<Member>) {
-        if self.passes_on() && era > self.base.era {
-            (self.base.era, self.base.members) = (era, ms);
-        }
-    }
-
-    /// A follower that turns to one without a seat learns where the seats are.
-    pub(crate) fn show_roster(&mut self, to: Addr, s: &Sub, out: &mut Vec<Out>) {
-        if self.base.members.is_empty() {
-            return;
-        }
-        let (era, members) = (self.base.era, self.base.members.clone());
-        let (feed, got) = (s.feed, s.got);
-        let n = Update { feed, from: got, to: got, full: false, items: vec![], era, members, reply: None };
-        out.push(Out::Send(to, Msg::Update(Box::new(n))));
-    }
-
     /// Several times a second: names a founder, passes unjoined controllers on, lets them join,
     /// and tells the seeds who has a seat.
     pub(crate) fn mind_roster(&mut self, now: Mono, out: &mut Vec<Out>) {
@@ -88,13 +71,13 @@
     fn pass_on_unjoined(&mut self, now: Mono, out: &mut Vec<Out>) {
         self.unjoined.retain(|_, (_, t)| now - *t < Span::secs(1));
         let first = self.unjoined.values().map(|(m, _)| m.clone()).min_by_key(|m| m.addr);
-        if !self.base.members.is_empty() {
-            let shown = self.unjoined.values().map(|(b, _)| b);
-            let to = |b: &Member| {
-                let b = b.clone();
-                self.base.members.iter().map(move |m| Out::Send(m.addr, Msg::Unjoined(b.clone())))
+        let members = self.latest_membership().1;
+        if !members.is_empty() {
+            let to_all = |shown: &Member| {
+                let shown = shown.clone();
+                members.iter().map(move |m| Out::Send(m.addr, Msg::Unjoined(shown.clone())))
             };
-            out.extend(shown.flat_map(to));
+            out.extend(self.unjoined.values().map(|(shown, _)| shown).flat_map(to_all));
             return;
         }
         let mine = self.first_seed() == Some(self.env.addr) && self.env.open.is_some_and(|o| o.initial);
--- a/crates/controller/src/subscribers.rs
+++ b/crates/controller/src/subscribers.rs
@@ -59,9 +59,6 @@
     /// A subscriber asks: it is answered with whatever it lacks, a lease if it lacks nothing,
     /// heartbeats and lent requests.
     pub(crate) fn on_sub(&mut self, now: Mono, from: Addr, asked: Sub, out: &mut Vec<Out>) {
-        if self.mach.is_none() {
-            return;
-        }
         let registered = self.is_registered(&asked);
         self.see_to_newcomer(now, &asked, registered, out);
         let same_stream = self.resume_stream(now, from, &asked);
--- a/crates/simulator/tests/newcomers.rs
+++ b/crates/simulator/tests/newcomers.rs
@@ -6,7 +6,6 @@
 #[path = "common/open.rs"]
 mod open;
 use disks::*;
-use open::*;
 use primitives::{Addr, Span};
 use simulator::*;
 
