--- a/crates/control-state/src/msg.rs
+++ b/crates/control-state/src/msg.rs
@@ -122,12 +122,18 @@
         path: String,
         /// As the first caller sent them, less what is its own.
         heads: Heads,
+        /// For whom the asked one is to have a copy.
+        reach: Reach,
+        /// The `ETag` of a lapsed copy that the asker still holds.
+        held: Option<String>,
     },
     /// The home edge is at it.
     CopyWait(AskId),
     CopyGot {
         ask: AskId,
         said: CopySaid,
+        /// Of all purges that the sender knows, see `purge_digest`.
+        purges: u64,
     },
     // edges and ledgers
     StockOffer(AskId),
@@ -211,11 +217,29 @@
     pub public: bool,
 }
 
+/// For which edges one edge, an object's home, has a copy.
+#[derive(Copy, Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Reach {
+    /// Those of its zone; it asks the region's home in turn.
+    Zone,
+    /// Those of its region; it asks the origin.
+    Region,
+    /// All of the deployment; it asks the origin.
+    Deployment,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum CopySaid {
     Got(Box<Shown>),
+    /// The copy that the asker holds is still the newest; its rest of life and its age.
+    Same {
+        left: Span,
+        aged: Span,
+    },
     /// There is none to be had here.
     None,
+    /// The origin's ceiling is used up: it is to be asked by nobody else either.
+    AtCeiling,
     /// lanewing's own last word on it.
     Own(Box<Whole>),
     /// The answer is not to be shared: each caller must be answered by the origin.
--- a/crates/control-state/src/purged.rs
+++ b/crates/control-state/src/purged.rs
@@ -24,6 +24,12 @@
     k.is_purge() && (it.ver.0 >> 32) + KEPT < era.0
 }
 
+/// Of all purges known. Two nodes with the same one have dropped the same copies.
+pub fn purge_digest(items: &BTreeMap<Key, Item>) -> u64 {
+    let purges = items.iter().filter(|(k, _)| k.is_purge());
+    purges.fold(0, |digest, (k, it)| digest ^ primitives::hash(&(k, it.ver.0)))
+}
+
 /// What purges say of an object: grows with each that covers it, so a copy under
 /// another mark than now may be older than a purge.
 pub fn mark(items: &BTreeMap<Key, Item>, o: &(Svc, Lane, String)) -> u64 {
--- a/crates/control-state/src/shelf.rs
+++ b/crates/control-state/src/shelf.rs
@@ -1,6 +1,6 @@
 //! A bounded shelf of things that live until a point in time.
 use primitives::Mono;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 pub trait Shelved {
     fn until(&self) -> Mono;
@@ -9,20 +9,25 @@
         self.until()
     }
     fn size(&self) -> usize;
+    /// Gives way only once all is gone that does not stay.
+    fn stays(&self) -> bool {
+        true
+    }
 }
 
-/// Invariant: the sizes of all on it come to at most `room`; what ends soonest
-/// goes first.
+/// Invariants: the sizes of all on it come to at most `room`; what does not stay goes first,
+/// then what ends soonest; `order` names each thing once.
 #[derive(Clone, Debug)]
 pub struct Shelf<K, T> {
     all: BTreeMap<K, T>,
+    order: BTreeSet<(bool, Mono, K)>,
     bytes: usize,
     room: usize,
 }
 
 impl<K: Ord + Clone, T: Shelved> Shelf<K, T> {
     pub fn new(room: usize) -> Shelf<K, T> {
-        Shelf { all: BTreeMap::new(), bytes: 0, room }
+        Shelf { all: BTreeMap::new(), order: BTreeSet::new(), bytes: 0, room }
     }
 
     /// Only what is still alive.
@@ -36,17 +41,20 @@
     }
 
     pub fn put(&mut self, k: K, t: T) {
+        self.remove(&k);
         self.bytes += t.size();
-        let was = self.all.insert(k, t);
-        self.bytes -= was.map_or(0, |w| w.size());
+        self.order.insert((t.stays(), t.kept(), k.clone()));
+        self.all.insert(k, t);
         while self.bytes > self.room {
-            let soonest = self.all.iter().min_by_key(|(_, t)| t.kept()).map(|(k, _)| k.clone());
-            soonest.into_iter().for_each(|k| self.remove(&k));
+            let Some((.., first)) = self.order.first().cloned() else { return };
+            self.remove(&first);
         }
     }
 
     fn remove(&mut self, k: &K) {
-        self.bytes -= self.all.remove(k).map_or(0, |t| t.size());
+        let Some(was) = self.all.remove(k) else { return };
+        self.bytes -= was.size();
+        self.order.remove(&(was.stays(), was.kept(), k.clone()));
     }
 
     pub fn drop_where(&mut self, gone: impl Fn(&K, &T) -> bool) {
--- a/crates/edge/src/answers.rs
+++ b/crates/edge/src/answers.rs
@@ -4,8 +4,9 @@
 use crate::edge::Edge;
 use crate::jobs::Stage;
 use crate::read::WAY_OUT;
+use crate::sources::{Inquiry, Source};
 use control_state::*;
-use primitives::{Addr, Mono};
+use primitives::{Addr, Mono, Span};
 use std::sync::Arc;
 
 /// Counts answers to a question of another life, or of another node.
@@ -52,51 +53,94 @@
         }
     }
 
-    pub(crate) fn on_copy_wait(&mut self, from: Addr, ask: AskId) {
+    pub(crate) fn on_copy_wait(&mut self, now: Mono, from: Addr, ask: AskId) {
         let Some(id) = self.own_number(ask) else { return };
-        match self.jobs.get_mut(&id).map(|j| &mut j.stage) {
-            Some(Stage::Home(whom, _, at_it)) if *whom == from => *at_it = true,
-            _ => self.count(UNASKED),
-        }
+        let Some((inquiry, _)) = self.answered(id, from) else { return self.count(UNASKED) };
+        self.note_answer_time(now, &inquiry);
+        self.mute.remove(&from);
+        let Some(j) = self.jobs.get_mut(&id) else { return };
+        let open = j.overdue.iter_mut().find(|i| i.to == from);
+        let current = if let Stage::Home(inquiry) = &mut j.stage { Some(inquiry) } else { None };
+        let same = current.filter(|i| i.to == from).or(open);
+        same.into_iter().for_each(|i| i.at_it = true);
+    }
+
+    /// The question of a job that this answers, if it still waits for it: the last one, or an
+    /// earlier one that was overdue.
+    fn answered(&self, id: u64, from: Addr) -> Option<(Inquiry, bool)> {
+        let j = self.jobs.get(&id)?;
+        let current = match j.stage {
+            Stage::Home(inquiry) if inquiry.to == from => Some((inquiry, true)),
+            _ => None,
+        };
+        let waits = matches!(j.stage, Stage::Home(_) | Stage::Line);
+        let overdue = j.overdue.iter().find(|i| i.to == from).filter(|_| waits);
+        current.or(overdue.map(|i| (*i, false)))
     }
 
     pub(crate) fn on_copy_got(
         &mut self,
         now: Mono,
-        from: Addr,
-        ask: AskId,
+        (from, ask): (Addr, AskId),
         said: CopySaid,
+        purges: u64,
         out: &mut Vec<Out>,
     ) {
         let Some(id) = self.own_number(ask) else { return };
-        // A job may have asked two, one after the other; only the last one's word
-        // is younger than the asking its life is counted from.
-        let asked = self.jobs.get(&id).and_then(|j| match j.stage {
-            Stage::Home(whom, asked, _) if whom == from => Some((j, asked)),
-            _ => None,
-        });
-        let Some((j, asked)) = asked else { return self.count(UNASKED) };
-        let good = !j.spoiled && self.leased(now);
+        let Some((inquiry, current)) = self.answered(id, from) else { return self.count(UNASKED) };
+        self.note_answer_time(now, &inquiry);
+        // It is slow, not gone.
+        self.mute.remove(&from);
+        let Some(j) = self.jobs.get(&id) else { return };
+        let (good, object) = (!j.spoiled && self.leased(now), j.object());
         // The copy's rest of life counts from when it was asked for.
+        let lives = |left: Span| good && inquiry.asked + left > now;
         match said {
-            CopySaid::Got(c) if good && asked + c.left > now => {
-                let (obj, stocked, since) = (j.object(), j.stocked, asked - c.aged);
-                let until = (asked + c.left).min(self.leased_until());
+            CopySaid::Got(c) if lives(c.left) => {
+                let (since, until) =
+                    (inquiry.asked - c.aged, (inquiry.asked + c.left).min(self.leased_until()));
+                let stocked = inquiry.source == Source::Ledger;
                 self.count(if stocked { "filled from ledgers" } else { "filled from homes" });
-                let whole = Arc::new(c.whole);
-                if !self.env.policy.near {
-                    self.keep(now, obj, Copy { whole: whole.clone(), public: c.public, since, until });
+                // Whoever knew other purges may have shown what one of them took.
+                let sure = stocked || purges == self.purges();
+                let guest = !self.is_home_after(inquiry.source);
+                let copy = Copy { whole: Arc::new(c.whole), public: c.public, since, until, guest };
+                if sure {
+                    self.keep(now, object, copy.clone());
                 }
-                let out_by = (until + WAY_OUT).min(self.leased_until());
-                let s = Step::Serve(whole, Shared::Copy(now - since), out_by);
-                self.finish(now, id, s, out);
+                self.serve_copy(now, id, copy, out);
             }
+            CopySaid::Same { left, aged } if lives(left) => match self.copies.peek(&object).cloned() {
+                Some(was) => {
+                    let (since, until) =
+                        (inquiry.asked - aged, (inquiry.asked + left).min(self.leased_until()));
+                    self.count("renewed from homes");
+                    let copy = Copy { since, until, ..was };
+                    self.copies.put(object, copy.clone());
+                    self.serve_copy(now, id, copy, out);
+                }
+                // It left the shelf for room: the whole is wanted after all.
+                None if current => self.ask_source(now, id, inquiry.source, out),
+                None => (),
+            },
             CopySaid::Personal => self.part_ways(now, id, None, out),
             CopySaid::Own(w) => {
                 let s = Step::Serve(Arc::new(*w), Shared::Own, Mono(u64::MAX));
                 self.finish(now, id, s, out);
             }
-            _ => self.fill_here(now, id, out),
+            CopySaid::AtCeiling if current => self.deny(now, id, Denied::Ceiling, out),
+            _ if current => self.ask_next(now, id, out),
+            _ => (),
         }
     }
+
+    /// Whether only homes of some reach ask that source; who is none keeps a guest.
+    fn is_home_after(&self, source: Source) -> bool {
+        source > Source::Home(if self.env.policy.near { Reach::Zone } else { Reach::Deployment })
+    }
+
+    fn serve_copy(&mut self, now: Mono, id: u64, c: Copy, out: &mut Vec<Out>) {
+        let out_by = (c.until + WAY_OUT).min(self.leased_until());
+        self.finish(now, id, Step::Serve(c.whole, Shared::Copy(now - c.since), out_by), out);
+    }
 }
--- a/crates/edge/src/copies.rs
+++ b/crates/edge/src/copies.rs
@@ -16,6 +16,8 @@
     pub since: Mono,
     /// Invariant: not served after this; set when the fill began.
     pub until: Mono,
+    /// Others are its homes: it makes room for what this edge is a home of.
+    pub guest: bool,
 }
 
 impl Shelved for Copy {
@@ -33,6 +35,9 @@
     fn size(&self) -> usize {
         self.whole.size()
     }
+    fn stays(&self) -> bool {
+        !self.guest
+    }
 }
 
 impl Copy {
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -1,3 +1,4 @@
+use crate::answer_time::AnswerTime;
 use crate::copies::Copies;
 use crate::forwarded_calls::ForwardedCalls;
 use crate::jobs::Job;
@@ -5,6 +6,7 @@
 use crate::origins::Seen;
 pub use crate::policy::EdgePolicy;
 use crate::press::Press;
+use crate::read::Wish;
 use crate::table::Table;
 use control_state::*;
 use primitives::{Addr, Mono, Span};
@@ -48,12 +50,16 @@
     /// The job that fills each object now.
     pub(crate) fills: BTreeMap<(Svc, Lane, String), u64>,
     pub(crate) rounds: BTreeMap<u64, u64>,
+    /// Of all purges known, unless one came since it was last asked for.
+    pub(crate) purge_digest: Option<u64>,
     /// Copies offered to ledgers, by the job that filled them.
     pub(crate) offers: BTreeMap<u64, (Svc, Lane, String)>,
     pub(crate) outgoing: Vec<Outgoing>,
     /// Objects whose answers lately were not to be shared, and until when each
     /// caller is answered by the origin.
     pub(crate) solo: BTreeMap<(Svc, Lane, String), Mono>,
+    /// How long homes take to answer, by their reach.
+    pub(crate) answer_times: BTreeMap<Reach, AnswerTime>,
     /// Edges that lately did not answer.
     pub(crate) mute: BTreeMap<Addr, Mono>,
     pub(crate) forwarded_calls: ForwardedCalls,
@@ -77,9 +83,11 @@
             jobs: BTreeMap::new(),
             fills: BTreeMap::new(),
             rounds: BTreeMap::new(),
+            purge_digest: None,
             offers: BTreeMap::new(),
             outgoing: vec![],
             solo: BTreeMap::new(),
+            answer_times: BTreeMap::new(),
             mute: BTreeMap::new(),
             forwarded_calls: ForwardedCalls::default(),
             swept: Mono(0),
@@ -203,11 +211,11 @@
             In::Msg(from, m) => match m {
                 Msg::CallAnswered(n, said) => self.on_call_answered(now, from, n, *said, out),
                 Msg::Update(n) => self.on_update(now, from, *n, out),
-                Msg::CopyAsk { ask, svc, lane, path, heads } => {
-                    self.on_copy_ask(now, (from, ask), (svc, lane, path), heads, out)
+                Msg::CopyAsk { ask, svc, lane, path, heads, reach, held } => {
+                    self.on_copy_ask(now, (from, ask), (svc, lane, path), Wish { heads, reach, held }, out)
                 }
-                Msg::CopyWait(ask) => self.on_copy_wait(from, ask),
-                Msg::CopyGot { ask, said } => self.on_copy_got(now, from, ask, said, out),
+                Msg::CopyWait(ask) => self.on_copy_wait(now, from, ask),
+                Msg::CopyGot { ask, said, purges } => self.on_copy_got(now, (from, ask), said, purges, out),
                 Msg::StockWant { ask, at } => self.on_stock_want(now, from, ask, at, out),
                 Msg::Claimed { round, said, .. } => self.on_claimed(now, from, round, said, out),
                 Msg::Kept { round, .. } => self.on_kept(from, round),
--- a/crates/edge/src/jobs.rs
+++ b/crates/edge/src/jobs.rs
@@ -1,6 +1,7 @@
 //! Requests in hand, from the first look to the last word.
 use crate::claim::Claim;
 use crate::edge::Edge;
+use crate::sources::Inquiry;
 use control_state::*;
 use primitives::{Addr, Birth, Mono, Span, Token};
 use std::collections::BTreeMap;
@@ -16,8 +17,8 @@
 
 #[derive(Debug)]
 pub(crate) enum Stage {
-    /// Waits for the object's home edge, asked then; true once it said it is at it.
-    Home(Addr, Mono, bool),
+    /// Waits for somebody who may have a copy.
+    Home(Inquiry),
     /// Waits for the ledgers' words.
     Claim(BTreeMap<Addr, Claimed>),
     /// Waits in line for leave to press the service.
@@ -47,8 +48,8 @@
     pub solo: bool,
     /// The whole is asked for, whatever copy there was.
     pub plain: bool,
-    /// The object's ledger was asked.
-    pub stocked: bool,
+    /// Whoever was asked for a copy and has kept silent so far.
+    pub overdue: Vec<Inquiry>,
     /// Keyed only: what was claimed of which ledgers.
     pub claim: Option<Claim>,
     /// Keyed only. Invariant: nothing leaves after this, however long we froze.
@@ -151,7 +152,7 @@
             spoiled: false,
             solo: false,
             plain: false,
-            stocked: false,
+            overdue: vec![],
             claim: None,
             must_leave: Mono(u64::MAX),
             by,
@@ -183,9 +184,10 @@
                     Step::Serve(w, Shared::Own, _) => CopySaid::Own(Box::new(w.kept())),
                     Step::Serve(w, Shared::Copy(aged), until) => shown(&w, until, aged),
                     Step::Serve(w, _, until) => shown(&w, until, Span(0)),
+                    Step::Deny(Denied::Ceiling, _) => CopySaid::AtCeiling,
                     _ => CopySaid::None,
                 };
-                out.push(Out::Send(*a, Msg::CopyGot { ask: *ask, said }));
+                out.push(self.copy_got(*a, *ask, said));
             }
         }
     }
@@ -220,13 +222,8 @@
                 Stage::Line | Stage::Home(..) | Stage::Claim(_) if now >= j.by => {
                     self.deny(now, id, Denied::Ceiling, out);
                 }
-                Stage::Home(a, _, at_it)
-                    if waited > if *at_it { self.env.patience } else { self.env.policy.home } =>
-                {
-                    let a = *a;
-                    self.mute.insert(a, now + Span::secs(2));
-                    self.count("mute homes");
-                    self.fill_here(now, id, out);
+                Stage::Home(inquiry) if waited > self.patience_with(inquiry) => {
+                    self.pass_over(now, id, out);
                 }
                 Stage::Claim(_) if waited > HOME => self.count_votes(now, id, true, out),
                 Stage::Claim(_) => self.claim_again(now, id, out),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -1,4 +1,5 @@
 //! The edge, a pure part: the decision object that executors ask and obey.
+mod answer_time;
 mod answers;
 mod choice;
 mod claim;
@@ -16,6 +17,7 @@
 mod renew;
 mod rounds;
 mod sharing;
+mod sources;
 mod table;
 mod updates;
 
--- a/crates/edge/src/policy.rs
+++ b/crates/edge/src/policy.rs
@@ -11,12 +11,15 @@
     /// Extra tries that all edges of the deployment together may have saved up; each
     /// may have one at least.
     pub saved: f64,
-    /// An object's homes are edges of the asking edge's own zone, and only they keep it.
+    /// An object has a home in each zone, which asks the one of its region, and only homes
+    /// keep it. Else it has one home, and every edge keeps what it asked for.
     pub near: bool,
     /// Origins are chosen by load and nearness, not by rendezvous.
     pub by_load: bool,
     /// How long an object's home may take to say that it is at it.
     pub home: Span,
+    /// The same of a region's home: in its place the origin is asked.
+    pub region_home: Span,
     /// When a denied caller should come back; else it depends on why.
     pub back: Option<Span>,
 }
@@ -24,7 +27,15 @@
 impl Default for EdgePolicy {
     /// A tenth: well under a fifth.
     fn default() -> EdgePolicy {
-        EdgePolicy { earn: 0.1, saved: 0.0, home: Span::ms(400), near: false, by_load: false, back: None }
+        EdgePolicy {
+            earn: 0.1,
+            saved: 0.0,
+            home: Span::ms(400),
+            region_home: Span::ms(400),
+            near: false,
+            by_load: false,
+            back: None,
+        }
     }
 }
 
--- a/crates/edge/src/purge.rs
+++ b/crates/edge/src/purge.rs
@@ -42,6 +42,12 @@
         }
     }
 
+    /// Of all purges known here.
+    pub(crate) fn purges(&mut self) -> u64 {
+        let items = &self.follow.items;
+        *self.purge_digest.get_or_insert_with(|| purge_digest(items))
+    }
+
     /// What is being fetched is not used.
     fn spoil(&mut self, now: Mono, hit: impl Fn(&Object) -> bool, out: &mut Vec<Out>) {
         self.count("purges");
@@ -51,7 +57,7 @@
             let j = self.jobs.get_mut(&id).expect("listed above");
             j.spoiled = j.kind == Kind::Read;
             if j.spoiled && matches!(j.stage, Stage::Home(..)) {
-                self.fill_here(now, id, out);
+                self.ask_anew(now, id, out);
             }
         }
     }
--- a/crates/edge/src/read.rs
+++ b/crates/edge/src/read.rs
@@ -3,6 +3,7 @@
 use crate::edge::Edge;
 use crate::jobs::*;
 use crate::sharing::sharing;
+use crate::sources::{Source, WORTH};
 use control_state::*;
 use primitives::{Addr, Mono, Span};
 use std::sync::Arc;
@@ -10,12 +11,13 @@
 /// A copy good when it was decided on may still leave for so long, half of what a
 /// copy may outlive its life by.
 pub(crate) const WAY_OUT: Span = Span::secs(1);
-/// Copies that live shorter are not worth a ledger's disk.
-const WORTH: Span = Span::secs(1);
 
-fn copy_ask(to: Addr, ask: AskId, obj: &(Svc, Lane, String), heads: Heads) -> Out {
-    let (svc, lane, path) = obj.clone();
-    Out::Send(to, Msg::CopyAsk { ask, svc, lane, path, heads })
+/// What another edge asks for, beside the object.
+pub(crate) struct Wish {
+    pub heads: Heads,
+    pub reach: Reach,
+    /// The `ETag` of what it holds.
+    pub held: Option<String>,
 }
 
 impl Edge {
@@ -38,67 +40,30 @@
             return;
         }
         j.req = Req { method: "GET".into(), heads: j.req.heads.for_all(), ..j.req };
-        if self.join_fill(&obj, &j.callers) {
+        if self.join_fill(&obj, &j.callers, None) {
             return;
         }
-        let home = self.home(now, &obj);
         let id = self.number();
         self.jobs.insert(id, j);
-        match home.filter(|a| *a != self.follow.env.addr) {
-            Some(a) => {
-                let heads = self.jobs[&id].req.heads.clone();
-                out.push(copy_ask(a, self.ask_id(id), &obj, heads));
-                self.stage(now, id, Stage::Home(a, now, false));
-                self.fills.insert(obj, id);
-            }
-            None => self.fill_here(now, id, out),
-        }
+        let source = self.first_source(now, &obj, None);
+        self.ask_source(now, id, source, out);
     }
 
-    /// Fills are coalesced: later callers wait for the first one's.
-    fn join_fill(&mut self, obj: &(Svc, Lane, String), callers: &[Caller]) -> bool {
+    /// Fills are coalesced: later callers wait for the first one's. Who acts for a reach
+    /// does not wait for another who does.
+    fn join_fill(&mut self, obj: &(Svc, Lane, String), callers: &[Caller], acts_for: Option<Reach>) -> bool {
         let id = self.fills.get(obj).copied();
-        let open = id.and_then(|id| self.jobs.get_mut(&id)).filter(|j| !j.spoiled);
+        let beyond = |j: &Job| match (&j.stage, acts_for) {
+            (Stage::Home(inquiry), Some(acts)) => inquiry.source > Source::Home(acts),
+            _ => true,
+        };
+        let open = id.and_then(|id| self.jobs.get_mut(&id)).filter(|j| !j.spoiled && beyond(j));
         open.map(|j| j.callers.extend(callers.iter().cloned())).is_some()
     }
 
-    /// The first two edges by rendezvous know the object; one that lately kept
-    /// silent is passed over.
-    fn home(&self, now: Mono, obj: &(Svc, Lane, String)) -> Option<Addr> {
-        let here = &self.follow.env.zone;
-        let near = |g: &&(primitives::NodeId, Addr, Zone)| !self.env.policy.near || g.2 == *here;
-        let edges: Vec<_> = self.table.edges.iter().filter(near).cloned().collect();
-        let ranked = primitives::rank(obj, &edges, |(n, ..)| n.0);
-        let speaks = |a: &Addr| self.mute.get(a).is_none_or(|t| *t <= now);
-        ranked.into_iter().map(|(_, a, _)| a).take(2).find(speaks)
-    }
-
-    pub(crate) fn fill_here(&mut self, now: Mono, id: u64, out: &mut Vec<Out>) {
-        if let Some(j) = self.jobs.get_mut(&id) {
-            j.spoiled = false;
-            let obj = j.object();
-            let first = !std::mem::replace(&mut j.stocked, true) && j.row.ttl >= WORTH;
-            self.fills.insert(obj.clone(), id);
-            match self.stock_of(now, &obj).filter(|_| first) {
-                Some(a) => {
-                    out.push(copy_ask(a, self.ask_id(id), &obj, Heads::default()));
-                    self.stage(now, id, Stage::Home(a, now, false));
-                }
-                None => self.line_up(now, id, out),
-            }
-        }
-    }
-
-    /// The ledger that stocks an object, of this edge's region, if ledgers stock any.
-    fn stock_of(&self, now: Mono, obj: &(Svc, Lane, String)) -> Option<Addr> {
-        if !self.env.stock {
-            return None;
-        }
-        let here = self.follow.env.zone.region();
-        let near: Vec<_> = self.table.ledgers.iter().filter(|c| c.2.region() == here).cloned().collect();
-        let ranked = primitives::rank(obj, &near, |c| c.0 .0);
-        let speaks = |a: &Addr| self.mute.get(a).is_none_or(|t| *t <= now);
-        ranked.into_iter().map(|c| c.1).next().filter(speaks)
+    /// An answer to a question for a copy.
+    pub(crate) fn copy_got(&mut self, to: Addr, ask: AskId, said: CopySaid) -> Out {
+        Out::Send(to, Msg::CopyGot { ask, said, purges: self.purges() })
     }
 
     pub(crate) fn on_copy_ask(
@@ -106,38 +71,44 @@
         now: Mono,
         (from, ask): (Addr, AskId),
         obj: (Svc, Lane, String),
-        heads: Heads,
+        wish: Wish,
         out: &mut Vec<Out>,
     ) {
         let caller = Caller::Edge(from, ask);
         // Purges may not have reached an edge out of touch: others do not rely on it.
         if !self.in_touch(now) {
-            return out.push(Out::Send(from, Msg::CopyGot { ask, said: CopySaid::None }));
+            return out.push(self.copy_got(from, ask, CopySaid::None));
         }
         let rows = self.table.lanes.get(&obj.1).cloned().unwrap_or_default();
         let ttl = rows.iter().find(|(s, _)| *s == obj.0).map_or(Span(0), |(_, r)| r.ttl);
         let held = self.copies.get(now, &obj).filter(|c| now - c.since < ttl).cloned();
         if let Some(c) = held {
             let until = c.until.min(self.leased_until());
-            let said = CopySaid::Got(Box::new(c.show(now, until)));
-            return out.push(Out::Send(from, Msg::CopyGot { ask, said }));
+            let same = wish.held.is_some() && wish.held.as_deref() == c.whole.heads.get("etag");
+            let said = if same {
+                CopySaid::Same { left: until - now, aged: now - c.since }
+            } else {
+                CopySaid::Got(Box::new(c.show(now, until)))
+            };
+            return out.push(self.copy_got(from, ask, said));
         }
         if self.solo.get(&obj).is_some_and(|t| *t > now) {
-            return out.push(Out::Send(from, Msg::CopyGot { ask, said: CopySaid::Personal }));
+            return out.push(self.copy_got(from, ask, CopySaid::Personal));
         }
         out.push(Out::Send(from, Msg::CopyWait(ask)));
-        if self.leased(now) && self.join_fill(&obj, std::slice::from_ref(&caller)) {
+        if self.leased(now) && self.join_fill(&obj, std::slice::from_ref(&caller), Some(wish.reach)) {
             return;
         }
-        let (svc, lane, path) = obj;
+        let (svc, lane, path) = obj.clone();
         let (method, body) = ("GET".into(), Arc::new(vec![]));
-        let req = Req { method, lane, path, key: None, heads: heads.for_all(), body, ..Req::default() };
+        let req = Req { method, lane, path, key: None, heads: wish.heads.for_all(), body, ..Req::default() };
         match self.admit(now, req).ok().filter(|j| j.svc == svc && j.kind == Kind::Read) {
             Some(mut j) => {
                 j.callers.push(caller);
                 let id = self.number();
                 self.jobs.insert(id, j);
-                self.fill_here(now, id, out);
+                let source = self.first_source(now, &obj, Some(wish.reach));
+                self.ask_source(now, id, source, out);
             }
             None => self.tell(now, &caller, Step::Deny(Denied::NoOrigin, Span(0)), out),
         }
@@ -160,7 +131,7 @@
         if plain && says.life > Span(0) && self.leased(now) {
             let since = sent - says.aged;
             let whole = Arc::new(w.kept());
-            self.keep(now, obj.clone(), Copy { whole, public: says.public, since, until });
+            self.keep(now, obj.clone(), Copy { whole, public: says.public, since, until, guest: false });
             if until - now >= WORTH {
                 if let Some(a) = self.stock_of(now, &obj) {
                     out.push(Out::Send(a, Msg::StockOffer(self.ask_id(id))));
--- a/crates/edge/src/rounds.rs
+++ b/crates/edge/src/rounds.rs
@@ -2,6 +2,7 @@
 use crate::edge::Edge;
 use crate::jobs::*;
 use crate::renew::ASK_IF;
+use crate::sources::Source;
 use control_state::*;
 use primitives::{Mono, Span};
 use std::sync::Arc;
@@ -181,7 +182,7 @@
             self.count("extra tries");
             self.jobs.entry(id).and_modify(|j| j.spoiled = false);
             if self.jobs[&id].kind == Kind::Read {
-                self.fill_here(now, id, out);
+                self.ask_source(now, id, Source::Ledger, out);
             } else {
                 self.line_up(now, id, out);
             }
--- a/crates/edge/src/sharing.rs
+++ b/crates/edge/src/sharing.rs
@@ -98,7 +98,7 @@
         for c in rest {
             match c {
                 Caller::Edge(a, ask) => {
-                    out.push(Out::Send(a, Msg::CopyGot { ask, said: CopySaid::Personal }));
+                    out.push(self.copy_got(a, ask, CopySaid::Personal));
                 }
                 Caller::Local(t, req) => self.enter(now, t, req, out),
             }
--- /dev/null
+++ b/crates/edge/src/sources.rs
@@ -0,0 +1,181 @@
+//! Where a copy of an object is got: from the object's homes, a ledger, or an origin.
+//!
+//! An edge asks the home of its zone, that one the home of its region, and only this one the
+//! origin, so that an origin is asked once for each region. A home that keeps silent is passed
+//! over: its asker turns to the next source, not to the origin.
+//!
+//! Invariant: who acts for a reach waits only for who acts for a wider one, so edges that see
+//! different homes never wait for one another in a circle.
+use crate::edge::Edge;
+use crate::jobs::*;
+use control_state::*;
+use primitives::{Addr, Mono, Span};
+
+/// Copies that live shorter are not worth a ledger's disk.
+pub(crate) const WORTH: Span = Span::secs(1);
+/// A home that kept silent is passed over for so long.
+const PASSED_OVER: Span = Span::secs(2);
+/// Homes of a region that are asked before the origin.
+const REGION_HOMES: u8 = 2;
+
+/// What a job asks for its object, in this order.
+#[derive(Copy, Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Source {
+    Home(Reach),
+    Ledger,
+    Origin,
+}
+
+/// A question under way.
+#[derive(Copy, Clone, Debug)]
+pub(crate) struct Inquiry {
+    pub to: Addr,
+    /// Lives of what it answers count from here.
+    pub asked: Mono,
+    pub source: Source,
+    /// It said that it is at it.
+    pub at_it: bool,
+}
+
+impl Edge {
+    /// The reaches that homes have here, the nearest first.
+    fn reaches(&self) -> &'static [Reach] {
+        if self.env.policy.near {
+            &[Reach::Zone, Reach::Region]
+        } else {
+            &[Reach::Deployment]
+        }
+    }
+
+    /// The first two edges by rendezvous know the object; one that lately kept
+    /// silent is passed over.
+    pub(crate) fn home(&self, now: Mono, object: &(Svc, Lane, String), reach: Reach) -> Option<Addr> {
+        let edges = self.table.edges_within(reach, &self.follow.env.zone);
+        let speaks = |a: &Addr| self.mute.get(a).is_none_or(|t| *t <= now);
+        primitives::first_two(object, edges, |(n, ..)| n.0).map(|(_, a, _)| *a).find(speaks)
+    }
+
+    /// The ledger that stocks an object, of this edge's region, if ledgers stock any.
+    pub(crate) fn stock_of(&self, now: Mono, obj: &(Svc, Lane, String)) -> Option<Addr> {
+        if !self.env.stock {
+            return None;
+        }
+        let here = self.follow.env.zone.region();
+        let near: Vec<_> = self.table.ledgers.iter().filter(|c| c.2.region() == here).cloned().collect();
+        let ranked = primitives::rank(obj, &near, |c| c.0 .0);
+        let speaks = |a: &Addr| self.mute.get(a).is_none_or(|t| *t <= now);
+        ranked.into_iter().map(|c| c.1).next().filter(speaks)
+    }
+
+    /// The first source that is to be asked by one who acts for that reach, or for callers.
+    pub(crate) fn first_source(
+        &self,
+        now: Mono,
+        object: &(Svc, Lane, String),
+        acts_for: Option<Reach>,
+    ) -> Source {
+        let me = self.follow.env.addr;
+        let wider = self.reaches().iter().filter(|r| acts_for.is_none_or(|acts| **r > acts));
+        // Who is the home of a reach asks nobody of a nearer one.
+        let own = self.reaches().iter().rev().find(|r| self.home(now, object, **r) == Some(me));
+        let mut asked = wider.filter(|r| own.is_none_or(|own| *r > own));
+        asked.next().map_or(Source::Ledger, |r| Source::Home(*r))
+    }
+
+    /// Asks the source, or the next one that there is.
+    pub(crate) fn ask_source(&mut self, now: Mono, id: u64, source: Source, out: &mut Vec<Out>) {
+        let Some(j) = self.jobs.get_mut(&id) else { return };
+        j.spoiled = false;
+        let (object, lives) = (j.object(), j.row.ttl >= WORTH);
+        self.fills.insert(object.clone(), id);
+        let to = match source {
+            Source::Home(reach) => self.home(now, &object, reach).filter(|a| *a != self.follow.env.addr),
+            Source::Ledger => self.stock_of(now, &object).filter(|_| lives),
+            Source::Origin => return self.line_up(now, id, out),
+        };
+        match to {
+            Some(to) => self.inquire(now, id, Inquiry { to, asked: now, source, at_it: false }, out),
+            None => self.ask_source(now, id, self.after(source), out),
+        }
+    }
+
+    fn after(&self, source: Source) -> Source {
+        let Source::Home(reach) = source else { return Source::Origin };
+        let wider = self.reaches().iter().find(|r| **r > reach);
+        wider.map_or(Source::Ledger, |r| Source::Home(*r))
+    }
+
+    fn inquire(&mut self, now: Mono, id: u64, inquiry: Inquiry, out: &mut Vec<Out>) {
+        let ask = self.ask_id(id);
+        let Some(j) = self.jobs.get(&id) else { return };
+        let ((svc, lane, path), heads) = (j.object(), j.req.heads.clone());
+        let reach = match inquiry.source {
+            Source::Home(reach) => reach,
+            _ => Reach::Deployment,
+        };
+        // Only what is kept here can be renewed.
+        let lapsed = self.copies.peek(&(svc.clone(), lane.clone(), path.clone()));
+        let held = lapsed.and_then(|c| c.whole.heads.get("etag")).map(str::to_string);
+        let held = held.filter(|_| inquiry.source != Source::Ledger);
+        self.count(match inquiry.source {
+            Source::Home(Reach::Zone) => "asked of zone homes",
+            Source::Home(_) => "asked of region homes",
+            _ => "asked of ledgers",
+        });
+        out.push(Out::Send(inquiry.to, Msg::CopyAsk { ask, svc, lane, path, heads, reach, held }));
+        self.stage(now, id, Stage::Home(inquiry));
+    }
+
+    /// How long whoever was asked may take.
+    pub(crate) fn patience_with(&self, inquiry: &Inquiry) -> Span {
+        let policy = &self.env.policy;
+        match inquiry.source {
+            _ if inquiry.at_it => self.env.patience,
+            Source::Home(reach) => {
+                let least = if reach == Reach::Region { policy.region_home } else { policy.home };
+                self.answer_times.get(&reach).copied().unwrap_or_default().limit(least)
+            }
+            _ => policy.home,
+        }
+    }
+
+    /// The first word of an answer came.
+    pub(crate) fn note_answer_time(&mut self, now: Mono, inquiry: &Inquiry) {
+        if let (Source::Home(reach), false) = (inquiry.source, inquiry.at_it) {
+            self.answer_times.entry(reach).or_default().note(now - inquiry.asked);
+        }
+    }
+
+    /// Who was asked has nothing, or cannot be asked any more.
+    pub(crate) fn ask_next(&mut self, now: Mono, id: u64, out: &mut Vec<Out>) {
+        let source = match self.jobs.get(&id).map(|j| &j.stage) {
+            Some(Stage::Home(inquiry)) => self.after(inquiry.source),
+            _ => Source::Origin,
+        };
+        self.ask_source(now, id, source, out);
+    }
+
+    /// Who was asked kept silent: the answer is still welcome, and somebody else is asked.
+    pub(crate) fn pass_over(&mut self, now: Mono, id: u64, out: &mut Vec<Out>) {
+        let Some(j) = self.jobs.get_mut(&id) else { return };
+        let Stage::Home(inquiry) = j.stage else { return };
+        j.overdue.push(inquiry);
+        let homes = j.overdue.iter().filter(|i| i.source == inquiry.source).count() as u8;
+        let again = matches!(inquiry.source, Source::Home(Reach::Region)) && homes < REGION_HOMES;
+        self.mute.insert(inquiry.to, now + PASSED_OVER);
+        self.count(if again { "silent region homes" } else { "mute homes" });
+        if again {
+            self.ask_source(now, id, inquiry.source, out);
+        } else {
+            self.ask_next(now, id, out);
+        }
+    }
+
+    /// A purge came: what was answered before is not used, and the same one is asked again.
+    pub(crate) fn ask_anew(&mut self, now: Mono, id: u64, out: &mut Vec<Out>) {
+        let Some(j) = self.jobs.get_mut(&id) else { return };
+        j.overdue.clear();
+        let Stage::Home(inquiry) = j.stage else { return };
+        self.ask_source(now, id, inquiry.source, out);
+    }
+}
--- a/crates/edge/src/table.rs
+++ b/crates/edge/src/table.rs
@@ -12,6 +12,8 @@
     /// Only origins that serve.
     pub origins: BTreeMap<Svc, Vec<(Addr, Origin)>>,
     pub edges: Vec<(NodeId, Addr, Zone)>,
+    by_zone: BTreeMap<Zone, Vec<(NodeId, Addr, Zone)>>,
+    by_region: BTreeMap<String, Vec<(NodeId, Addr, Zone)>>,
     pub ledgers: Vec<(NodeId, Addr, Zone)>,
     pub roll: Roll,
     pub roll_version: Version,
@@ -41,9 +43,7 @@
                     t.origins.entry(o.svc.clone()).or_default().push((*a, o.clone()));
                 }
                 (Key::Node(id), Some(Body::Node(n))) => match n.role {
-                    Role::Edge if n.standing == Standing::Serving => {
-                        t.edges.push((*id, n.addr, n.zone.clone()))
-                    }
+                    Role::Edge if n.standing == Standing::Serving => t.add_edge(*id, n.addr, &n.zone),
                     Role::Ledger => t.ledgers.push((*id, n.addr, n.zone.clone())),
                     _ => (),
                 },
@@ -53,6 +53,22 @@
         t
     }
 
+    /// Edges within a reach of a zone.
+    pub fn edges_within(&self, reach: Reach, zone: &Zone) -> &[(NodeId, Addr, Zone)] {
+        match reach {
+            Reach::Zone => self.by_zone.get(zone).map_or(&[], Vec::as_slice),
+            Reach::Region => self.by_region.get(zone.region()).map_or(&[], Vec::as_slice),
+            Reach::Deployment => &self.edges,
+        }
+    }
+
+    fn add_edge(&mut self, id: NodeId, addr: Addr, zone: &Zone) {
+        let edge = (id, addr, zone.clone());
+        self.by_zone.entry(zone.clone()).or_default().push(edge.clone());
+        self.by_region.entry(zone.region().to_string()).or_default().push(edge.clone());
+        self.edges.push(edge);
+    }
+
     fn add_lane(&mut self, name: &str, l: &LaneEntry) {
         self.paths.add(name, l);
         let row =
--- a/crates/edge/src/updates.rs
+++ b/crates/edge/src/updates.rs
@@ -16,12 +16,16 @@
     pub(crate) fn on_update(&mut self, now: Mono, from: Addr, n: Update, out: &mut Vec<Out>) {
         // A lapse is seen before this update may end it.
         self.check_lapse(now);
-        let sure = self.follow.sure;
+        let (sure, era) = (self.follow.sure, self.follow.era);
         let new = self.follow.on_update(from, &n, out);
         // One that served on for so long may have missed purges that nobody remembers.
         if !mark_holds(sure, self.follow.sure) {
             self.forget();
         }
+        // Purges that are forgotten count as well, and that goes by eras.
+        if new.iter().any(Key::is_purge) || era != self.follow.era {
+            self.purge_digest = None;
+        }
         // The table has nothing of purges in it, and they are the most frequent of all changes.
         if new.iter().any(|key| !key.is_purge()) {
             self.table = Arc::new(Table::build(&self.follow.items));
--- a/crates/ledger/src/stock.rs
+++ b/crates/ledger/src/stock.rs
@@ -79,7 +79,7 @@
         });
         let said = shown.map_or(CopySaid::None, |s| CopySaid::Got(Box::new(s)));
         self.count(if said != CopySaid::None { "copies given" } else { "copies lacking" });
-        out.push(Out::Send(from, Msg::CopyGot { ask, said }));
+        out.push(Out::Send(from, Msg::CopyGot { ask, said, purges: 0 }));
     }
 
     pub(crate) fn mind_stock(&mut self, now: Mono) {
--- a/crates/primitives/src/lib.rs
+++ b/crates/primitives/src/lib.rs
@@ -33,3 +33,21 @@
     weighed.sort_by_key(|(weight, number, _)| (Reverse(*weight), *number));
     weighed.into_iter().map(|(.., member)| member).collect()
 }
+
+/// The first two of `rank`, found in one pass and without a copy of the members.
+pub fn first_two<'a, K: Hash, T>(
+    key: &K,
+    members: &'a [T],
+    id: impl Fn(&T) -> u64,
+) -> impl Iterator<Item = &'a T> {
+    let mut best: [Option<((u64, Reverse<u64>), &'a T)>; 2] = [None, None];
+    for member in members {
+        let weight = (hash(&(key, id(member))), Reverse(id(member)));
+        if best[0].is_none_or(|(first, _)| weight > first) {
+            best = [Some((weight, member)), best[0]];
+        } else if best[1].is_none_or(|(second, _)| weight > second) {
+            best[1] = Some((weight, member));
+        }
+    }
+    best.into_iter().flatten().map(|(_, member)| member)
+}
--- a/crates/simulator/src/field.rs
+++ b/crates/simulator/src/field.rs
@@ -170,6 +170,8 @@
             let last = r.req.path.rsplit('/').next().unwrap_or_default();
             heads.push("lanewing-tags", last.split('-').next().unwrap_or_default());
             heads.push("etag", name);
+            // As much as "unchanged" says: copies under this tag are as new as this answer.
+            self.rules.same(self.now, &r, edition);
         }
         let (cut, wrong) = (b.cut, b.wrong);
         self.count("whole answers");
