--- /dev/null
+++ b/crates/control-state/src/copy_messages.rs
@@ -0,0 +1,55 @@
+//! What processes say to one another of copies.
+use crate::items::*;
+use crate::state::Era;
+use crate::whole::Whole;
+use primitives::Span;
+use serde::{Deserialize, Serialize};
+
+/// A copy as one process hands it to another: its rest of life and its age.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Shown {
+    pub whole: Whole,
+    pub left: Span,
+    pub aged: Span,
+    /// The origin said that it is for everybody, credentials or not.
+    pub public: bool,
+}
+
+/// For which edges one edge, an object's home, has a copy.
+#[derive(Copy, Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Reach {
+    /// Those of its zone; it asks the region's home in turn.
+    Zone,
+    /// Those of its region; it asks the origin.
+    Region,
+    /// All of the deployment; it asks the origin.
+    Deployment,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum CopySaid {
+    Got(Box<Shown>),
+    /// The copy that the asker holds is still the newest; its rest of life and its age.
+    Same {
+        left: Span,
+        aged: Span,
+    },
+    /// There is none to be had here.
+    None,
+    /// The origin's ceiling is used up: it is to be asked by nobody else either.
+    AtCeiling,
+    /// lanewing's own last word on it.
+    Own(Box<Whole>),
+    /// The answer is not to be shared: each caller must be answered by the origin.
+    Personal,
+}
+
+/// A copy on its way to a ledger.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StockPut {
+    pub object: (Svc, Lane, String),
+    pub shown: Shown,
+    pub mark: u64,
+    /// See `mark_holds`.
+    pub sure: Era,
+}
--- a/crates/primitives/src/lib.rs
+++ b/crates/primitives/src/lib.rs
@@ -34,20 +34,23 @@
     weighed.into_iter().map(|(.., member)| member).collect()
 }
 
+/// A member and its place in the order: the greatest comes first.
+type Weighed<'a, T> = ((u64, Reverse<u64>), &'a T);
+
 /// The first two of `rank`, found in one pass and without a copy of the members.
 pub fn first_two<'a, K: Hash, T>(
     key: &K,
     members: &'a [T],
     id: impl Fn(&T) -> u64,
 ) -> impl Iterator<Item = &'a T> {
-    let mut best: [Option<((u64, Reverse<u64>), &'a T)>; 2] = [None, None];
+    let (mut first, mut second): (Option<Weighed<T>>, Option<Weighed<T>>) = (None, None);
     for member in members {
         let weight = (hash(&(key, id(member))), Reverse(id(member)));
-        if best[0].is_none_or(|(first, _)| weight > first) {
-            best = [Some((weight, member)), best[0]];
-        } else if best[1].is_none_or(|(second, _)| weight > second) {
-            best[1] = Some((weight, member));
+        if first.is_none_or(|(best, _)| weight > best) {
+            (first, second) = (Some((weight, member)), first);
+        } else if second.is_none_or(|(next, _)| weight > next) {
+            second = Some((weight, member));
         }
     }
-    best.into_iter().flatten().map(|(_, member)| member)
+    first.into_iter().chain(second).map(|(_, member)| member)
 }
