--- a/crates/edge/src/answers.rs
+++ b/crates/edge/src/answers.rs
@@ -14,6 +14,10 @@
 /// Counts answers that nobody waits for: repeated, too late, or from one not asked.
 pub(crate) const UNASKED: &str = "answers nobody waits for";
 
+/// An answer of one who knew other purges is used for so long after the question: a purge that it
+/// lacked was not acknowledged by then, or not long ago.
+const UNSURE: Span = Span::secs(1);
+
 impl Edge {
     /// The name under which a question of this life goes out.
     pub(crate) fn ask_id(&self, n: u64) -> AskId {
@@ -93,16 +97,18 @@
         self.mute.remove(&from);
         let Some(j) = self.jobs.get(&id) else { return };
         let (good, object) = (!j.spoiled && self.leased(now), j.object());
+        let stocked = inquiry.source == Source::Ledger;
+        // A ledger has looked at its copy's mark itself.
+        let same_purges = stocked || purges == self.purges();
         // The copy's rest of life counts from when it was asked for.
         let lives = |left: Span| good && inquiry.asked + left > now;
         match said {
-            CopySaid::Got(c) if lives(c.left) => {
+            CopySaid::Got(c) if lives(c.left) && (same_purges || now - inquiry.asked < UNSURE) => {
                 let (since, until) =
                     (inquiry.asked - c.aged, (inquiry.asked + c.left).min(self.leased_until()));
-                let stocked = inquiry.source == Source::Ledger;
                 self.count(if stocked { "filled from ledgers" } else { "filled from homes" });
                 // Whoever knew other purges may have shown what one of them took.
-                let sure = stocked || purges == self.purges();
+                let sure = same_purges && c.whole.status == 200;
                 let guest = !self.is_home_after(inquiry.source);
                 let copy = Copy { whole: Arc::new(c.whole), public: c.public, since, until, guest };
                 if sure {
--- a/crates/edge/src/jobs.rs
+++ b/crates/edge/src/jobs.rs
@@ -1,6 +1,7 @@
 //! Requests in hand, from the first look to the last word.
 use crate::claim::Claim;
 use crate::edge::Edge;
+use crate::read::WAY_OUT;
 use crate::sources::Inquiry;
 use control_state::*;
 use primitives::{Addr, Birth, Mono, Span, Token};
@@ -182,7 +183,8 @@
                 };
                 let said = match s {
                     Step::Serve(w, Shared::Own, _) => CopySaid::Own(Box::new(w.kept())),
-                    Step::Serve(w, Shared::Copy(aged), until) => shown(&w, until, aged),
+                    // The time that an answer may be on its way out is no part of a copy's life.
+                    Step::Serve(w, Shared::Copy(aged), until) => shown(&w, until - WAY_OUT, aged),
                     Step::Serve(w, _, until) => shown(&w, until, Span(0)),
                     Step::Deny(Denied::Ceiling, _) => CopySaid::AtCeiling,
                     _ => CopySaid::None,
