--- a/crates/edge/src/policy.rs
+++ b/crates/edge/src/policy.rs
@@ -11,8 +11,8 @@
     /// Extra tries that all edges of the deployment together may have saved up; each
     /// may have one at least.
     pub saved: f64,
-    /// An object has a home in each zone, which asks the one of its region, and only homes
-    /// keep it. Else it has one home, and every edge keeps what it asked for.
+    /// An object has a home in each zone, which asks the one of its region. Else it has one
+    /// home. Either way every edge keeps what it asked for, as a guest that makes room first.
     pub near: bool,
     /// Origins are chosen by load and nearness, not by rendezvous.
     pub by_load: bool,
