--- a/crates/control-state/src/msg.rs
+++ b/crates/control-state/src/msg.rs
@@ -12,6 +12,7 @@
 use caesar::{Cid, MemberId, Message};
 use primitives::{Birth, Epoch, Mono, NodeId, Span, Version};
 use serde::{Deserialize, Serialize};
+use strum::IntoStaticStr;
 
 /// What a subscriber says to each controller it knows, several times a second.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -59,7 +60,8 @@
     pub epoch: Epoch,
 }
 
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
 pub enum Msg {
     // between controllers
     Agreement(Era, MemberId, Box<Message<Cmd>>),
@@ -209,6 +211,11 @@
 }
 
 impl Msg {
+    /// Its sort, as figures name it.
+    pub fn kind(&self) -> &'static str {
+        self.into()
+    }
+
     pub fn agreement(era: Era, member_id: MemberId, w: Message<Cmd>) -> Msg {
         Msg::Agreement(era, member_id, Box::new(w))
     }
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -3,6 +3,7 @@
 use crate::forwarded_calls::ForwardedCalls;
 use crate::jobs::Job;
 use crate::keyed::Outgoing;
+use crate::metrics::EdgeMetrics;
 use crate::origins::Seen;
 pub use crate::policy::EdgePolicy;
 use crate::press::Press;
@@ -69,6 +70,7 @@
     /// Since when it leaves: not ready at once, but taking requests for the grace.
     pub(crate) leaving: Option<Mono>,
     pub(crate) counts: BTreeMap<&'static str, u64>,
+    pub(crate) metrics: EdgeMetrics,
 }
 
 impl Edge {
@@ -96,6 +98,7 @@
             next: env.follow.birth.0 << 20,
             leaving: None,
             counts: BTreeMap::new(),
+            metrics: EdgeMetrics::default(),
             env,
         }
     }
@@ -104,6 +107,11 @@
         &self.follow.items
     }
 
+    /// Its figures, to be entered into a registry.
+    pub fn metrics(&self) -> EdgeMetrics {
+        self.metrics.clone()
+    }
+
     pub(crate) fn count(&mut self, name: &'static str) {
         *self.counts.entry(name).or_default() += 1;
     }
--- a/crates/edge/src/jobs.rs
+++ b/crates/edge/src/jobs.rs
@@ -174,6 +174,9 @@
                     Step::Doubt(_) => "in doubt",
                 };
                 self.count(name);
+                if let Step::Deny(reason, _) = &s {
+                    self.metrics.note_denial(*reason);
+                }
                 out.push(Out::Tell(*t, Receipt::Step(s)));
             }
             (Caller::Edge(a, ask), s) => {
@@ -197,6 +200,7 @@
     /// The job's last word, to all who wait for it.
     pub(crate) fn finish(&mut self, now: Mono, id: u64, s: Step, out: &mut Vec<Out>) {
         if let Some(j) = self.jobs.remove(&id) {
+            self.metrics.note_wait(&j.stage, now - j.staged);
             if self.fills.get(&j.object()) == Some(&id) {
                 self.fills.remove(&j.object());
             }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -9,6 +9,7 @@
 mod jobs;
 mod keyed;
 mod lanes;
+mod metrics;
 mod origins;
 mod policy;
 mod press;
@@ -22,3 +23,4 @@
 mod updates;
 
 pub use edge::{Edge, EdgeEnv, EdgePolicy};
+pub use metrics::EdgeMetrics;
--- a/crates/edge/src/press.rs
+++ b/crates/edge/src/press.rs
@@ -1,5 +1,6 @@
 //! How hard a service may be pressed: its ceiling, and the budget of extra tries.
 use crate::edge::Edge;
+use crate::metrics::Token;
 use control_state::*;
 use primitives::{Addr, Backoff, Epoch, Mono, Span};
 use std::collections::BTreeMap;
@@ -48,15 +49,18 @@
 }
 
 impl Purse {
-    fn fill(&mut self, now: Mono, s: &Share) {
+    /// Earns of the own share; tells how many lent requests were not used in time.
+    fn fill(&mut self, now: Mono, s: &Share) -> usize {
         let since = self.at.map_or(Span(0), |t| now - t);
         self.at = Some(now);
         let cap = (s.own * 0.1).max(1.0);
         if s.free() {
-            return;
+            return 0;
         }
         self.own = (self.own + s.own * since.0 as f64 / 1e6).min(cap);
+        let before = self.lent.len();
         self.lent.retain(|t| *t > now);
+        before - self.lent.len()
     }
 
     /// The leader is told how many wait.
@@ -82,7 +86,7 @@
     fn purse(&mut self, now: Mono, svc: &Svc) -> Option<&mut Purse> {
         let s = *self.table.shares.get(svc)?;
         let p = self.press.purses.entry(svc.clone()).or_default();
-        p.fill(now, &s);
+        self.metrics.note_tokens(Token::LentUnused, p.fill(now, &s));
         Some(p)
     }
 
@@ -94,13 +98,16 @@
             return Some(now + Span::secs(60));
         }
         let p = self.purse(now, svc)?;
-        if !p.lent.is_empty() {
-            return Some(p.lent.remove(0));
-        }
-        (p.own >= 1.0).then(|| {
+        let (token, until) = if !p.lent.is_empty() {
+            (Token::LentUsed, p.lent.remove(0))
+        } else if p.own >= 1.0 {
             p.own -= 1.0;
-            now + LENT
-        })
+            (Token::OwnUsed, now + LENT)
+        } else {
+            return None;
+        };
+        self.metrics.note_tokens(token, 1);
+        Some(until)
     }
 
     /// Gives back what was not used after all.
@@ -182,11 +189,14 @@
         }
         for (svc, n) in &r.slices {
             let until = r.ask + LENT;
+            let late = until <= now;
+            self.metrics.note_tokens(if late { Token::LentLate } else { Token::Lent }, *n as usize);
             self.purse(now, svc).into_iter().for_each(|p| {
                 p.note_lent(*n);
-                p.lent.extend((0..*n).map(|_| until));
-                p.lent.sort();
-                p.lent.retain(|t| *t > now);
+                if !late {
+                    p.lent.extend((0..*n).map(|_| until));
+                    p.lent.sort();
+                }
             });
         }
         self.serve_line(now, out);
--- a/crates/edge/src/rounds.rs
+++ b/crates/edge/src/rounds.rs
@@ -16,10 +16,10 @@
 
 impl Edge {
     pub(crate) fn stage(&mut self, now: Mono, id: u64, s: Stage) {
-        self.jobs.entry(id).and_modify(|j| {
-            j.stage = s;
-            j.staged = now;
-        });
+        let Some(j) = self.jobs.get_mut(&id) else { return };
+        self.metrics.note_wait(&j.stage, now - j.staged);
+        j.stage = s;
+        j.staged = now;
     }
 
     pub(crate) fn launch(&mut self, now: Mono, j: Job, out: &mut Vec<Out>) -> u64 {
--- a/crates/machine/src/lib.rs
+++ b/crates/machine/src/lib.rs
@@ -3,6 +3,7 @@
 mod leave;
 mod memory;
 mod memory_watch;
+mod metrics;
 mod parts;
 mod run;
 mod slow_calls;
@@ -46,6 +47,8 @@
     pub front: Option<SocketAddr>,
     pub ready: Option<SocketAddr>,
     pub control: Option<SocketAddr>,
+    /// Where the process tells its figures, if anywhere.
+    pub metrics: Option<SocketAddr>,
 }
 
 /// The parts, by the port they have after the first.
@@ -56,6 +59,17 @@
     Ledger,
 }
 
+impl Seat {
+    /// As logs and figures call it.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Seat::Controller => "controller",
+            Seat::Edge => "edge",
+            Seat::Ledger => "ledger",
+        }
+    }
+}
+
 impl MachineEnv {
     pub(crate) fn addr(&self, s: Seat) -> Addr {
         Addr(SocketAddr::new(self.ip, self.port + s as u16))
--- a/crates/machine/src/run.rs
+++ b/crates/machine/src/run.rs
@@ -1,6 +1,7 @@
 //! Starting, running and stopping the parts of one machine.
 use crate::leave::leave;
 use crate::memory_watch;
+use crate::metrics;
 use crate::slow_calls::SlowCalls;
 use crate::{MachineEnv, Seat};
 use control_state::*;
@@ -9,7 +10,7 @@
 use runtime::exec::{ExecEnv, Manner};
 use runtime::front::Reply;
 use runtime::logs::{on_panic, LogRing};
-use runtime::net::{Counts, Net};
+use runtime::net::{Counts, LinkMetrics, Net};
 use runtime::ring::{Ring, RingProblem};
 use runtime::room::Room;
 use runtime::shell::{self, Frame, Handle};
@@ -76,24 +77,30 @@
 }
 
 impl Start {
-    fn run(self, env: &MachineEnv, log: &Logger, front: impl FnOnce(Handle)) -> Result<()> {
+    fn run(
+        self,
+        env: &MachineEnv,
+        links: &LinkMetrics,
+        log: &Logger,
+        front: impl FnOnce(Handle),
+    ) -> Result<()> {
         let at = env.addr(self.seat);
-        let counts = Arc::new(Counts::default());
+        let counts = Arc::new(Counts::with_metrics(links.of_part(self.seat.name())));
         let net = Net::new(at, Arc::new(|_: &Addr| Default::default()), counts.clone());
         let l = bind(at.0)?;
-        let log = log.new(slog::o!("part" => format!("{:?}", self.seat).to_lowercase()));
+        let log = log.new(slog::o!("part" => self.seat.name()));
         let Start { part, first, ring, rounds, .. } = self;
         shell::run(Frame { part, first, ring, net, rounds, log }, l, counts, front);
         Ok(())
     }
 
     /// On a thread of its own; it ends with the process. The handle comes once it runs.
-    fn spawn(self, env: &MachineEnv, log: &Logger) -> Result<Receiver<Handle>> {
-        let (env, log) = (env.clone(), log.clone());
+    fn spawn(self, env: &MachineEnv, links: &LinkMetrics, log: &Logger) -> Result<Receiver<Handle>> {
+        let (env, links, log) = (env.clone(), links.clone(), log.clone());
         let (running, handle) = channel();
-        let name = format!("{:?}", self.seat).to_lowercase();
+        let name = self.seat.name().to_string();
         let run = move || {
-            if let Err(p) = self.run(&env, &log, move |h| drop(running.send(h))) {
+            if let Err(p) = self.run(&env, &links, &log, move |h| drop(running.send(h))) {
                 slog::crit!(log, "a part cannot run"; "problem" => %p);
                 std::process::exit(74);
             }
@@ -133,9 +140,12 @@
     let logs = LogRing::default();
     on_panic(logs.clone());
     let log = logs.logger();
-    let controller = controller(&env)?.spawn(&env, &log)?;
+    let links = LinkMetrics::default();
+    let mut registry = runtime::metrics::registry();
+    links.register(&mut registry);
+    let controller = controller(&env)?.spawn(&env, &links, &log)?;
     let ledger = match env.keeps() {
-        Some((dir, _)) => Some(ledger(&env, dir)?.spawn(&env, &log)?),
+        Some((dir, _)) => Some(ledger(&env, dir)?.spawn(&env, &links, &log)?),
         None => None,
     };
     let room = Room::new(env.answers_memory());
@@ -143,10 +153,12 @@
     let (tx, start) = runtime::exec::rounds(exec);
     let listen = |a: Option<SocketAddr>| a.map(bind).transpose();
     let (front, ready, control) = (listen(env.front)?, listen(env.ready)?, listen(env.control)?);
+    let figures = listen(env.metrics)?;
     let part = Box::new(env.edge(runtime::life()));
+    part.metrics().register(&mut registry);
     let edge = Start { part, first: vec![], ring: None, seat: Seat::Edge, rounds: Some(tx) };
     let (grace, memory) = (env.grace, env.memory);
-    edge.run(&env, &log.clone(), move |h| {
+    edge.run(&env, &links, &log.clone(), move |h| {
         start(h.clone());
         let serve = |l: Option<TcpListener>, f: &Arc<Answer>, lim: Arc<dyn Fn() -> Limits + Send + Sync>| {
             let (h, f) = (h.clone(), f.clone());
@@ -165,6 +177,9 @@
             let ledger = ledger.and_then(|l| l.recv().ok());
             let mut parts = vec![("edge", h.clone()), ("controller", controller.clone())];
             parts.extend(ledger.iter().map(|l| ("ledger", l.clone())));
+            if let Some(listener) = figures {
+                metrics::serve(listener, inner, registry, parts.clone());
+            }
             memory_watch::watch(memory, parts, log.clone());
             // Settings count from the next start: a word that they changed ends nothing.
             if let Some(s) = signals.forever().find(|s| *s != SIGHUP) {
--- a/crates/machine/tests/memory.rs
+++ b/crates/machine/tests/memory.rs
@@ -22,6 +22,7 @@
         front: None,
         ready: None,
         control: None,
+        metrics: None,
     }
 }
 
--- a/crates/primitives/src/ids.rs
+++ b/crates/primitives/src/ids.rs
@@ -35,6 +35,11 @@
         self.0 / MICROS_PER_MS
     }
 
+    /// The span in seconds.
+    pub fn as_secs_f64(self) -> f64 {
+        Duration::from(self).as_secs_f64()
+    }
+
     /// The span, `factor` times as long.
     pub fn times(self, factor: u64) -> Span {
         Span(self.0 * factor)
--- a/crates/primitives/src/lib.rs
+++ b/crates/primitives/src/lib.rs
@@ -6,6 +6,7 @@
 mod backoff;
 mod ids;
 mod look;
+pub mod metrics;
 
 pub use backoff::*;
 pub use ids::*;
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod full_disk;
 pub mod intake;
 pub mod logs;
+pub mod metrics;
 pub mod net;
 mod pieces;
 pub mod process;
--- a/crates/runtime/src/net.rs
+++ b/crates/runtime/src/net.rs
@@ -7,10 +7,12 @@
 mod inbound;
 mod io_thread;
 mod link;
+mod metrics;
 mod send_queue;
 
 pub use crate::frame::{frame, read_frame, FrameProblem};
 pub use counts::Counts;
+pub use metrics::{LinkMetrics, PartLinkMetrics};
 
 use crate::frame::LARGEST;
 use control_state::Msg;
@@ -62,7 +64,9 @@
         let link = self.links.entry(to).or_insert_with(|| {
             Arc::new(Link::new(self.io.next_token(), to, self.greeting.clone(), self.counts.clone()))
         });
-        if link.queue(frame(&content), due, due + expiry::lifetime(m)) {
+        let frame = frame(&content);
+        self.counts.metrics.note_queued(m.kind(), frame.len());
+        if link.queue(frame, due, due + expiry::lifetime(m)) {
             self.touched.push(link.clone());
         }
         count(&self.counts.sent, 1);
--- a/crates/runtime/src/net/counts.rs
+++ b/crates/runtime/src/net/counts.rs
@@ -1,4 +1,5 @@
 //! Counters of one part's links.
+use super::PartLinkMetrics;
 use crate::frame::FrameProblem;
 use slog::{warn, Logger};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -32,9 +33,16 @@
     pub stalled: AtomicU64,
     /// Calls to the kernel that wrote.
     pub writes: AtomicU64,
+    /// By kind of message.
+    pub metrics: PartLinkMetrics,
 }
 
 impl Counts {
+    /// Counters of links whose figures are entered with others.
+    pub fn with_metrics(metrics: PartLinkMetrics) -> Counts {
+        Counts { metrics, ..Counts::default() }
+    }
+
     /// All counters by name, as a part's health shows them.
     pub fn figures(&self) -> Vec<(&'static str, u64)> {
         let all = [
--- a/crates/runtime/src/net/link.rs
+++ b/crates/runtime/src/net/link.rs
@@ -134,7 +134,7 @@
             return;
         }
         let mut writes = 0;
-        let written = s.queue.write_to(stream, now, &mut writes);
+        let written = s.queue.write_to(stream, now, &mut writes, &self.counts.metrics);
         count(&self.counts.writes, writes);
         match written {
             Ok(w) => {
--- a/crates/runtime/src/net/send_queue.rs
+++ b/crates/runtime/src/net/send_queue.rs
@@ -1,4 +1,5 @@
 //! What waits to be written to one peer: in order, bounded in bytes, dropped by age.
+use super::PartLinkMetrics;
 use std::collections::VecDeque;
 use std::io::{self, ErrorKind, IoSlice, Write};
 use std::time::Instant;
@@ -105,6 +106,7 @@
         out: &mut impl Write,
         now: Instant,
         writes: &mut usize,
+        metrics: &PartLinkMetrics,
     ) -> io::Result<Written> {
         loop {
             let due = self.frames.iter().take_while(|f| f.due <= now).map(|f| &f.bytes);
@@ -116,7 +118,7 @@
             *writes += 1;
             match out.write_vectored(&slices) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
-                Ok(n) => self.advance(n),
+                Ok(n) => self.advance(n, now, metrics),
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(Written::Blocked),
                 Err(e) if e.kind() == ErrorKind::Interrupted => (),
                 Err(e) => return Err(e),
@@ -125,7 +127,7 @@
     }
 
     /// So many more bytes were written.
-    fn advance(&mut self, n: usize) {
+    fn advance(&mut self, n: usize, now: Instant, metrics: &PartLinkMetrics) {
         self.written += n;
         if !self.greeting.is_empty() {
             if self.written < self.greeting.len() {
@@ -135,9 +137,10 @@
             self.greeting = Vec::new();
         }
         while self.frames.front().is_some_and(|f| self.written >= f.bytes.len()) {
-            let done = self.frames.pop_front();
-            self.bytes -= done.as_ref().map_or(0, QueuedFrame::cost);
-            self.written -= done.map_or(0, |f| f.bytes.len());
+            let Some(done) = self.frames.pop_front() else { return };
+            self.bytes -= done.cost();
+            self.written -= done.bytes.len();
+            metrics.note_written(now - done.due);
         }
         if self.frames.is_empty() {
             self.frames.shrink_to(IDLE_CAPACITY);
