--- a/crates/simulator/src/carry.rs
+++ b/crates/simulator/src/carry.rs
@@ -85,7 +85,8 @@
 
     /// How long the sender's link takes until the message is through it.
     fn queued(&mut self, from: Addr, to: Addr, m: &Msg) -> Span {
-        let Some(rate) = self.plan.link else { return Span(0) };
+        let rate = self.plan.links.get(&from).copied().or(self.plan.link);
+        let Some(rate) = rate else { return Span(0) };
         let now = self.now;
         let Some(p) = self.procs.get_mut(&from) else { return Span(0) };
         let bytes = postcard::to_stdvec(m).map_or(0, |b| b.len() as u64);
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -20,6 +20,8 @@
     pub drop: f64,
     /// Bytes a second that a process can send, if that is limited.
     pub link: Option<u64>,
+    /// The same of processes whose links are not like the others'.
+    pub links: BTreeMap<Addr, u64>,
     /// What a controller's processor takes over each message, if that is limited.
     pub work: Option<Span>,
     /// Bytes of a controller's disk: what counts and a new base must fit it together.
@@ -60,6 +62,7 @@
             stock: true,
             drop: 0.0,
             link: None,
+            links: BTreeMap::new(),
             work: None,
             controller_disk: 8 << 20,
             dup: 0.0,
--- /dev/null
+++ b/crates/simulator/tests/cold_start.rs
@@ -0,0 +1,56 @@
+//! Stories of a start without copies, when more is wanted at once than a ceiling gives.
+mod common;
+#[path = "common/open.rs"]
+mod open;
+use common::clean;
+use control_state::*;
+use open::*;
+use primitives::{Span, Token};
+use simulator::*;
+
+/// The service's ceiling, in requests a second.
+fn ceiling(w: &mut World, f: &Fleet, a_second: u64) {
+    let service = service_entry(Some(a_second * 1000));
+    edited(w, f.edges[0], vec![edit(Section::Services, "pages", 2, Some(Body::Service(service)))]);
+    w.run(Span::secs(2));
+}
+
+/// Guards against refusing what the ceiling gives within the time that its callers have.
+#[test]
+fn given_more_at_once_than_a_ceiling_gives_in_a_second_then_who_waits_longer_is_served_not_refused() {
+    for seed in 5300..5303 {
+        let (mut w, f) = World::standing_open(Plan::open(), seed);
+        ceiling(&mut w, &f, 20);
+        // Callers wait for five seconds: a hundred may be had in that time.
+        let ask = |i: usize| (f.edges[i % f.edges.len()], format!("red-{i}"));
+        let tokens: Vec<Token> = (0..40).map(ask).map(|(e, page)| w.call(e, "read", &page)).collect();
+        w.run(Span::secs(6));
+        let denied = tokens.iter().filter(|t| matches!(step(&w, **t), Some(Step::Deny(..)))).count();
+        let slowest = tokens.iter().map(|t| took(&w, *t)).max().expect("some were asked");
+        println!("seed {seed}: {denied} of {} denied, the last after {} ms", tokens.len(), slowest.as_ms());
+        assert_eq!(denied, 0, "denied of {}, seed {seed}", tokens.len());
+        clean(&mut w);
+    }
+}
+
+/// Guards against asking an origin once for each region, where the ceiling is for all of them.
+#[test]
+fn given_regions_that_ask_for_the_same_pages_then_the_origins_are_asked_once_for_all_of_them() {
+    for seed in 5310..5313 {
+        let zones = ["barat/a", "timur/b", "timur/c", "barat/a"];
+        let plan = Plan { zones, away: [100, 750, 17_500], ..Plan::open() };
+        let (mut w, f) = World::standing_open(plan, seed);
+        let pages: Vec<String> = (0..40).map(|i| format!("red-{i}")).collect();
+        let mut tokens = vec![];
+        for page in &pages {
+            tokens.extend(f.edges.iter().map(|e| w.call(*e, "read", page)));
+            w.run(Span::ms(20));
+        }
+        w.run(Span::secs(2));
+        let fills = count(&w, "whole answers");
+        println!("seed {seed}: {fills} fills of {} pages for two regions", pages.len());
+        assert!(tokens.iter().all(|t| is_served(&w, *t)), "not all were served, seed {seed}");
+        assert!(fills <= 44, "{fills} fills of {} pages, seed {seed}", pages.len());
+        clean(&mut w);
+    }
+}
--- /dev/null
+++ b/crates/simulator/tests/unequal_links.rs
@@ -0,0 +1,56 @@
+//! Stories of machines that differ: what small ones cannot carry is left to the larger ones.
+mod common;
+#[path = "common/open.rs"]
+mod open;
+use common::clean;
+use control_state::*;
+use open::*;
+use primitives::{Addr, Span, Token};
+use simulator::*;
+use std::collections::BTreeMap;
+
+/// Bytes a second that small and large machines' links take.
+const SMALL: u64 = 1_250_000;
+const LARGE: u64 = 12_500_000;
+const BODY: usize = 120_000;
+/// The lane's, see `lane_entry`.
+const AIM: Span = Span::secs(1);
+
+/// Machines 2, 3 and 4, one in each zone, have large links.
+fn unequal() -> Plan {
+    let edge = |machine: u8| addr(machine, 2);
+    let large = (2..=4).map(|m| (edge(m), LARGE));
+    let links: BTreeMap<Addr, u64> = [1, 5, 6].map(|m| (edge(m), SMALL)).into_iter().chain(large).collect();
+    Plan { links, copies: 32 << 20, ..Plan::open() }
+}
+
+/// Every edge asks for all pages, in an order of its own, so many a second.
+fn ask_everywhere(w: &mut World, f: &Fleet, pages: usize, a_second: u64) -> Vec<Token> {
+    let mut tokens = vec![];
+    for i in 0..pages {
+        for (shift, edge) in f.edges.iter().enumerate() {
+            tokens.push(w.call(*edge, "read", &format!("red-{}", (i + shift * 7) % pages)));
+            w.run(Span(1_000_000 / a_second));
+        }
+    }
+    tokens
+}
+
+/// Guards against homes of copies on machines whose links they fill.
+#[test]
+fn given_small_and_large_links_then_copies_come_within_the_aim_for_homes_are_on_large_ones() {
+    for seed in 5200..5203 {
+        let (mut w, f) = World::standing_open(unequal(), seed);
+        let heads = Heads::default().with("x-filler", vec![b'x'; BODY]);
+        f.pages.iter().for_each(|a| w.blooms.get_mut(a).unwrap().heads = heads.clone());
+        let tokens = ask_everywhere(&mut w, &f, 200, 200);
+        w.run(Span::secs(5));
+        let mut times: Vec<Span> = tokens.iter().map(|t| took(&w, *t)).collect();
+        times.sort();
+        let (middle, late) = (times[times.len() / 2], times[times.len() * 95 / 100]);
+        println!("seed {seed}: middle {} ms, 95 of 100 within {} ms", middle.as_ms(), late.as_ms());
+        assert!(tokens.iter().all(|t| is_served(&w, *t)), "not all were served, seed {seed}");
+        assert!(late < AIM, "95 of 100 took up to {} ms, seed {seed}", late.as_ms());
+        clean(&mut w);
+    }
+}
