--- a/crates/control-state/src/follow.rs
+++ b/crates/control-state/src/follow.rs
@@ -24,6 +24,8 @@
     /// This process's life; renewals asked for by an earlier one lend nothing.
     pub life: u64,
     pub lease: Span,
+    /// See `Node`.
+    pub capacity: u32,
     /// Goes on without a lease once it has held one: a deployment's choice of
     /// serving while out of touch over denying; see `docs/in-force.md`.
     pub serve_on: bool,
@@ -134,6 +136,7 @@
             zone: e.zone.clone(),
             birth: e.birth,
             standing: self.standing,
+            capacity: e.capacity,
         };
         let era = self.era;
         let sub =
--- a/crates/control-state/src/items.rs
+++ b/crates/control-state/src/items.rs
@@ -123,6 +123,8 @@
     /// An edge's life, or the life of a ledger's disk.
     pub birth: Birth,
     pub standing: Standing,
+    /// Answers a second that it can hand to other nodes, as far as its machine goes.
+    pub capacity: u32,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/control-state/src/lib.rs
+++ b/crates/control-state/src/lib.rs
@@ -2,6 +2,7 @@
 //! between lanewing's processes.
 mod ask;
 mod call;
+mod capacity;
 mod cmd;
 mod configuration;
 mod confirmed;
@@ -30,6 +31,7 @@
 
 pub use ask::*;
 pub use call::*;
+pub use capacity::*;
 pub use cmd::*;
 pub use configuration::*;
 pub use confirmed::*;
--- /dev/null
+++ b/crates/control-state/tests/capacity.rs
@@ -0,0 +1,48 @@
+//! Which edges are homes of copies, and which part of ceilings each has.
+use control_state::*;
+use primitives::{Birth, NodeId, Version};
+use std::collections::BTreeMap;
+
+fn edges(all: &[(u64, &str, u32)]) -> BTreeMap<Key, Item> {
+    let node = |(id, zone, capacity): &(u64, &str, u32)| {
+        let addr = format!("10.0.0.{id}:1").parse().expect("an address");
+        let (role, birth, standing) = (Role::Edge, Birth(1), Standing::Serving);
+        let zone = (*zone).into();
+        let node = Node { role, addr, http: addr, zone, birth, standing, capacity: *capacity };
+        (Key::Node(NodeId(*id)), Item { ver: Version(1), body: Some(Body::Node(node)) })
+    };
+    all.iter().map(node).collect()
+}
+
+fn part(items: &BTreeMap<Key, Item>, id: u64) -> f64 {
+    parts(items).get(&NodeId(id)).copied().unwrap_or(0.0)
+}
+
+#[test]
+fn given_machines_of_two_sizes_then_only_those_near_the_largest_of_a_region_have_a_part() {
+    let items = edges(&[(1, "west/a", 50), (2, "west/a", 520), (3, "west/b", 520), (4, "east/c", 50)]);
+    assert_eq!(part(&items, 1), 0.0);
+    assert!((part(&items, 2) - 520.0 / 1090.0).abs() < 1e-9);
+    // The largest of its own region, however small.
+    assert!((part(&items, 4) - 50.0 / 1090.0).abs() < 1e-9);
+    let sum: f64 = parts(&items).values().sum();
+    assert!((sum - 1.0).abs() < 1e-9, "all parts come to {sum}");
+}
+
+#[test]
+fn given_equal_machines_then_all_have_equal_parts() {
+    let items = edges(&[(1, "west/a", 1), (2, "west/b", 1), (3, "east/c", 1), (4, "east/d", 1)]);
+    (1..=4).for_each(|id| assert!((part(&items, id) - 0.25).abs() < 1e-9));
+}
+
+#[test]
+fn given_a_ceiling_then_own_and_lent_requests_with_all_bursts_stay_below_it() {
+    for sharers in 1..200u64 {
+        let zone = "west/a";
+        let all: Vec<(u64, &str, u32)> = (1..=sharers).map(|id| (id, zone, 10)).collect();
+        let share = rate_share(&edges(&all), Some(390_000));
+        let bursts = if share.own > 0.0 { sharers as f64 } else { 0.0 };
+        let five_seconds = 5.0 * (share.own + share.lent) + bursts;
+        assert!(five_seconds <= 5.0 * 390.0, "{five_seconds} in five seconds with {sharers} edges");
+    }
+}
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -124,7 +124,7 @@
             heard: BTreeSet::new(),
             readers: BTreeMap::new(),
             leadership: Leadership::new(now),
-            lending: Lending::new(),
+            lending: Lending::default(),
             roll: RollWatch::default(),
             said: BTreeMap::new(),
             in_touch: false,
--- a/crates/controller/src/lending.rs
+++ b/crates/controller/src/lending.rs
@@ -10,7 +10,33 @@
 const MICROS_A_SECOND: f64 = 1e6;
 
 /// What may still be lent of each service's ceiling.
-pub(crate) type Lending = BTreeMap<Svc, Budget>;
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Lending {
+    budgets: BTreeMap<Svc, Budget>,
+    /// Worked out from the control state when first wanted. Invariant: forgotten with each
+    /// change of it that may change them.
+    shares: BTreeMap<Svc, Option<Share>>,
+}
+
+impl Lending {
+    /// A new leader begins with nothing.
+    pub(crate) fn clear(&mut self) {
+        self.budgets.clear();
+        self.shares.clear();
+    }
+
+    /// These items changed.
+    pub(crate) fn changed(&mut self, keys: &[Key]) {
+        if keys.iter().any(|key| !key.is_purge()) {
+            self.shares.clear();
+        }
+    }
+
+    fn share(&mut self, items: &BTreeMap<Key, Item>, service: &Svc) -> Option<Share> {
+        let found = self.shares.entry(service.clone()).or_insert_with(|| share(items, service));
+        found.filter(|share| !share.free())
+    }
+}
 
 /// What may still be lent of one service's ceiling.
 #[derive(Clone, Debug)]
@@ -49,9 +75,8 @@
         }
         let mut lent = vec![];
         for (service, wanted) in &asked.wants {
-            let share = share(&self.state.items, service).filter(|share| !share.free());
-            let Some(share) = share else { continue };
-            let budget = self.lending.entry(service.clone()).or_insert_with(|| Budget::empty(now));
+            let Some(share) = self.lending.share(&self.state.items, service) else { continue };
+            let budget = self.lending.budgets.entry(service.clone()).or_insert_with(|| Budget::empty(now));
             let taken = budget.take(now, share.lent, *wanted);
             if taken > 0 {
                 lent.push((service.clone(), taken));
--- a/crates/controller/src/subscribers.rs
+++ b/crates/controller/src/subscribers.rs
@@ -209,6 +209,7 @@
 
     /// Numbers changed keys for every subscriber, so that no lease is renewed without them.
     pub(crate) fn number(&mut self, changed: &[Key], cid: Option<Cid>) {
+        self.lending.changed(changed);
         let keys: Arc<[Key]> = changed.into();
         self.subscribers.values_mut().for_each(|s| s.stream.append(&keys, cid));
     }
--- /dev/null
+++ b/crates/edge/src/homes.rs
@@ -0,0 +1,43 @@
+//! The edges that are homes of copies, by the reach that they are homes for.
+use control_state::*;
+use std::collections::BTreeMap;
+
+/// Homes of each zone, of each region and of the deployment.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Homes {
+    /// How many edges serve.
+    pub edges: usize,
+    by_zone: BTreeMap<Zone, Vec<EdgeNode>>,
+    by_region: BTreeMap<String, Vec<EdgeNode>>,
+    deployment: Vec<EdgeNode>,
+}
+
+impl Homes {
+    pub(crate) fn of(items: &BTreeMap<Key, Item>) -> Homes {
+        let serving =
+            |item: &Item| matches!(&item.body, Some(Body::Node(n)) if n.standing == Standing::Serving);
+        let all = items.iter().filter(|(_, item)| serving(item));
+        let edges: Vec<EdgeNode> = all.filter_map(|(key, item)| EdgeNode::of(key, item)).collect();
+        let mut found = Homes { edges: edges.len(), deployment: strongest(&edges), ..Homes::default() };
+        for edge in edges {
+            found.by_region.entry(edge.zone.region().to_string()).or_default().push(edge.clone());
+            found.by_zone.entry(edge.zone.clone()).or_default().push(edge);
+        }
+        found.by_zone.values_mut().for_each(|edges| *edges = strongest(edges));
+        found.by_region.values_mut().for_each(|edges| *edges = strongest(edges));
+        found
+    }
+
+    /// Those of a reach round a zone.
+    pub(crate) fn within(&self, reach: Reach, zone: &Zone) -> &[EdgeNode] {
+        match reach {
+            Reach::Zone => self.by_zone.get(zone).map_or(&[], Vec::as_slice),
+            Reach::Region => self.by_region.get(zone.region()).map_or(&[], Vec::as_slice),
+            Reach::Deployment => &self.deployment,
+        }
+    }
+}
+
+fn strongest(edges: &[EdgeNode]) -> Vec<EdgeNode> {
+    homes(edges).cloned().collect()
+}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -6,6 +6,7 @@
 mod copies;
 mod edge;
 mod forwarded_calls;
+mod homes;
 mod jobs;
 mod keyed;
 mod lanes;
--- a/crates/edge/src/press.rs
+++ b/crates/edge/src/press.rs
@@ -50,14 +50,14 @@
 
 impl Purse {
     /// Earns of the own share; tells how many lent requests were not used in time.
-    fn fill(&mut self, now: Mono, s: &Share) -> usize {
+    fn fill(&mut self, now: Mono, s: &Share, own: f64) -> usize {
         let since = self.at.map_or(Span(0), |t| now - t);
         self.at = Some(now);
-        let cap = (s.own * 0.1).max(1.0);
+        let cap = (own * 0.1).max(1.0);
         if s.free() {
             return 0;
         }
-        self.own = (self.own + s.own * since.0 as f64 / 1e6).min(cap);
+        self.own = (self.own + own * since.0 as f64 / 1e6).min(cap);
         let before = self.lent.len();
         self.lent.retain(|t| *t > now);
         before - self.lent.len()
@@ -85,8 +85,9 @@
 impl Edge {
     fn purse(&mut self, now: Mono, svc: &Svc) -> Option<&mut Purse> {
         let s = *self.table.shares.get(svc)?;
+        let own = self.table.own_rate(self.follow.env.id, &s);
         let p = self.press.purses.entry(svc.clone()).or_default();
-        self.metrics.note_tokens(Token::LentUnused, p.fill(now, &s));
+        self.metrics.note_tokens(Token::LentUnused, p.fill(now, &s, own));
         Some(p)
     }
 
@@ -124,7 +125,7 @@
 
     pub(crate) fn first_try(&mut self, now: Mono, svc: &Svc) {
         let e = &self.env.policy;
-        let most = (e.saved / self.table.edges.len().max(1) as f64).max(EXTRA_MOST);
+        let most = (e.saved / self.table.edges.max(1) as f64).max(EXTRA_MOST);
         let earn = e.earn;
         self.purse(now, svc).into_iter().for_each(|p| {
             p.recent += 1;
@@ -150,10 +151,11 @@
         let shares: BTreeMap<Svc, Share> = bound.map(|(v, s)| (v.clone(), *s)).collect();
         let mut v = vec![];
         for (svc, s) in &shares {
+            let own = self.table.own_rate(self.follow.env.id, s);
             let Some(p) = self.purse(now, svc) else { continue };
             let gone = (now - p.asked).0 as f64 / 1e6;
             p.asked = now;
-            let more = (p.recent as f64 - s.own * gone).max(0.0).ceil() as u32;
+            let more = (p.recent as f64 - own * gone).max(0.0).ceil() as u32;
             p.recent = 0;
             p.tell(line.get(svc).copied().unwrap_or(0));
             // With a line there is no telling what will come; without, as much as lately.
--- a/crates/edge/src/sources.rs
+++ b/crates/edge/src/sources.rs
@@ -15,8 +15,8 @@
 pub(crate) const WORTH: Span = Span::secs(1);
 /// A home that kept silent is passed over for so long.
 const PASSED_OVER: Span = Span::secs(2);
-/// Homes of a region that are asked before the origin.
-const REGION_HOMES: u8 = 2;
+/// Homes of the widest reach that are asked before the origin.
+const WIDEST_HOMES: u8 = 2;
 
 /// What a job asks for its object, in this order.
 #[derive(Copy, Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -47,12 +47,11 @@
         }
     }
 
-    /// The first two edges by rendezvous know the object; one that lately kept
-    /// silent is passed over.
+    /// The first home by rendezvous of those that have not kept silent lately.
     pub(crate) fn home(&self, now: Mono, object: &(Svc, Lane, String), reach: Reach) -> Option<Addr> {
-        let edges = self.table.edges_within(reach, &self.follow.env.zone);
-        let speaks = |a: &Addr| self.mute.get(a).is_none_or(|t| *t <= now);
-        primitives::first_two(object, edges, |(n, ..)| n.0).map(|(_, a, _)| *a).find(speaks)
+        let homes = self.table.homes(reach, &self.follow.env.zone).iter();
+        let speaks = |e: &&EdgeNode| self.mute.get(&e.addr).is_none_or(|t| *t <= now);
+        primitives::first(object, homes.filter(speaks), |e| e.id.0, |e| e.capacity).map(|e| e.addr)
     }
 
     /// The ledger that stocks an object, of this edge's region, if ledgers stock any.
@@ -132,7 +131,7 @@
         match inquiry.source {
             _ if inquiry.at_it => self.env.patience,
             Source::Home(reach) => {
-                let least = if reach == Reach::Region { policy.region_home } else { policy.home };
+                let least = if reach == Reach::Zone { policy.home } else { policy.region_home };
                 self.answer_times.get(&reach).copied().unwrap_or_default().limit(least)
             }
             _ => policy.home,
@@ -161,7 +160,8 @@
         let Stage::Home(inquiry) = j.stage else { return };
         j.overdue.push(inquiry);
         let homes = j.overdue.iter().filter(|i| i.source == inquiry.source).count() as u8;
-        let again = matches!(inquiry.source, Source::Home(Reach::Region)) && homes < REGION_HOMES;
+        let widest = self.reaches().last().map(|r| Source::Home(*r));
+        let again = widest == Some(inquiry.source) && homes < WIDEST_HOMES;
         self.mute.insert(inquiry.to, now + PASSED_OVER);
         self.count(if again { "silent region homes" } else { "mute homes" });
         if again {
--- a/crates/edge/src/table.rs
+++ b/crates/edge/src/table.rs
@@ -1,4 +1,5 @@
 //! What an edge routes by: an immutable snapshot, built anew and swapped whole.
+use crate::homes::Homes;
 use crate::lanes::Lanes;
 use control_state::*;
 use primitives::{Addr, NodeId, Version};
@@ -11,9 +12,11 @@
     pub lanes: BTreeMap<Lane, Vec<(Svc, Row)>>,
     /// Only origins that serve.
     pub origins: BTreeMap<Svc, Vec<(Addr, Origin)>>,
-    pub edges: Vec<(NodeId, Addr, Zone)>,
-    by_zone: BTreeMap<Zone, Vec<(NodeId, Addr, Zone)>>,
-    by_region: BTreeMap<String, Vec<(NodeId, Addr, Zone)>>,
+    /// How many edges serve.
+    pub edges: usize,
+    homes: Homes,
+    /// See `parts`.
+    parts: BTreeMap<NodeId, f64>,
     pub ledgers: Vec<(NodeId, Addr, Zone)>,
     pub roll: Roll,
     pub roll_version: Version,
@@ -27,7 +30,9 @@
 impl Table {
     pub fn build(items: &BTreeMap<Key, Item>) -> Table {
         let (roll, roll_version) = (Roll::of(items), Roll::version(items));
-        let mut t = Table { roll, roll_version, ..Table::default() };
+        let (parts, homes) = (parts(items), Homes::of(items));
+        let edges = homes.edges;
+        let mut t = Table { roll, roll_version, parts, homes, edges, ..Table::default() };
         for (k, it) in items {
             match (k, &it.body) {
                 (Key::Row(l, s), Some(Body::Row(r))) => {
@@ -42,31 +47,23 @@
                 (Key::Origin(a), Some(Body::Origin(o))) if o.standing == Standing::Serving => {
                     t.origins.entry(o.svc.clone()).or_default().push((*a, o.clone()));
                 }
-                (Key::Node(id), Some(Body::Node(n))) => match n.role {
-                    Role::Edge if n.standing == Standing::Serving => t.add_edge(*id, n.addr, &n.zone),
-                    Role::Ledger => t.ledgers.push((*id, n.addr, n.zone.clone())),
-                    _ => (),
-                },
+                (Key::Node(id), Some(Body::Node(n))) if n.role == Role::Ledger => {
+                    t.ledgers.push((*id, n.addr, n.zone.clone()));
+                }
                 _ => (),
             }
         }
         t
     }
 
-    /// Edges within a reach of a zone.
-    pub fn edges_within(&self, reach: Reach, zone: &Zone) -> &[(NodeId, Addr, Zone)] {
-        match reach {
-            Reach::Zone => self.by_zone.get(zone).map_or(&[], Vec::as_slice),
-            Reach::Region => self.by_region.get(zone.region()).map_or(&[], Vec::as_slice),
-            Reach::Deployment => &self.edges,
-        }
+    /// Edges that are homes for a reach round a zone.
+    pub fn homes(&self, reach: Reach, zone: &Zone) -> &[EdgeNode] {
+        self.homes.within(reach, zone)
     }
 
-    fn add_edge(&mut self, id: NodeId, addr: Addr, zone: &Zone) {
-        let edge = (id, addr, zone.clone());
-        self.by_zone.entry(zone.clone()).or_default().push(edge.clone());
-        self.by_region.entry(zone.region().to_string()).or_default().push(edge.clone());
-        self.edges.push(edge);
+    /// An edge's own requests a second of a service with that share.
+    pub fn own_rate(&self, id: NodeId, share: &Share) -> f64 {
+        share.own * self.parts.get(&id).copied().unwrap_or(0.0)
     }
 
     fn add_lane(&mut self, name: &str, l: &LaneEntry) {
--- a/crates/lanewing/src/roles.rs
+++ b/crates/lanewing/src/roles.rs
@@ -78,6 +78,7 @@
             seeds: place.seeds,
             birth,
             life: runtime::life(),
+            capacity: 1,
             lease: self.env.limits.lease,
             serve_on: false,
         }
--- a/crates/ledger/tests/common/mod.rs
+++ b/crates/ledger/tests/common/mod.rs
@@ -22,6 +22,7 @@
         seeds: vec![addr(CONTROLLER)],
         birth: Birth(0),
         life: 1,
+        capacity: 1,
         lease: Span::secs(1000),
         serve_on: false,
     }
--- a/crates/machine/src/lib.rs
+++ b/crates/machine/src/lib.rs
@@ -33,6 +33,10 @@
     pub counted: bool,
     /// Losses borne at once.
     pub losses: usize,
+    /// Bits a second of its link, if that is known.
+    pub link: Option<u64>,
+    /// Its share of a processor's core.
+    pub processor: f64,
     /// Bytes of memory the process may have.
     pub memory: usize,
     /// How long a key stays with its first try.
@@ -59,6 +63,10 @@
     Ledger,
 }
 
+/// What handing an answer to another node takes of a processor and of a link, roughly.
+const ANSWER_PROCESSOR_SECONDS: f64 = 0.0004;
+const ANSWER_BITS: f64 = 24_000.0 * 8.0;
+
 impl Seat {
     /// As logs and figures call it.
     pub(crate) fn name(self) -> &'static str {
@@ -84,6 +92,13 @@
         NodeId(ip << 2 | s as u64)
     }
 
+    /// Answers a second that it can hand to other nodes: as its link or its processor allows.
+    pub fn capacity(&self) -> u32 {
+        let by_processor = self.processor / ANSWER_PROCESSOR_SECONDS;
+        let by_link = self.link.map_or(by_processor, |bits| bits as f64 / ANSWER_BITS);
+        by_processor.min(by_link).max(1.0) as u32
+    }
+
     /// The seeds' controllers.
     pub(crate) fn seats(&self) -> Vec<Addr> {
         self.seeds.iter().map(|ip| Addr(SocketAddr::new(*ip, self.port + Seat::Controller as u16))).collect()
--- a/crates/machine/src/parts.rs
+++ b/crates/machine/src/parts.rs
@@ -35,6 +35,7 @@
             birth: Birth(birth),
             life,
             lease: LEASE,
+            capacity: self.capacity(),
             serve_on: true,
         }
     }
--- a/crates/machine/tests/memory.rs
+++ b/crates/machine/tests/memory.rs
@@ -1,4 +1,4 @@
-//! How memory is shared out on a machine whose disk is counted, and on one without.
+//! What follows from a machine's limits: how memory is shared out, and what it can do for others.
 use machine::MachineEnv;
 use primitives::Span;
 
@@ -14,6 +14,8 @@
         disk: disk_mb.map(|mb| ("/nowhere/lanewing-test".into(), mb)),
         counted: true,
         losses: 2,
+        link: None,
+        processor: 1.0,
         memory,
         window: Span::secs(60),
         grace: Span::secs(6),
@@ -47,3 +49,13 @@
     let machine = env(78 * MB, Some(4096));
     assert_eq!(machine.kept_memory(), 39 * MB);
 }
+
+#[test]
+fn given_a_link_and_a_processor_then_the_scarcer_one_says_what_can_be_handed_to_others() {
+    let with = |link: Option<u64>, processor: f64| MachineEnv { link, processor, ..env(MB, None) }.capacity();
+    let (small, middle, large) =
+        (with(Some(10_000_000), 0.1), with(Some(100_000_000), 0.25), with(Some(1_000_000_000), 0.5));
+    assert!(small * 9 < middle && middle * 2 < large, "{small} {middle} {large}");
+    assert_eq!(large, with(None, 0.5), "its processor bounds it");
+    assert_eq!(with(Some(1), 0.000_001), 1);
+}
--- a/crates/primitives/src/lib.rs
+++ b/crates/primitives/src/lib.rs
@@ -35,23 +35,25 @@
     weighed.into_iter().map(|(.., member)| member).collect()
 }
 
-/// A member and its place in the order: the greatest comes first.
-type Weighed<'a, T> = ((u64, Reverse<u64>), &'a T);
+/// The score of a member in weighted rendezvous hashing: each member has the greatest one for a
+/// part of all keys that is in proportion to its weight.
+fn score(hashed: u64, weight: u32) -> f64 {
+    /// Bits of a hash that a float holds exactly.
+    const BITS: u32 = f64::MANTISSA_DIGITS - 1;
+    // In (0, 1), both ends excluded.
+    let uniform = ((hashed >> (u64::BITS - BITS)) as f64 + 0.5) / (1u64 << BITS) as f64;
+    f64::from(weight.max(1)) / -uniform.ln()
+}
 
-/// The first two of `rank`, found in one pass and without a copy of the members.
-pub fn first_two<'a, K: Hash, T>(
+/// The first member for `key` by weighted rendezvous hashing, found in one pass. Where all weights
+/// are equal it is the first one of `rank`.
+pub fn first<'a, K: Hash, T>(
     key: &K,
-    members: &'a [T],
+    members: impl Iterator<Item = &'a T>,
     id: impl Fn(&T) -> u64,
-) -> impl Iterator<Item = &'a T> {
-    let (mut first, mut second): (Option<Weighed<T>>, Option<Weighed<T>>) = (None, None);
-    for member in members {
-        let weight = (hash(&(key, id(member))), Reverse(id(member)));
-        if first.is_none_or(|(best, _)| weight > best) {
-            (first, second) = (Some((weight, member)), first);
-        } else if second.is_none_or(|(next, _)| weight > next) {
-            second = Some((weight, member));
-        }
-    }
-    first.into_iter().chain(second).map(|(_, member)| member)
+    weight: impl Fn(&T) -> u32,
+) -> Option<&'a T> {
+    let scored = members.map(|member| (score(hash(&(key, id(member))), weight(member)), member));
+    let best = scored.max_by(|(a, one), (b, other)| a.total_cmp(b).then(id(other).cmp(&id(one))));
+    best.map(|(_, member)| member)
 }
--- a/crates/scale-model/src/fleet.rs
+++ b/crates/scale-model/src/fleet.rs
@@ -60,6 +60,7 @@
         seeds: (0..SEEDS).map(|seed| controller_addr((i + seed) % CONTROLLERS)).collect(),
         birth: birth(i),
         life: i as u64 + 1,
+        capacity: 1,
         lease: LEASE,
         serve_on: false,
     };
--- a/crates/scale-model/src/state.rs
+++ b/crates/scale-model/src/state.rs
@@ -90,7 +90,7 @@
 
 fn node(plan: &Plan, i: usize) -> (Key, Item) {
     let (addr, zone, birth, role) = (node_addr(i), zone(i), birth(i), role(plan, i));
-    let node = Node { role, addr, http: addr, zone, birth, standing: Standing::Serving };
+    let node = Node { role, addr, http: addr, zone, birth, standing: Standing::Serving, capacity: 1 };
     entry(Key::Node(NodeId(i as u64)), Body::Node(node))
 }
 
--- a/crates/simulator/src/stage.rs
+++ b/crates/simulator/src/stage.rs
@@ -5,6 +5,9 @@
 use primitives::{Addr, Birth, Mono, NodeId, Span};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
+/// What an answer takes of a link, as far as the capacity of an edge goes.
+const BYTES_AN_ANSWER: u64 = 24_000;
+
 pub fn addr(machine: u8, port: u16) -> Addr {
     Addr(SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 0, 0, machine)), port))
 }
@@ -33,6 +36,7 @@
         seeds: seeds.to_vec(),
         birth: Birth(0),
         life: 0,
+        capacity: plan.links.get(&a).map_or(1, |rate| (rate / BYTES_AN_ANSWER) as u32),
         lease: plan.lease,
         serve_on: plan.serve_on,
     }
--- a/crates/simulator/tests/single_run/stage.rs
+++ b/crates/simulator/tests/single_run/stage.rs
@@ -27,6 +27,7 @@
         seeds: vec![addr(CONTROLLER)],
         birth: Birth(birth),
         life: birth,
+        capacity: 1,
         lease: LONG,
         serve_on: false,
     }
--- a/crates/simulator/tests/unequal_links.rs
+++ b/crates/simulator/tests/unequal_links.rs
@@ -54,3 +54,25 @@
         clean(&mut w);
     }
 }
+
+/// Guards against parts of a ceiling that lie with edges that never use them.
+#[test]
+fn given_homes_on_few_machines_then_what_a_ceiling_allows_reaches_the_origins() {
+    const A_SECOND: u64 = 60;
+    for seed in 5210..5213 {
+        let (mut w, f) = World::standing_open(unequal(), seed);
+        let service = service_entry(Some(A_SECOND * 1000));
+        edited(&mut w, f.edges[0], vec![edit(Section::Services, "pages", 2, Some(Body::Service(service)))]);
+        w.rules.ceilings.insert("pages".into(), A_SECOND as u32);
+        w.run(Span::secs(2));
+        let before = count(&w, "whole answers");
+        for i in 0..10 * 2 * A_SECOND as usize {
+            w.call(f.edges[i % f.edges.len()], "read", &format!("red-{i}"));
+            w.run(Span(500_000 / A_SECOND));
+        }
+        let arrived = count(&w, "whole answers") - before;
+        println!("seed {seed}: {arrived} requests of {}", 10 * A_SECOND);
+        assert!(arrived * 100 >= 10 * A_SECOND * 85, "only {arrived} requests, seed {seed}");
+        clean(&mut w);
+    }
+}
