--- a/crates/control-state/src/items.rs
+++ b/crates/control-state/src/items.rs
@@ -1,6 +1,7 @@
 //! The things the control state holds. Each is an item under a key, with its
 //! own version.
 use crate::configuration::{CallerLimits, LaneEntry, PurgeBy, Section, ServiceEntry};
+use crate::stored_node::StoredNode;
 use primitives::{Addr, Birth, Mono, NodeId, Span, Version};
 use serde::{Deserialize, Serialize};
 use std::fmt;
@@ -115,6 +116,7 @@
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "StoredNode", into = "StoredNode")]
 pub struct Node {
     pub role: Role,
     pub addr: Addr,
--- a/crates/control-state/src/lib.rs
+++ b/crates/control-state/src/lib.rs
@@ -27,6 +27,7 @@
 mod sizes;
 mod snapshot;
 mod state;
+mod stored_node;
 mod whole;
 
 pub use ask::*;
--- /dev/null
+++ b/crates/control-state/src/stored_node.rs
@@ -0,0 +1,52 @@
+//! A node as it is written to disk and sent. Nodes used to have no capacity: what was written
+//! then is still read.
+use crate::items::{Node, Role, Standing, Zone};
+use primitives::{Addr, Birth};
+use serde::{Deserialize, Serialize};
+
+/// Of a node that was written without one.
+const UNKNOWN_CAPACITY: u32 = 1;
+
+/// Invariant: fields are in the order in which they were always written, and variants are only
+/// ever added at the end.
+#[derive(Serialize, Deserialize)]
+pub(crate) struct StoredNode {
+    role: Role,
+    addr: Addr,
+    http: Addr,
+    zone: Zone,
+    birth: Birth,
+    standing: StoredStanding,
+}
+
+#[derive(Serialize, Deserialize)]
+enum StoredStanding {
+    Serving,
+    Leaving,
+    ServingWith { capacity: u32 },
+    LeavingWith { capacity: u32 },
+}
+
+impl From<Node> for StoredNode {
+    fn from(node: Node) -> StoredNode {
+        let Node { role, addr, http, zone, birth, standing, capacity } = node;
+        let standing = match standing {
+            Standing::Serving => StoredStanding::ServingWith { capacity },
+            Standing::Leaving => StoredStanding::LeavingWith { capacity },
+        };
+        StoredNode { role, addr, http, zone, birth, standing }
+    }
+}
+
+impl From<StoredNode> for Node {
+    fn from(stored: StoredNode) -> Node {
+        let StoredNode { role, addr, http, zone, birth, standing } = stored;
+        let (standing, capacity) = match standing {
+            StoredStanding::Serving => (Standing::Serving, UNKNOWN_CAPACITY),
+            StoredStanding::Leaving => (Standing::Leaving, UNKNOWN_CAPACITY),
+            StoredStanding::ServingWith { capacity } => (Standing::Serving, capacity),
+            StoredStanding::LeavingWith { capacity } => (Standing::Leaving, capacity),
+        };
+        Node { role, addr, http, zone, birth, standing, capacity }
+    }
+}
--- a/crates/control-state/tests/capacity.rs
+++ b/crates/control-state/tests/capacity.rs
@@ -1,6 +1,7 @@
 //! Which edges are homes of copies, and which part of ceilings each has.
 use control_state::*;
-use primitives::{Birth, NodeId, Version};
+use primitives::{Addr, Birth, NodeId, Version};
+use serde::Serialize;
 use std::collections::BTreeMap;
 
 fn edges(all: &[(u64, &str, u32)]) -> BTreeMap<Key, Item> {
@@ -46,3 +47,29 @@
         assert!(five_seconds <= 5.0 * 390.0, "{five_seconds} in five seconds with {sharers} edges");
     }
 }
+
+/// Guards against taking what an earlier version wrote to disk for something else.
+#[test]
+fn given_a_node_written_before_nodes_had_a_capacity_then_it_is_read_with_the_least() {
+    #[derive(Serialize)]
+    struct EarlierNode {
+        role: Role,
+        addr: Addr,
+        http: Addr,
+        zone: Zone,
+        birth: Birth,
+        standing: Standing,
+    }
+    let addr: Addr = "10.0.0.7:1".parse().expect("an address");
+    let (role, zone, birth) = (Role::Ledger, Zone::from("west/a"), Birth(9));
+    for standing in [Standing::Serving, Standing::Leaving] {
+        let earlier = EarlierNode { role, addr, http: addr, zone: zone.clone(), birth, standing };
+        let written = postcard::to_stdvec(&(earlier, 77u8)).expect("plain data encodes");
+        let (node, after): (Node, u8) = postcard::from_bytes(&written).expect("it is read");
+        let now = Node { role, addr, http: addr, zone: zone.clone(), birth, standing, capacity: 1 };
+        assert_eq!((node, after), (now.clone(), 77));
+        let again = Node { capacity: 1250, ..now };
+        let written = postcard::to_stdvec(&again).expect("plain data encodes");
+        assert_eq!(postcard::from_bytes::<Node>(&written), Ok(again));
+    }
+}
--- a/crates/runtime/src/frame.rs
+++ b/crates/runtime/src/frame.rs
@@ -6,7 +6,7 @@
 const MAGIC: [u8; 2] = *b"LW";
 /// The version of everything that nodes say to one another. Raised with every change of a
 /// message; a frame of another version is refused, and its connection ends.
-pub const VERSION: u8 = 3;
+pub const VERSION: u8 = 4;
 /// Larger frames are never sent and close the connection when received.
 pub(crate) const LARGEST: usize = 16 << 20;
 
