--- a/crates/control-state/src/copy_messages.rs
+++ b/crates/control-state/src/copy_messages.rs
@@ -20,7 +20,7 @@
 pub enum Reach {
     /// Those of its zone; it asks the region's home in turn.
     Zone,
-    /// Those of its region; it asks the origin.
+    /// Those of its region; it asks the deployment's home in turn, if there are more regions.
     Region,
     /// All of the deployment; it asks the origin.
     Deployment,
--- a/crates/edge/src/homes.rs
+++ b/crates/edge/src/homes.rs
@@ -28,6 +28,16 @@
         found
     }
 
+    /// Reaches that have homes where there are several tiers, the nearest first. A region that is
+    /// the whole deployment has no tier beyond it.
+    pub(crate) fn tiers(&self) -> &'static [Reach] {
+        if self.by_region.len() > 1 {
+            &[Reach::Zone, Reach::Region, Reach::Deployment]
+        } else {
+            &[Reach::Zone, Reach::Region]
+        }
+    }
+
     /// Those of a reach round a zone.
     pub(crate) fn within(&self, reach: Reach, zone: &Zone) -> &[EdgeNode] {
         match reach {
--- a/crates/edge/src/policy.rs
+++ b/crates/edge/src/policy.rs
@@ -11,15 +11,15 @@
     /// Extra tries that all edges of the deployment together may have saved up; each
     /// may have one at least.
     pub saved: f64,
-    /// An object has a home in each zone, which asks the one of its region. Else it has one
-    /// home. Either way every edge keeps what it asked for, as a guest that makes room first.
+    /// An object has a home in each zone, which asks the one of its region, which asks the one of
+    /// the deployment. Else it has one home. Either way every edge keeps what it asked for, as a guest that makes room first.
     pub near: bool,
     /// Origins are chosen by load and nearness, not by rendezvous.
     pub by_load: bool,
     /// How long an object's home may take to say that it is at it.
     pub home: Span,
-    /// The same of a region's home: in its place the origin is asked.
-    pub region_home: Span,
+    /// The same of homes of wider reaches: in their place the origin is asked.
+    pub far_home: Span,
     /// When a denied caller should come back; else it depends on why.
     pub back: Option<Span>,
 }
@@ -31,7 +31,7 @@
             earn: 0.1,
             saved: 0.0,
             home: Span::ms(400),
-            region_home: Span::ms(400),
+            far_home: Span::ms(400),
             near: false,
             by_load: false,
             back: None,
--- a/crates/edge/src/sources.rs
+++ b/crates/edge/src/sources.rs
@@ -1,8 +1,8 @@
 //! Where a copy of an object is got: from the object's homes, a ledger, or an origin.
 //!
-//! An edge asks the home of its zone, that one the home of its region, and only this one the
-//! origin, so that an origin is asked once for each region. A home that keeps silent is passed
-//! over: its asker turns to the next source, not to the origin.
+//! An edge asks the home of its zone, that one the home of its region, this one the home of the
+//! deployment, and only that one the origin, so that an origin is asked once for all. A home that
+//! keeps silent is passed over: its asker turns to the next source, not to the origin.
 //!
 //! Invariant: who acts for a reach waits only for who acts for a wider one, so edges that see
 //! different homes never wait for one another in a circle.
@@ -41,7 +41,7 @@
     /// The reaches that homes have here, the nearest first.
     fn reaches(&self) -> &'static [Reach] {
         if self.env.policy.near {
-            &[Reach::Zone, Reach::Region]
+            self.table.tiers()
         } else {
             &[Reach::Deployment]
         }
@@ -118,7 +118,8 @@
         let held = held.filter(|_| inquiry.source != Source::Ledger);
         self.count(match inquiry.source {
             Source::Home(Reach::Zone) => "asked of zone homes",
-            Source::Home(_) => "asked of region homes",
+            Source::Home(Reach::Region) => "asked of region homes",
+            Source::Home(Reach::Deployment) => "asked of deployment homes",
             _ => "asked of ledgers",
         });
         out.push(Out::Send(inquiry.to, Msg::CopyAsk { ask, svc, lane, path, heads, reach, held }));
@@ -131,7 +132,7 @@
         match inquiry.source {
             _ if inquiry.at_it => self.env.patience,
             Source::Home(reach) => {
-                let least = if reach == Reach::Zone { policy.home } else { policy.region_home };
+                let least = if reach == Reach::Zone { policy.home } else { policy.far_home };
                 self.answer_times.get(&reach).copied().unwrap_or_default().limit(least)
             }
             _ => policy.home,
--- a/crates/edge/src/table.rs
+++ b/crates/edge/src/table.rs
@@ -61,6 +61,11 @@
         self.homes.within(reach, zone)
     }
 
+    /// See `Homes::tiers`.
+    pub fn tiers(&self) -> &'static [Reach] {
+        self.homes.tiers()
+    }
+
     /// An edge's own requests a second of a service with that share.
     pub fn own_rate(&self, id: NodeId, share: &Share) -> f64 {
         share.own * self.parts.get(&id).copied().unwrap_or(0.0)
--- a/crates/machine/src/parts.rs
+++ b/crates/machine/src/parts.rs
@@ -58,7 +58,7 @@
                 // In one zone; the region's home is asked in place of one that takes longer.
                 home: Span::ms(100),
                 // Longer than a turn of a small processor that is busy: an origin pays for it.
-                region_home: Span::ms(400),
+                far_home: Span::ms(400),
                 back: Some(Span::ms(120)),
             },
             losses: self.losses,
--- a/crates/simulator/src/open.rs
+++ b/crates/simulator/src/open.rs
@@ -17,7 +17,7 @@
             saved: 5.0,
             home: primitives::Span::ms(100),
             near: true,
-            region_home: Span::ms(400),
+            far_home: Span::ms(400),
             by_load: true,
             back: Some(Span::ms(120)),
         };
