--- a/crates/control-state/src/follow.rs
+++ b/crates/control-state/src/follow.rs
@@ -1,10 +1,12 @@
 //! Following the controllers, as edges and ledgers do: numbered news, merged by
 //! version, and the setup lease.
 use crate::digest::ItemsDigest;
+use crate::feeds::Feeds;
 use crate::items::*;
 use crate::msg::*;
 use crate::part::Out;
 use crate::purged::old_purge;
+use crate::source::Source;
 use crate::state::Era;
 use caesar::MemberId;
 use primitives::{Addr, Birth, Epoch, Mono, NodeId, Span};
@@ -43,8 +45,8 @@
     pub items: BTreeMap<Key, Item>,
     /// Until when each controller's renewal carries the lease, counted from our asking.
     leases: BTreeMap<MemberId, Mono>,
-    /// By controller: its feed, and the last number held of it without a gap.
-    got: BTreeMap<Addr, (u64, u64)>,
+    feeds: Feeds,
+    source: Source,
     asked: Mono,
     /// Held the lease at some time of this life: then it holds all that an earlier life
     /// may have shown.
@@ -64,7 +66,8 @@
             members: vec![],
             items: BTreeMap::new(),
             leases: BTreeMap::new(),
-            got: BTreeMap::new(),
+            feeds: Feeds::default(),
+            source: Source::default(),
             asked: Mono(0),
             touched: false,
             standing: Standing::Serving,
@@ -118,6 +121,7 @@
     /// Asks every controller it knows of for news, a renewal, beats and slices.
     pub fn subscribe(&mut self, now: Mono, wants: &[(Svc, u32)], epoch: Epoch, out: &mut Vec<Out>) {
         self.asked = now;
+        self.source.choose(now, &self.env, &self.members);
         // Without a lease the seeds are asked too: the roster may have moved on.
         let lost = self.in_touch_until() <= now;
         let seeds = self.env.seeds.iter().copied().filter(|_| lost);
@@ -127,7 +131,7 @@
 
     /// One asking, of one controller.
     pub fn sub(&self, now: Mono, to: Addr, wants: &[(Svc, u32)], epoch: Epoch) -> Out {
-        let (feed, got) = self.got.get(&to).copied().unwrap_or_default();
+        let (feed, got) = self.feeds.position(&to);
         let e = &self.env;
         let node = Node {
             role: e.role,
@@ -139,14 +143,15 @@
             capacity: e.capacity,
         };
         let era = self.era;
-        let sub =
-            Sub { id: e.id, node, era, feed, got, ask: now, life: e.life, wants: wants.to_vec(), epoch };
+        let (heard, source) = (self.source.heard(&to), self.source.is(&to));
+        let (ask, life, wants) = (now, e.life, wants.to_vec());
+        let sub = Sub { id: e.id, node, era, feed, got, ask, life, heard, source, wants, epoch };
         Out::Send(to, Msg::Sub(Box::new(sub)))
     }
 
     /// Takes news in; returns what is newer than what was held.
     pub fn on_update(&mut self, from: Addr, n: &Update, out: &mut Vec<Out>) -> Vec<Key> {
-        if n.era >= self.era {
+        if n.era >= self.era && !n.members.is_empty() {
             self.era = n.era;
             self.members = n.members.clone();
         }
@@ -156,20 +161,17 @@
             n.items.iter().filter(|(k, it)| merge(&mut self.items, k, it)).map(|(k, _)| k.clone()).collect();
         let era = self.era;
         self.items.retain(|k, it| !old_purge(era, k, it));
-        let (feed, got) = self.got.get(&from).copied().unwrap_or_default();
         // Whoever holds all may be lent the lease: it asks at once.
         if n.full {
             self.asked = Mono(0);
         }
-        if n.full || (n.feed == feed && n.from <= got) {
-            let to = if n.feed == feed { n.to.max(got) } else { n.to };
-            self.got.insert(from, (n.feed, to));
-            if !n.items.is_empty() {
-                let id = self.env.id;
-                out.push(Out::Send(from, Msg::Got { id, feed: n.feed, got: to }));
-            }
-        }
-        if let Some(r) = n.reply.as_ref().filter(|r| r.lent && r.life == self.env.life) {
+        self.feeds.take(from, n);
+        let id = self.env.id;
+        let due = self.feeds.settle(&self.items).into_iter();
+        out.extend(due.map(|held| Out::Send(held.by, Msg::Got { id, feed: held.feed, got: held.got })));
+        let reply = n.reply.as_ref().filter(|r| r.life == self.env.life);
+        reply.into_iter().for_each(|r| self.source.replied(from, r));
+        if let Some(r) = reply.filter(|r| r.lent) {
             self.sure = self.sure.max(n.era);
             let l = self.leases.entry(r.member_id).or_default();
             *l = (*l).max(r.ask + self.env.lease);
--- a/crates/control-state/src/msg.rs
+++ b/crates/control-state/src/msg.rs
@@ -28,6 +28,10 @@
     pub ask: Mono,
     /// Which life of its process asked; comes back with `ask`.
     pub life: u64,
+    /// The `at` of the last reply that came from this controller.
+    pub heard: Mono,
+    /// It is to send items whole, and heartbeats; of the others announcements will do.
+    pub source: bool,
     /// Requests it would let out beyond its share, by service.
     pub wants: Vec<(Svc, u32)>,
     pub epoch: Epoch,
@@ -43,7 +47,10 @@
     /// Starts the feed anew with all there is.
     pub full: bool,
     pub items: Vec<(Key, Item)>,
+    /// Larger items, by their versions: another controller sends them whole.
+    pub announced: Vec<(Key, Version)>,
     pub era: Era,
+    /// The members of that era; none if the subscriber goes by it already.
     pub members: Vec<Member>,
     pub reply: Option<Reply>,
 }
@@ -55,6 +62,10 @@
     pub member_id: MemberId,
     /// The setup lease is renewed from `ask` on.
     pub lent: bool,
+    /// When it was made, by the controller's clock, if it tells heartbeats; comes back with the
+    /// next asking.
+    pub at: Option<Mono>,
+    /// Origins' heartbeats that came since the reply named in the asking, and their ages.
     pub beats: Vec<(Beat, Span)>,
     pub slices: Vec<(Svc, u32)>,
     pub epoch: Epoch,
--- a/crates/controller/src/beats.rs
+++ b/crates/controller/src/beats.rs
@@ -7,8 +7,24 @@
 
 /// Beats older than this are forgotten.
 const OLD: Span = Span::secs(10);
-/// By how much what is told overlaps with what was told before.
-const OVERLAP: Span = Span::ms(300);
+
+/// The last heartbeat of an origin.
+#[derive(Clone, Debug)]
+pub(crate) struct Heard {
+    /// With when it was said, at the earliest.
+    pub last: (Beat, Mono),
+    /// When it was taken in here.
+    pub taken: Mono,
+}
+
+impl Heard {
+    pub(crate) fn beat(&self) -> &Beat {
+        &self.last.0
+    }
+    pub(crate) fn said(&self) -> Mono {
+        self.last.1
+    }
+}
 
 /// What this controller knows of pauses, its own and the links'.
 #[derive(Debug)]
@@ -63,7 +79,7 @@
         let known = mark.filter(|m| *m <= now).unwrap_or(now);
         let since = self.pulse.since(now);
         let said = known.min(since);
-        self.hear(b.clone(), said);
+        self.hear(now, b.clone(), said);
         if self.mach.is_none() || now - since > STALE {
             return out.push(Out::Tell(t, Receipt::NotNow("the beat waited too long")));
         }
@@ -89,7 +105,7 @@
 
     /// Of two lives at an address the later heard is the one there now.
     pub(crate) fn heard_last(&self, addr: Addr, birth: Birth) -> bool {
-        self.beats.get(&addr).is_some_and(|(b, _)| b.birth == birth)
+        self.beats.get(&addr).is_some_and(|h| h.beat().birth == birth)
     }
 
     /// Beats passed on by another controller, no older than `echo`, this one's own clock.
@@ -104,13 +120,17 @@
         self.pulse.clocks.insert(from, at);
         if let Some(then) = echo.filter(|e| *e <= now) {
             self.contact.note(now, from, then);
-            bs.into_iter().for_each(|(b, age)| self.hear(b, then - age));
+            bs.into_iter().for_each(|(b, age)| self.hear(now, b, then - age));
         }
     }
 
-    fn hear(&mut self, b: Beat, heard: Mono) {
-        if b.replaces(heard, self.beats.get(&b.addr)) {
-            self.beats.insert(b.addr, (b, heard));
+    fn hear(&mut self, now: Mono, beat: Beat, said: Mono) {
+        let was = self.beats.get(&beat.addr);
+        if beat.replaces(said, was.map(|h| &h.last)) {
+            // The same one by another way is no news to those who were told it.
+            let same = was.filter(|h| beat.seq > 0 && *h.beat() == beat);
+            let taken = same.map_or(now, |h| h.taken);
+            self.beats.insert(beat.addr, Heard { last: (beat, said), taken });
         }
     }
 
@@ -118,16 +138,14 @@
         self.beats_since(now, Mono(0)).collect()
     }
 
-    /// Those heard after some moment, a little overlapping: what comes in late counts
-    /// from earlier.
+    /// Those taken in from some moment on, and their ages.
     pub(crate) fn beats_since(&self, now: Mono, then: Mono) -> impl Iterator<Item = (Beat, Span)> + '_ {
-        let from = then - OVERLAP;
-        let fresh = self.beats.values().filter(move |(_, t)| now - *t < OLD && *t >= from);
-        fresh.map(move |(b, t)| (b.clone(), now - *t))
+        let fresh = self.beats.values().filter(move |h| now - h.said() < OLD && h.taken >= then);
+        fresh.map(move |h| (h.beat().clone(), now - h.said()))
     }
 
     pub(crate) fn relay_beats(&mut self, now: Mono, out: &mut Vec<Out>) {
-        self.beats.retain(|_, (_, t)| now - *t < OLD);
+        self.beats.retain(|_, h| now - h.said() < OLD);
         let bs: Vec<(Beat, Span)> = self.beats_since(now, self.relayed).collect();
         self.relayed = now;
         if self.mach.is_some() {
@@ -141,7 +159,7 @@
     /// Origins that have been silent too long are removed; the leader's work.
     pub(crate) fn sweep(&mut self, now: Mono, out: &mut Vec<Out>) {
         let silent = |k: &Addr, o: &Origin| {
-            let t = self.beats.get(k).filter(|(b, _)| b.birth == o.birth).map(|(_, t)| *t);
+            let t = self.beats.get(k).filter(|h| h.beat().birth == o.birth).map(Heard::said);
             t.is_none_or(|t| now - t >= self.env.vanish)
         };
         let gone: Vec<Op> = self
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -1,4 +1,4 @@
-use crate::beats::Pulse;
+use crate::beats::{Heard, Pulse};
 use crate::contact::Contact;
 use crate::directory::Directory;
 use crate::disk_health::DiskHealth;
@@ -39,7 +39,7 @@
     pub(crate) last_stream: u64,
     /// Since when followers without a seat turn to this controller.
     pub(crate) newcomers: BTreeMap<NodeId, Mono>,
-    pub(crate) beats: BTreeMap<Addr, (Beat, Mono)>,
+    pub(crate) beats: BTreeMap<Addr, Heard>,
     pub(crate) pulse: Pulse,
     pub(crate) contact: Contact,
     /// Lives of origins whose drain this controller knows to be in force.
--- a/crates/controller/src/directory.rs
+++ b/crates/controller/src/directory.rs
@@ -62,7 +62,8 @@
             return;
         }
         let (members, feed, got) = (members.to_vec(), s.feed, s.got);
-        let n = Update { feed, from: got, to: got, full: false, items: vec![], era, members, reply: None };
+        let (items, announced) = (vec![], vec![]);
+        let n = Update { feed, from: got, to: got, full: false, items, announced, era, members, reply: None };
         out.push(Out::Send(to, Msg::Update(Box::new(n))));
     }
 
--- a/crates/controller/src/origin_leaving.rs
+++ b/crates/controller/src/origin_leaving.rs
@@ -3,6 +3,7 @@
 //! Invariant: an answer rests on a command decided after the call and in force, or on one
 //! that this controller itself knows to be in force. That the state *here* shows an origin
 //! leaving, or does not know it, proves neither.
+use crate::beats::Heard;
 use crate::controller::Controller;
 use crate::pending::Asked;
 use control_state::*;
@@ -53,7 +54,7 @@
     /// agreed order decides whether anybody has it.
     pub(crate) fn sign_off(&mut self, now: Mono, token: Token, tag: &str, out: &mut Vec<Out>) {
         let known = self.state.named_origin(tag);
-        let heard = self.beats.values().find(|(b, _)| b.tag == tag).map(|(b, _)| (b.addr, b.birth));
+        let heard = self.beats.values().map(Heard::beat).find(|b| b.tag == tag).map(|b| (b.addr, b.birth));
         let op = match known.or(heard) {
             Some((addr, birth)) => Op::SignOff(addr, birth),
             None => Op::SignOffName(tag.to_string()),
--- a/crates/controller/src/roll.rs
+++ b/crates/controller/src/roll.rs
@@ -112,12 +112,12 @@
 
     /// Was heard a moment ago, and does not leave.
     fn stays(&self, now: Mono, id: NodeId) -> bool {
-        let heard = |f: &Subscriber| f.beats != Mono(0) && now - f.beats < SILENT;
+        let heard = |f: &Subscriber| f.asked != Mono(0) && now - f.asked < SILENT;
         self.subscribers.get(&id).is_some_and(|f| heard(f) && !f.leaving)
     }
 
     fn gone(&self, now: Mono, id: NodeId) -> bool {
-        self.subscribers.get(&id).is_some_and(|f| f.leaving || (f.beats != Mono(0) && now - f.beats >= GONE))
+        self.subscribers.get(&id).is_some_and(|f| f.leaving || (f.asked != Mono(0) && now - f.asked >= GONE))
     }
 
     fn ledgers(&self) -> impl Iterator<Item = Seat> + '_ {
--- a/crates/controller/src/subscribers.rs
+++ b/crates/controller/src/subscribers.rs
@@ -1,7 +1,7 @@
 //! Edges and ledgers that follow this controller: their update streams, and the leases that
 //! hang on them.
 use crate::controller::Controller;
-use crate::update_stream::{Piece, UpdateStream, MICROS_A_BYTE, PIECE};
+use crate::update_stream::{Piece, UpdateStream, Wanted, MICROS_A_BYTE, PIECE};
 use caesar::Cid;
 use control_state::*;
 use primitives::{Addr, Mono, NodeId, Span};
@@ -26,10 +26,12 @@
     pub life: u64,
     /// The era whose membership the subscriber goes by, as last heard.
     pub era: Era,
-    /// Origins' heartbeats heard up to then were told.
-    pub beats: Mono,
+    /// When it asked last.
+    pub asked: Mono,
     /// The subscriber said last that it leaves.
     pub leaving: bool,
+    /// How it wants items.
+    pub wanted: Wanted,
 }
 
 impl Subscriber {
@@ -65,8 +67,9 @@
         let lent = registered && same_stream && self.renew_lease(now, &asked);
         let reply = self.reply(now, &asked, lent);
         let Some(mut subscriber) = self.subscribers.remove(&asked.id) else { return };
-        let piece = self.next_piece(now, &mut subscriber.stream);
-        out.push(Out::Send(from, self.update_message(&subscriber.stream, piece, Some(reply))));
+        let piece = self.next_piece(now, &mut subscriber);
+        subscriber.era = asked.era;
+        out.push(Out::Send(from, self.update_message(&subscriber, piece, Some(reply))));
         self.push_stream(now, &mut subscriber, out);
         self.subscribers.insert(asked.id, subscriber);
     }
@@ -107,6 +110,10 @@
         let subscriber = self.subscribers.entry(asked.id).or_default();
         subscriber.addr = Some(from);
         subscriber.leaving = asked.node.standing == Standing::Leaving;
+        let wanted = if asked.source { Wanted::Whole } else { Wanted::Announced };
+        if std::mem::replace(&mut subscriber.wanted, wanted) != wanted && asked.source {
+            subscriber.stream.rewind();
+        }
         let stream = &mut subscriber.stream;
         let same = stream.is_started() && asked.feed == stream.id() && asked.life == subscriber.life;
         if same {
@@ -117,7 +124,6 @@
             self.last_stream += 1;
             let keys: Arc<[Key]> = self.state.items.keys().cloned().collect();
             stream.start(now, self.last_stream, keys);
-            subscriber.beats = Mono(0);
             subscriber.life = asked.life;
             subscriber.era = asked.era;
         }
@@ -144,39 +150,43 @@
     }
 
     fn reply(&mut self, now: Mono, asked: &Sub, lent: bool) -> Reply {
-        let subscriber = self.subscribers.entry(asked.id).or_default();
-        let told = std::mem::replace(&mut subscriber.beats, now);
+        self.subscribers.entry(asked.id).or_default().asked = now;
         let is_edge = asked.node.role == Role::Edge;
+        // A time of another clock, of who was at this address before, says nothing.
+        let told = Some(asked.heard).filter(|heard| *heard <= now).unwrap_or_default();
         Reply {
             ask: asked.ask,
             life: asked.life,
             member_id: self.member_id,
             lent,
-            beats: self.beats_since(now, told).filter(|_| is_edge).collect(),
+            at: asked.source.then_some(now),
+            beats: self.beats_since(now, told).filter(|_| is_edge && asked.source).collect(),
             slices: self.lend(now, asked),
             epoch: self.leadership.held_epoch(now),
         }
     }
 
     /// The next piece of a stream, if anything may be shown at all.
-    fn next_piece(&self, now: Mono, stream: &mut UpdateStream) -> Option<Piece> {
+    fn next_piece(&self, now: Mono, to: &mut Subscriber) -> Option<Piece> {
         let ready = self.enough_heard() && self.all_landed();
         let seen = |key: &Key, cid| self.may_be_seen(key, cid);
-        ready.then(|| stream.next_piece(now, &self.state, seen)).flatten()
+        ready.then(|| to.stream.next_piece(now, &self.state, to.wanted, seen)).flatten()
     }
 
-    fn update_message(&self, stream: &UpdateStream, piece: Option<Piece>, reply: Option<Reply>) -> Msg {
-        let position = stream.position();
-        let nothing = Piece { from: position, to: position, starts: false, items: vec![] };
+    fn update_message(&self, to: &Subscriber, piece: Option<Piece>, reply: Option<Reply>) -> Msg {
+        let (era, position) = (self.base.era, to.stream.position());
+        let (items, announced) = (vec![], vec![]);
+        let nothing = Piece { from: position, to: position, starts: false, items, announced };
         let piece = piece.unwrap_or(nothing);
         Msg::Update(Box::new(Update {
-            feed: stream.id(),
+            feed: to.stream.id(),
             from: piece.from,
             to: piece.to,
             full: piece.starts,
             items: piece.items,
-            era: self.base.era,
-            members: self.base.members.clone(),
+            announced: piece.announced,
+            era,
+            members: if to.era < era { self.base.members.clone() } else { vec![] },
             reply,
         }))
     }
@@ -185,8 +195,8 @@
     fn push_stream(&self, now: Mono, subscriber: &mut Subscriber, out: &mut Vec<Out>) -> u64 {
         let Some(addr) = subscriber.addr else { return 0 };
         let mut pushed = 0;
-        while let Some(piece) = self.next_piece(now, &mut subscriber.stream) {
-            out.push(Out::Send(addr, self.update_message(&subscriber.stream, Some(piece), None)));
+        while let Some(piece) = self.next_piece(now, subscriber) {
+            out.push(Out::Send(addr, self.update_message(subscriber, Some(piece), None)));
             pushed += 1;
         }
         pushed
--- a/crates/controller/src/update_stream.rs
+++ b/crates/controller/src/update_stream.rs
@@ -5,7 +5,7 @@
 //! never stands for less. No more than `WINDOW` bytes are under way, unless it is one piece.
 use caesar::Cid;
 use control_state::*;
-use primitives::{Mono, Span};
+use primitives::{Mono, Span, Version};
 use std::collections::VecDeque;
 use std::sync::Arc;
 
@@ -21,6 +21,19 @@
 const RETRY_DOUBLINGS: u32 = 3;
 pub(crate) const MICROS_A_BYTE: u64 = 5;
 
+/// Items up to this size are sent whole to everybody.
+const SMALL: usize = 80;
+
+/// How a subscriber wants items.
+#[derive(Copy, Clone, Debug, Default, PartialEq, Eq)]
+pub enum Wanted {
+    /// All of them whole.
+    #[default]
+    Whole,
+    /// Larger ones only announced, for another controller sends them.
+    Announced,
+}
+
 /// Changed keys under consecutive numbers, shared by all streams.
 #[derive(Clone, Debug)]
 struct Batch {
@@ -53,6 +66,8 @@
     pub starts: bool,
     /// Each key with what it stands for now.
     pub items: Vec<(Key, Item)>,
+    /// The same of larger items, only by their versions.
+    pub announced: Vec<(Key, Version)>,
 }
 
 /// Numbers, what they stand for, and how far the subscriber is known to hold them.
@@ -179,19 +194,26 @@
         let wait = pause.times(1 << self.retries.min(RETRY_DOUBLINGS));
         let lost = self.is_started() && self.acknowledged < self.sent && now - self.progress >= wait;
         if lost {
-            self.sent = self.acknowledged;
-            self.under_way.clear();
+            self.rewind();
             self.retries += 1;
         }
         lost
     }
 
+    /// Goes back to the last acknowledged number: what was announced is to be sent whole.
+    pub fn rewind(&mut self) {
+        self.sent = self.acknowledged;
+        self.under_way.clear();
+    }
+
     /// The next piece, if there is one and the window has room for it: up to the first update
-    /// that may not be seen yet.
+    /// that may not be seen yet. Larger items are announced only, unless all is wanted whole or
+    /// that did not get on.
     pub fn next_piece(
         &mut self,
         now: Mono,
         state: &ControlState,
+        wanted: Wanted,
         may_be_seen: impl Fn(&Key, Option<Cid>) -> bool,
     ) -> Option<Piece> {
         let room = self.under_way.is_empty() || self.bytes_under_way() < WINDOW;
@@ -201,17 +223,22 @@
         let from = self.sent;
         let starts = from < self.start;
         let mut to = from.max(self.start);
-        let mut items: Vec<(Key, Item)> = vec![];
+        let (mut items, mut announced) = (vec![], vec![]);
+        let whole = wanted == Wanted::Whole || self.retries > 0;
         let mut bytes = 0;
         let updates = self.batches.iter().flat_map(|b| b.above(from).iter().map(move |key| (key, b.cid)));
         for (key, cid) in updates {
             let item = state.item(key);
             bytes += key.size() + item.size();
-            if !may_be_seen(key, cid) || (bytes > PIECE && !items.is_empty()) {
+            if !may_be_seen(key, cid) || (bytes > PIECE && to > from.max(self.start)) {
                 break;
             }
             to += 1;
-            items.push((key.clone(), item));
+            if whole || item.size() <= SMALL {
+                items.push((key.clone(), item));
+            } else {
+                announced.push((key.clone(), item.ver));
+            }
         }
         if to == from {
             return None;
@@ -219,6 +246,6 @@
         self.sent = to;
         self.progress = now;
         self.under_way.push_back((to, bytes.min(PIECE)));
-        Some(Piece { from, to, starts, items })
+        Some(Piece { from, to, starts, items, announced })
     }
 }
--- a/crates/ledger/tests/common/mod.rs
+++ b/crates/ledger/tests/common/mod.rs
@@ -55,6 +55,7 @@
         life: 1,
         member_id: Default::default(),
         lent: true,
+        at: Some(Mono(1)),
         beats: vec![],
         slices: vec![],
         epoch: Epoch(0),
@@ -65,6 +66,7 @@
         to: 1,
         full: true,
         items: vec![(Key::Roll, Item { ver: Version(1), body: Some(Body::Roll(roll)) })],
+        announced: vec![],
         era: Era(1),
         members: vec![Member {
             member_id: Default::default(),
--- a/crates/scale-model/src/relay_level.rs
+++ b/crates/scale-model/src/relay_level.rs
@@ -61,6 +61,7 @@
         to,
         full: false,
         items: vec![(Key::Purge(service(purge as usize % SERVICES), scope(purge)), item)],
+        announced: vec![],
         era: Era(1),
         members: (0..CONTROLLERS).map(member).collect(),
         reply: None,
