--- a/crates/controller/src/update_stream.rs
+++ b/crates/controller/src/update_stream.rs
@@ -206,9 +206,8 @@
         self.under_way.clear();
     }
 
-    /// The next piece, if there is one and the window has room for it: up to the first update
-    /// that may not be seen yet. Larger items are announced only, unless all is wanted whole or
-    /// that did not get on.
+    /// The next piece, if the window has room for one: up to the first update that may not be seen
+    /// yet. Larger items are announced, unless that is not wanted or did not get on.
     pub fn next_piece(
         &mut self,
         now: Mono,
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -18,9 +18,8 @@
     /// Ledgers keep copies.
     pub stock: bool,
     pub drop: f64,
-    /// Bytes a second that a process can send, if that is limited.
+    /// Bytes a second that a process can send, if that is limited; and those that differ.
     pub link: Option<u64>,
-    /// The same of processes whose links are not like the others'.
     pub links: BTreeMap<Addr, u64>,
     /// What a controller's processor takes over each message, if that is limited.
     pub work: Option<Span>,
