--- a/crates/controller/src/beats.rs
+++ b/crates/controller/src/beats.rs
@@ -8,7 +8,7 @@
 /// Beats older than this are forgotten.
 const OLD: Span = Span::secs(10);
 
-/// The last heartbeat of an origin.
+/// What an origin last said of itself.
 #[derive(Clone, Debug)]
 pub(crate) struct Heard {
     /// With when it was said, at the earliest.
