--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -1,4 +1,3 @@
-use crate::answer_time::AnswerTime;
 use crate::copies::Copies;
 use crate::forwarded_calls::ForwardedCalls;
 use crate::jobs::Job;
@@ -10,7 +9,7 @@
 use crate::read::Wish;
 use crate::table::Table;
 use control_state::*;
-use primitives::{Addr, Mono, Span};
+use primitives::{Addr, AnswerTime, Mono, Span};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
--- a/crates/edge/src/jobs.rs
+++ b/crates/edge/src/jobs.rs
@@ -218,30 +218,4 @@
         let s = if sent { Step::Doubt(self.come_back(d)) } else { Step::Deny(d, self.come_back(d)) };
         self.finish(now, id, s, out);
     }
-
-    /// Waits that have gone on too long.
-    pub(crate) fn expire_jobs(&mut self, now: Mono, out: &mut Vec<Out>) {
-        let ids: Vec<u64> = self.jobs.keys().copied().collect();
-        for id in ids {
-            let j = &self.jobs[&id];
-            let waited = now - j.staged;
-            match &j.stage {
-                Stage::Line | Stage::Home(..) | Stage::Claim(_) if now >= j.by => {
-                    self.deny(now, id, Denied::Ceiling, out);
-                }
-                Stage::Home(inquiry) if waited > self.patience_with(inquiry) => {
-                    self.pass_over(now, id, out);
-                }
-                Stage::Claim(_) if waited > HOME => self.count_votes(now, id, true, out),
-                Stage::Claim(_) => self.claim_again(now, id, out),
-                Stage::Line if now >= j.in_line_until() => self.deny(now, id, Denied::Ceiling, out),
-                // The executor answers for its rounds; this is for one that died.
-                Stage::Out(r, _) if now > r.horizon + Span::secs(5) => {
-                    let n = r.n;
-                    self.done(now, n, Fetched::Lost, out);
-                }
-                _ => (),
-            }
-        }
-    }
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -1,10 +1,10 @@
 //! The edge, a pure part: the decision object that executors ask and obey.
-mod answer_time;
 mod answers;
 mod choice;
 mod claim;
 mod copies;
 mod edge;
+mod expiry;
 mod forwarded_calls;
 mod homes;
 mod jobs;
--- a/crates/edge/src/sources.rs
+++ b/crates/edge/src/sources.rs
@@ -15,6 +15,8 @@
 pub(crate) const WORTH: Span = Span::secs(1);
 /// A home that kept silent is passed over for so long.
 const PASSED_OVER: Span = Span::secs(2);
+/// No home is waited for longer.
+const LONGEST_WAIT: Span = Span::secs(1);
 /// Homes of the widest reach that are asked before the origin.
 const WIDEST_HOMES: u8 = 2;
 
@@ -133,7 +135,7 @@
             _ if inquiry.at_it => self.env.patience,
             Source::Home(reach) => {
                 let least = if reach == Reach::Zone { policy.home } else { policy.far_home };
-                self.answer_times.get(&reach).copied().unwrap_or_default().limit(least)
+                self.answer_times.get(&reach).copied().unwrap_or_default().limit(least, LONGEST_WAIT)
             }
             _ => policy.home,
         }
--- a/crates/primitives/src/lib.rs
+++ b/crates/primitives/src/lib.rs
@@ -3,11 +3,13 @@
 #![deny(missing_docs)]
 #![deny(clippy::too_many_lines)]
 
+mod answer_time;
 mod backoff;
 mod ids;
 mod look;
 pub mod metrics;
 
+pub use answer_time::*;
 pub use backoff::*;
 pub use ids::*;
 pub use look::*;
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -6,6 +6,7 @@
 mod numbers;
 mod open;
 mod people;
+mod plan;
 mod procs;
 mod rules;
 mod scope;
