--- a/crates/control-state/src/feeds.rs
+++ b/crates/control-state/src/feeds.rs
@@ -7,7 +7,8 @@
 use primitives::{Addr, Version};
 use std::collections::BTreeMap;
 
-/// Pieces of one controller that may wait for items; it sends them again if they are dropped.
+/// Pieces of one controller that may wait, for items or for the pieces before them; it sends them
+/// again if they are dropped.
 const MOST_WAITING: usize = 256;
 
 /// Numbers that a piece stands for, and what it announces that may not be held yet.
@@ -86,6 +87,11 @@
         self.by_controller.get(of).map_or((0, 0), |f| (f.id, f.got))
     }
 
+    /// Whether something was announced that is not held.
+    pub(crate) fn lack(&self) -> bool {
+        self.by_controller.values().flat_map(|feed| &feed.waiting).any(|p| !p.announced.is_empty())
+    }
+
     /// An update came, and its items were taken in.
     pub(crate) fn take(&mut self, from: Addr, update: &Update) {
         let feed = self.by_controller.entry(from).or_default();
@@ -103,8 +109,8 @@
             while let Some(piece) = feed.next(items) {
                 said |= piece.acknowledged;
             }
-            // Out of order, or of a feed that is over.
-            feed.waiting.retain(|p| !p.announced.is_empty());
+            // A reply that holds nothing is not waited for.
+            feed.waiting.retain(|p| p.from < p.to);
             if said {
                 due.push(Held { by: *by, feed: feed.id, got: feed.got });
             }
--- a/crates/control-state/src/follow.rs
+++ b/crates/control-state/src/follow.rs
@@ -150,7 +150,7 @@
     }
 
     /// Takes news in; returns what is newer than what was held.
-    pub fn on_update(&mut self, from: Addr, n: &Update, out: &mut Vec<Out>) -> Vec<Key> {
+    pub fn on_update(&mut self, now: Mono, from: Addr, n: &Update, out: &mut Vec<Out>) -> Vec<Key> {
         if n.era >= self.era && !n.members.is_empty() {
             self.era = n.era;
             self.members = n.members.clone();
@@ -170,7 +170,8 @@
         let due = self.feeds.settle(&self.items).into_iter();
         out.extend(due.map(|held| Out::Send(held.by, Msg::Got { id, feed: held.feed, got: held.got })));
         let reply = n.reply.as_ref().filter(|r| r.life == self.env.life);
-        reply.into_iter().for_each(|r| self.source.replied(from, r));
+        self.source.note_lacking(now, self.feeds.lack(), !new.is_empty());
+        reply.into_iter().for_each(|r| self.source.replied(now, from, r));
         if let Some(r) = reply.filter(|r| r.lent) {
             self.sure = self.sure.max(n.era);
             let l = self.leases.entry(r.member_id).or_default();
--- a/crates/control-state/src/source.rs
+++ b/crates/control-state/src/source.rs
@@ -5,8 +5,10 @@
 use primitives::{Addr, Mono, Span};
 use std::collections::BTreeMap;
 
-/// A controller that has not answered what it was asked so long ago is not relied on.
-const SILENCE: Span = Span::ms(500);
+/// A controller that has not answered for so long is not relied on.
+const SILENCE: Span = Span::ms(600);
+/// Nor one that sends nothing for so long while items are lacking that others announced.
+const STUCK: Span = Span::secs(1);
 
 /// How far a controller is.
 #[derive(Copy, Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -26,15 +28,17 @@
     }
 }
 
-/// The controller chosen, and what is known of all. Until one is known to answer, each is asked
+/// The controller chosen, and what is known of all. Until the first one answers, each is asked
 /// for everything.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Source {
     chosen: Option<Addr>,
-    /// When each was asked what it answered last.
+    /// When each answered last.
     answered: BTreeMap<Addr, Mono>,
     /// By which of its times each has told heartbeats.
     told: BTreeMap<Addr, Mono>,
+    /// Since when items are lacking and none came.
+    lacking: Option<Mono>,
 }
 
 impl Source {
@@ -48,26 +52,36 @@
         self.told.get(controller).copied().unwrap_or_default()
     }
 
-    pub(crate) fn replied(&mut self, from: Addr, reply: &Reply) {
-        self.answered.insert(from, reply.ask);
+    pub(crate) fn replied(&mut self, now: Mono, from: Addr, reply: &Reply) {
+        self.answered.insert(from, now);
         if let Some(at) = reply.at {
             self.told.insert(from, at);
         }
     }
 
-    fn answers(&self, now: Mono, controller: &Addr) -> bool {
-        self.answered.get(controller).is_some_and(|asked| now - *asked <= SILENCE)
+    /// Items came, or none are lacking; or some still are.
+    pub(crate) fn note_lacking(&mut self, now: Mono, lacking: bool, came: bool) {
+        let since = self.lacking.filter(|_| !came).unwrap_or(now);
+        self.lacking = lacking.then_some(since);
     }
 
-    /// Stays with the one chosen for as long as it answers; else takes the nearest that does, and
-    /// of those an own one for each follower.
+    /// Takes the nearest one that answers, and of those an own one for each follower; not while
+    /// the one chosen before is sending, unless that does not get on.
     pub(crate) fn choose(&mut self, now: Mono, env: &FollowEnv, members: &[Member]) {
-        let good = |m: &&Member| self.answers(now, &m.addr);
-        let stays = members.iter().filter(good).any(|m| Some(m.addr) == self.chosen);
-        if !stays {
-            let place =
-                |m: &&Member| (Distance::between(&env.zone, &m.zone), primitives::hash(&(env.id, m.addr)));
-            self.chosen = members.iter().filter(good).min_by_key(place).map(|m| m.addr);
+        let silent = |m: &Member| self.answered.get(&m.addr).is_none_or(|last| now - *last > SILENCE);
+        let is_chosen = |m: &&Member| Some(m.addr) == self.chosen;
+        let lasts = members.iter().find(is_chosen).is_some_and(|m| !silent(m));
+        let stuck = self.lacking.is_some_and(|since| now - since > STUCK);
+        if lasts && self.lacking.is_some() && !stuck {
+            return;
+        }
+        let place =
+            |m: &&Member| (Distance::between(&env.zone, &m.zone), primitives::hash(&(env.id, m.addr)));
+        let passed_by = |m: &&Member| stuck && is_chosen(m);
+        let good = members.iter().filter(|m| !silent(m) && !passed_by(m));
+        if let Some(next) = good.min_by_key(place).filter(|m| !is_chosen(m)) {
+            self.chosen = Some(next.addr);
+            self.lacking = self.lacking.map(|_| now);
         }
     }
 }
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -67,6 +67,8 @@
     pub(crate) heard: BTreeSet<MemberId>,
     pub(crate) readers: BTreeMap<Cid, Reader>,
     pub(crate) leadership: Leadership,
+    /// Subscribers that want items whole.
+    pub(crate) whole_subscribers: usize,
     pub(crate) lending: Lending,
     pub(crate) roll: RollWatch,
     pub(crate) said: BTreeMap<Addr, Mono>,
@@ -124,6 +126,7 @@
             heard: BTreeSet::new(),
             readers: BTreeMap::new(),
             leadership: Leadership::new(now),
+            whole_subscribers: 0,
             lending: Lending::default(),
             roll: RollWatch::default(),
             said: BTreeMap::new(),
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -28,7 +28,9 @@
 mod show;
 pub mod snapshot_transfer;
 mod subscribers;
+mod update_piece;
 pub mod update_stream;
+mod update_terms;
 
 pub use controller::{Controller, ControllerEnv, Open};
 pub use recs::Kept;
--- a/crates/controller/src/subscribers.rs
+++ b/crates/controller/src/subscribers.rs
@@ -1,7 +1,7 @@
 //! Edges and ledgers that follow this controller: their update streams, and the leases that
 //! hang on them.
 use crate::controller::Controller;
-use crate::update_stream::{Piece, UpdateStream, Wanted, MICROS_A_BYTE, PIECE};
+use crate::update_stream::{Piece, Terms, UpdateStream, Wanted, MICROS_A_BYTE, PIECE};
 use caesar::Cid;
 use control_state::*;
 use primitives::{Addr, Mono, NodeId, Span};
@@ -64,6 +64,8 @@
         let registered = self.is_registered(&asked);
         self.see_to_newcomer(now, &asked, registered, out);
         let same_stream = self.resume_stream(now, from, &asked);
+        let whole = |s: &&Subscriber| s.wanted == Wanted::Whole;
+        self.whole_subscribers = self.subscribers.values().filter(whole).count();
         let lent = registered && same_stream && self.renew_lease(now, &asked);
         let reply = self.reply(now, &asked, lent);
         let Some(mut subscriber) = self.subscribers.remove(&asked.id) else { return };
@@ -168,9 +170,12 @@
 
     /// The next piece of a stream, if anything may be shown at all.
     fn next_piece(&self, now: Mono, to: &mut Subscriber) -> Option<Piece> {
-        let ready = self.enough_heard() && self.all_landed();
+        if to.stream.is_sent() || !(self.enough_heard() && self.all_landed()) {
+            return None;
+        }
         let seen = |key: &Key, cid| self.may_be_seen(key, cid);
-        ready.then(|| to.stream.next_piece(now, &self.state, to.wanted, seen)).flatten()
+        let terms = Terms::among(to.wanted, self.whole_subscribers);
+        to.stream.next_piece(now, &self.state, terms, seen)
     }
 
     fn update_message(&self, to: &Subscriber, piece: Option<Piece>, reply: Option<Reply>) -> Msg {
--- a/crates/controller/src/update_stream.rs
+++ b/crates/controller/src/update_stream.rs
@@ -2,73 +2,32 @@
 //! pieces of bounded size, and again from the last number that was acknowledged.
 //!
 //! Invariants: numbers only grow, also when the stream starts anew, so a number once noted
-//! never stands for less. No more than `WINDOW` bytes are under way, unless it is one piece.
+//! never stands for less. No more than a window's bytes are under way, unless it is one piece.
+pub use crate::update_piece::Piece;
+use crate::update_piece::{Batch, UnderWay};
+pub use crate::update_terms::{Terms, Wanted, WINDOW};
 use caesar::Cid;
 use control_state::*;
-use primitives::{Mono, Span, Version};
+use primitives::{AnswerTime, Mono, Span};
 use std::collections::VecDeque;
 use std::sync::Arc;
 
 /// Bytes of one piece, roughly; a single larger item makes a piece of its own.
 pub const PIECE: usize = 64 << 10;
-/// Bytes that may be under way to one subscriber.
-pub const WINDOW: usize = 64 << 10;
 /// Updates that a subscriber may lack before it is sent the whole state instead.
 const LONGEST: u64 = 2000;
-/// Unacknowledged updates are sent again after this, and what their bytes take at 200 kB/s.
+/// Unacknowledged updates are sent again after this, and what their bytes take at 200 kB/s; or
+/// later, where acknowledgements usually take longer, but not later than the second.
 const RETRY: Span = Span::ms(100);
+const LONGEST_PAUSE: Span = Span::secs(2);
+/// What was announced so often to no avail is sent whole.
+const WHOLE_AFTER: u32 = 3;
 /// Each further time the pause is twice as long, so often at the most.
 const RETRY_DOUBLINGS: u32 = 3;
 pub(crate) const MICROS_A_BYTE: u64 = 5;
 
-/// Items up to this size are sent whole to everybody.
-const SMALL: usize = 80;
-
-/// How a subscriber wants items.
-#[derive(Copy, Clone, Debug, Default, PartialEq, Eq)]
-pub enum Wanted {
-    /// All of them whole.
-    #[default]
-    Whole,
-    /// Larger ones only announced, for another controller sends them.
-    Announced,
-}
-
-/// Changed keys under consecutive numbers, shared by all streams.
-#[derive(Clone, Debug)]
-struct Batch {
-    first: u64,
-    keys: Arc<[Key]>,
-    /// The command that changed them; none for the state that a stream starts with.
-    cid: Option<Cid>,
-}
-
-impl Batch {
-    fn last(&self) -> u64 {
-        self.first + self.keys.len() as u64 - 1
-    }
-
-    /// Keys numbered above `after`.
-    fn above(&self, after: u64) -> &[Key] {
-        let skipped = (after + 1).saturating_sub(self.first) as usize;
-        self.keys.get(skipped..).unwrap_or_default()
-    }
-}
-
-/// Updates that travel together.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Piece {
-    /// The numbers `from + 1 ..= to`.
-    pub from: u64,
-    /// The last number that it holds.
-    pub to: u64,
-    /// The stream starts with it.
-    pub starts: bool,
-    /// Each key with what it stands for now.
-    pub items: Vec<(Key, Item)>,
-    /// The same of larger items, only by their versions.
-    pub announced: Vec<(Key, Version)>,
-}
+/// Pieces up to this size are sent whole to everybody, so that small changes wait for nobody.
+const SMALL: usize = 4 << 10;
 
 /// Numbers, what they stand for, and how far the subscriber is known to hold them.
 #[derive(Clone, Debug, Default)]
@@ -84,12 +43,15 @@
     sent: u64,
     acknowledged: u64,
     batches: VecDeque<Batch>,
-    /// Last numbers and bytes of pieces under way.
-    under_way: VecDeque<(u64, usize)>,
+    under_way: VecDeque<UnderWay>,
+    /// How long acknowledgements take.
+    answer_time: AnswerTime,
     /// When something was last sent or acknowledged.
     progress: Mono,
-    /// Times that something was sent again since the last acknowledgement.
+    /// Times that something was sent again, and that it was started anew, since the last
+    /// acknowledgement.
     retries: u32,
+    starts: u32,
 }
 
 impl UpdateStream {
@@ -113,6 +75,11 @@
         self.id != 0
     }
 
+    /// Whether all that was numbered was sent.
+    pub fn is_sent(&self) -> bool {
+        self.sent == self.last
+    }
+
     /// Where a message without items stands in the stream.
     pub fn position(&self) -> u64 {
         self.sent
@@ -130,6 +97,7 @@
 
     /// Whether it may start anew: one that has just started has not been heard of yet.
     pub fn may_start(&self, now: Mono, wait: Span) -> bool {
+        let wait = wait.times(1 << self.starts.saturating_sub(1).min(RETRY_DOUBLINGS));
         !self.is_started() || now - self.begun >= wait
     }
 
@@ -148,8 +116,10 @@
             acknowledged: self.last,
             batches: VecDeque::from_iter(Some(batch).filter(|b| !b.keys.is_empty())),
             under_way: VecDeque::new(),
+            answer_time: self.answer_time,
             progress: now,
             retries: 0,
+            starts: self.starts + 1,
         };
     }
 
@@ -177,20 +147,24 @@
         if number <= self.acknowledged {
             return;
         }
+        // Of what was sent again nobody knows which one was answered.
+        let answered = self.under_way.iter().rfind(|p| p.to <= number && self.retries == 0);
+        answered.map(|p| p.sent).into_iter().for_each(|sent| self.answer_time.note(now - sent));
         self.acknowledged = number;
         self.progress = now;
-        self.retries = 0;
+        (self.retries, self.starts) = (0, 0);
         self.batches.retain(|b| b.last() > number);
-        self.under_way.retain(|(to, _)| *to > number);
+        self.under_way.retain(|p| p.to > number);
     }
 
     fn bytes_under_way(&self) -> usize {
-        self.under_way.iter().map(|(_, bytes)| bytes).sum()
+        self.under_way.iter().map(|p| p.bytes).sum()
     }
 
     /// Goes back to the last acknowledged number if nothing came of what was sent.
     pub fn retry(&mut self, now: Mono) -> bool {
         let pause = RETRY + Span(self.bytes_under_way() as u64 * MICROS_A_BYTE);
+        let pause = self.answer_time.limit(pause, LONGEST_PAUSE);
         let wait = pause.times(1 << self.retries.min(RETRY_DOUBLINGS));
         let lost = self.is_started() && self.acknowledged < self.sent && now - self.progress >= wait;
         if lost {
@@ -207,23 +181,22 @@
     }
 
     /// The next piece, if the window has room for one: up to the first update that may not be seen
-    /// yet. Larger items are announced, unless that is not wanted or did not get on.
+    /// yet. What is large is announced, unless that is not wanted or did not get on.
     pub fn next_piece(
         &mut self,
         now: Mono,
         state: &ControlState,
-        wanted: Wanted,
+        terms: Terms,
         may_be_seen: impl Fn(&Key, Option<Cid>) -> bool,
     ) -> Option<Piece> {
-        let room = self.under_way.is_empty() || self.bytes_under_way() < WINDOW;
+        let room = self.under_way.is_empty() || self.bytes_under_way() < terms.window;
         if !self.is_started() || self.sent == self.last || !room {
             return None;
         }
         let from = self.sent;
         let starts = from < self.start;
         let mut to = from.max(self.start);
-        let (mut items, mut announced) = (vec![], vec![]);
-        let whole = wanted == Wanted::Whole || self.retries > 0;
+        let mut items: Vec<(Key, Item)> = vec![];
         let mut bytes = 0;
         let updates = self.batches.iter().flat_map(|b| b.above(from).iter().map(move |key| (key, b.cid)));
         for (key, cid) in updates {
@@ -233,18 +206,16 @@
                 break;
             }
             to += 1;
-            if whole || item.size() <= SMALL {
-                items.push((key.clone(), item));
-            } else {
-                announced.push((key.clone(), item.ver));
-            }
+            items.push((key.clone(), item));
         }
         if to == from {
             return None;
         }
         self.sent = to;
         self.progress = now;
-        self.under_way.push_back((to, bytes.min(PIECE)));
-        Some(Piece { from, to, starts, items, announced })
+        self.under_way.push_back(UnderWay { to, bytes: bytes.min(PIECE), sent: now });
+        let piece = Piece { from, to, starts, items, announced: vec![] };
+        let announces = terms.wanted == Wanted::Announced && self.retries < WHOLE_AFTER;
+        Some(if announces && bytes > SMALL { piece.announce() } else { piece })
     }
 }
--- a/crates/edge/src/updates.rs
+++ b/crates/edge/src/updates.rs
@@ -17,7 +17,7 @@
         // A lapse is seen before this update may end it.
         self.check_lapse(now);
         let (sure, era) = (self.follow.sure, self.follow.era);
-        let new = self.follow.on_update(from, &n, out);
+        let new = self.follow.on_update(now, from, &n, out);
         // One that served on for so long may have missed purges that nobody remembers.
         if !mark_holds(sure, self.follow.sure) {
             self.forget();
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -184,7 +184,7 @@
             In::Ask(t, _) => out.push(Out::Tell(t, Receipt::NotNow("not asked of a ledger"))),
             In::Msg(from, m) => match m {
                 Msg::Update(n) => {
-                    self.follow.on_update(from, &n, out);
+                    self.follow.on_update(now, from, &n, out);
                     self.maybe_open(now, out);
                 }
                 Msg::Claim { key, print, round, roll } => {
--- a/crates/scale-model/src/part.rs
+++ b/crates/scale-model/src/part.rs
@@ -25,7 +25,7 @@
         match input {
             In::Tick if self.0.due(now) => self.0.subscribe(now, &[], Epoch(0), outputs),
             In::Msg(from, Msg::Update(news)) => {
-                self.0.on_update(from, &news, outputs);
+                self.0.on_update(now, from, &news, outputs);
                 self.0.items.clear();
             }
             _ => (),
--- a/crates/simulator/tests/lean_replies.rs
+++ b/crates/simulator/tests/lean_replies.rs
@@ -66,3 +66,27 @@
         clean(&mut w);
     }
 }
+
+/// Guards against taking slow answers for none, and so asking every controller for everything.
+#[test]
+fn given_answers_that_take_long_then_routes_still_cross_an_edges_link_once() {
+    for seed in 5420..5423 {
+        let plan =
+            Plan { link: Some(LINK), away: [100, 260_000, 260_000], lease: Span::secs(3), ..Plan::open() };
+        let (mut w, f) = World::standing_open(plan, seed);
+        w.run(Span::secs(4));
+        let before = bytes_to_edges(&w, &f);
+        let routes = many_routes(ROUTES * CALLS, 1);
+        let size = postcard::to_stdvec(&routes).expect("plain data encodes").len() as u64;
+        let token = w.edit(f.edges[0], routes);
+        w.run(Span::secs(8));
+        let most = most_since(&w, &f, &before);
+        println!(
+            "seed {seed}: {most} bytes to an edge for routes of {size}, after {} ms",
+            took(&w, token).as_ms()
+        );
+        assert!(told(&w, token).is_some_and(|s| is_done(&s.receipt)), "not taken, seed {seed}");
+        assert!(most * 2 <= size * 3, "{most} bytes for {size}, seed {seed}");
+        clean(&mut w);
+    }
+}
