--- a/crates/runtime/src/net/event_loop.rs
+++ b/crates/runtime/src/net/event_loop.rs
@@ -3,9 +3,9 @@
 use super::inbound::{Inbound, Listener, Turn};
 use super::io_thread::{Command, IoThread, WAKER};
 use super::link::Link;
+use super::Greeting;
 use mio::event::Event;
 use mio::{Events, Interest, Poll, Token};
-use primitives::Addr;
 use std::collections::{BTreeSet, HashMap};
 use std::io::ErrorKind;
 use std::rc::Rc;
@@ -53,8 +53,8 @@
     io: Arc<IoThread>,
     listeners: HashMap<Token, Listener>,
     inbound: HashMap<Token, Inbound>,
-    /// The newest connection from each sender to each listener.
-    newest: HashMap<(Token, Addr), Token>,
+    /// The newest connection of each class from each sender to each listener.
+    newest: HashMap<(Token, Greeting), Token>,
     links: HashMap<Token, Arc<Link>>,
     deadlines: Deadlines,
     /// Connections that were not read to their end when others had their turn.
@@ -186,7 +186,7 @@
     }
 
     /// A sender connects anew only when it has given up its former connection.
-    fn supersede(&mut self, sender: (Token, Addr), token: Token) {
+    fn supersede(&mut self, sender: (Token, Greeting), token: Token) {
         if let Some(old) = self.newest.insert(sender, token) {
             self.close(old);
         }
--- a/crates/runtime/src/net/inbound.rs
+++ b/crates/runtime/src/net/inbound.rs
@@ -1,6 +1,6 @@
 //! The receiving side: listeners, and the connections they accept.
 use super::decoder::FrameDecoder;
-use super::{count, Counts};
+use super::{count, Counts, Greeting};
 use crate::frame::{decode, FrameProblem};
 use control_state::Msg;
 use mio::net::{TcpListener, TcpStream};
@@ -53,11 +53,11 @@
     }
 }
 
-/// One accepted connection. Its first frame tells the sender's address.
+/// One accepted connection. Its first frame tells who sends.
 pub(super) struct Inbound {
     stream: TcpStream,
     pub(super) listener: Token,
-    pub(super) from: Option<Addr>,
+    pub(super) from: Option<Greeting>,
     decoder: FrameDecoder,
     counts: Arc<Counts>,
     take: Rc<Take>,
@@ -109,8 +109,8 @@
     }
 }
 
-fn on_frame(content: &[u8], from: &mut Option<Addr>, counts: &Counts, take: &Take) -> Result<(), Stop> {
-    let Some(sender) = *from else {
+fn on_frame(content: &[u8], from: &mut Option<Greeting>, counts: &Counts, take: &Take) -> Result<(), Stop> {
+    let Some(Greeting { from: sender, .. }) = *from else {
         *from = Some(decode(content)?);
         return Ok(());
     };
