--- a/crates/control-state/src/copy_messages.rs
+++ b/crates/control-state/src/copy_messages.rs
@@ -36,6 +36,8 @@
     },
     /// There is none to be had here.
     None,
+    /// This edge is out of touch, perhaps for a moment: others are to be asked meanwhile.
+    NotYet,
     /// The origin's ceiling is used up: it is to be asked by nobody else either.
     AtCeiling,
     /// lanewing's own last word on it.
--- a/crates/edge/src/answers.rs
+++ b/crates/edge/src/answers.rs
@@ -134,6 +134,7 @@
                 let s = Step::Serve(Arc::new(*w), Shared::Own, Mono(u64::MAX));
                 self.finish(now, id, s, out);
             }
+            CopySaid::NotYet if current => self.ask_another(now, id, inquiry, out),
             CopySaid::AtCeiling if current => self.deny(now, id, Denied::Ceiling, out),
             _ if current => self.ask_next(now, id, out),
             _ => (),
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -179,6 +179,7 @@
             self.swept = now;
             self.copies.drop_old(now);
             self.solo.retain(|_, t| *t > now);
+            self.leave_lines_for_homes(now, out);
         }
         while self.offers.len() > 1000 {
             self.offers.pop_first();
--- a/crates/edge/src/jobs.rs
+++ b/crates/edge/src/jobs.rs
@@ -49,6 +49,8 @@
     pub solo: bool,
     /// The whole is asked for, whatever copy there was.
     pub plain: bool,
+    /// It is filled for others, as the home of that reach.
+    pub acts_for: Option<Reach>,
     /// Whoever was asked for a copy and has kept silent so far.
     pub overdue: Vec<Inquiry>,
     /// Keyed only: what was claimed of which ledgers.
@@ -153,6 +155,7 @@
             spoiled: false,
             solo: false,
             plain: false,
+            acts_for: None,
             overdue: vec![],
             claim: None,
             must_leave: Mono(u64::MAX),
--- a/crates/edge/src/read.rs
+++ b/crates/edge/src/read.rs
@@ -77,7 +77,7 @@
         let caller = Caller::Edge(from, ask);
         // Purges may not have reached an edge out of touch: others do not rely on it.
         if !self.in_touch(now) {
-            return out.push(self.copy_got(from, ask, CopySaid::None));
+            return out.push(self.copy_got(from, ask, CopySaid::NotYet));
         }
         let rows = self.table.lanes.get(&obj.1).cloned().unwrap_or_default();
         let ttl = rows.iter().find(|(s, _)| *s == obj.0).map_or(Span(0), |(_, r)| r.ttl);
@@ -105,6 +105,7 @@
         match self.admit(now, req).ok().filter(|j| j.svc == svc && j.kind == Kind::Read) {
             Some(mut j) => {
                 j.callers.push(caller);
+                j.acts_for = Some(wish.reach);
                 let id = self.number();
                 self.jobs.insert(id, j);
                 let source = self.first_source(now, &obj, Some(wish.reach));
--- a/crates/edge/src/sources.rs
+++ b/crates/edge/src/sources.rs
@@ -17,6 +17,8 @@
 const PASSED_OVER: Span = Span::secs(2);
 /// No home is waited for longer.
 const LONGEST_WAIT: Span = Span::secs(1);
+/// A home that said it is out of touch is passed over for so long.
+const OUT_OF_TOUCH: Span = Span::ms(300);
 /// Homes of the widest reach that are asked before the origin.
 const WIDEST_HOMES: u8 = 2;
 
@@ -83,6 +85,33 @@
         asked.next().map_or(Source::Ledger, |r| Source::Home(*r))
     }
 
+    /// Who was asked is out of touch: another home of the same reach, or the next source.
+    pub(crate) fn ask_another(&mut self, now: Mono, id: u64, inquiry: Inquiry, out: &mut Vec<Out>) {
+        self.mute.insert(inquiry.to, now + OUT_OF_TOUCH);
+        self.ask_source(now, id, inquiry.source, out);
+    }
+
+    /// Fills that stand in line here for want of a home: once there is one that speaks, they are
+    /// left to it.
+    pub(crate) fn leave_lines_for_homes(&mut self, now: Mono, out: &mut Vec<Out>) {
+        let fill = |j: &Job| j.in_line() && j.kind == Kind::Read && !j.solo;
+        let fills: Vec<u64> = self.jobs.iter().filter(|(_, j)| fill(j)).map(|(id, _)| *id).collect();
+        fills.into_iter().for_each(|id| self.leave_line_for_home(now, id, out));
+    }
+
+    fn leave_line_for_home(&mut self, now: Mono, id: u64, out: &mut Vec<Out>) {
+        let Some(j) = self.jobs.get(&id) else { return };
+        let (object, acts_for) = (j.object(), j.acts_for);
+        let mut source = self.first_source(now, &object, acts_for);
+        while let Source::Home(reach) = source {
+            if self.home_to_ask(now, &object, reach).is_some() {
+                self.count("left a line for a home");
+                return self.ask_source(now, id, source, out);
+            }
+            source = self.after(source);
+        }
+    }
+
     /// Asks the source, or the next one that there is.
     pub(crate) fn ask_source(&mut self, now: Mono, id: u64, source: Source, out: &mut Vec<Out>) {
         let Some(j) = self.jobs.get_mut(&id) else { return };
@@ -90,7 +119,7 @@
         let (object, lives) = (j.object(), j.row.ttl >= WORTH);
         self.fills.insert(object.clone(), id);
         let to = match source {
-            Source::Home(reach) => self.home(now, &object, reach).filter(|a| *a != self.follow.env.addr),
+            Source::Home(reach) => self.home_to_ask(now, &object, reach),
             Source::Ledger => self.stock_of(now, &object).filter(|_| lives),
             Source::Origin => return self.line_up(now, id, out),
         };
@@ -100,6 +129,11 @@
         }
     }
 
+    /// The home of that reach, if it is another edge and not passed by.
+    fn home_to_ask(&self, now: Mono, object: &(Svc, Lane, String), reach: Reach) -> Option<Addr> {
+        self.home(now, object, reach).filter(|home| *home != self.follow.env.addr)
+    }
+
     fn after(&self, source: Source) -> Source {
         let Source::Home(reach) = source else { return Source::Origin };
         let wider = self.reaches().iter().find(|r| **r > reach);
--- a/crates/simulator/tests/cold_start.rs
+++ b/crates/simulator/tests/cold_start.rs
@@ -108,3 +108,30 @@
         clean(&mut w);
     }
 }
+
+/// Guards against every edge that lines up at the origin for itself while homes are starting.
+#[test]
+fn given_homes_that_start_a_moment_later_then_fills_are_left_to_them_and_not_repeated_by_all() {
+    for seed in 5340..5343 {
+        let (mut w, f) = World::standing_open(Plan::open(), seed);
+        ceiling(&mut w, &f, 40);
+        let late: Vec<Addr> = f.edges[..3].to_vec();
+        late.iter().for_each(|e| w.kill(*e));
+        w.run(Span::ms(200));
+        let pages: Vec<String> = (0..40).map(|i| format!("red-{i}")).collect();
+        late.iter().for_each(|e| w.start(*e));
+        let before = count(&w, "whole answers");
+        let mut tokens = vec![];
+        for page in &pages {
+            tokens.extend(f.edges[3..].iter().map(|e| w.call(*e, "read", page)));
+            w.run(Span::ms(5));
+        }
+        w.run(Span::secs(5));
+        let fills = count(&w, "whole answers") - before;
+        let served = tokens.iter().filter(|t| is_served(&w, **t)).count();
+        println!("seed {seed}: {fills} fills of {} pages, {served} of {} served", pages.len(), tokens.len());
+        assert_eq!(served, tokens.len(), "not all were served, seed {seed}");
+        assert!(fills <= 50, "{fills} fills of {} pages, seed {seed}", pages.len());
+        clean(&mut w);
+    }
+}
