--- a/crates/edge/src/answers.rs
+++ b/crates/edge/src/answers.rs
@@ -109,6 +109,7 @@
                 self.count(if stocked { "filled from ledgers" } else { "filled from homes" });
                 // Whoever knew other purges may have shown what one of them took.
                 let sure = same_purges && c.whole.status == 200;
+                self.body_sizes.note(&object.1, c.whole.size());
                 let guest = !self.is_home_after(inquiry.source);
                 let copy = Copy { whole: Arc::new(c.whole), public: c.public, since, until, guest };
                 if sure {
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -1,3 +1,4 @@
+use crate::body_size::BodySizes;
 use crate::copies::Copies;
 use crate::forwarded_calls::ForwardedCalls;
 use crate::jobs::Job;
@@ -58,6 +59,7 @@
     /// Objects whose answers lately were not to be shared, and until when each
     /// caller is answered by the origin.
     pub(crate) solo: BTreeMap<(Svc, Lane, String), Mono>,
+    pub(crate) body_sizes: BodySizes,
     /// How long homes take to answer, by their reach.
     pub(crate) answer_times: BTreeMap<Reach, AnswerTime>,
     /// Edges that lately did not answer.
@@ -88,6 +90,7 @@
             offers: BTreeMap::new(),
             outgoing: vec![],
             solo: BTreeMap::new(),
+            body_sizes: BodySizes::default(),
             answer_times: BTreeMap::new(),
             mute: BTreeMap::new(),
             forwarded_calls: ForwardedCalls::default(),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -1,5 +1,6 @@
 //! The edge, a pure part: the decision object that executors ask and obey.
 mod answers;
+mod body_size;
 mod choice;
 mod claim;
 mod copies;
--- a/crates/edge/src/policy.rs
+++ b/crates/edge/src/policy.rs
@@ -22,6 +22,9 @@
     pub far_home: Span,
     /// When a denied caller should come back; else it depends on why.
     pub back: Option<Span>,
+    /// Bodies that are larger, in the middle, are asked of an origin of the own region rather than
+    /// carried from another region.
+    pub far_body: usize,
 }
 
 impl Default for EdgePolicy {
@@ -35,6 +38,7 @@
             near: false,
             by_load: false,
             back: None,
+            far_body: usize::MAX,
         }
     }
 }
--- a/crates/edge/src/read.rs
+++ b/crates/edge/src/read.rs
@@ -137,6 +137,7 @@
         let Some(j) = self.jobs.get(&id) else { return };
         let says = sharing(&j.req, &w, j.row.ttl);
         let (obj, until, alone) = (j.object(), sent + says.life, j.solo);
+        self.body_sizes.note(&obj.1, w.size());
         let common = !says.personal && (w.status != 200 || says.life > Span(0));
         // What one caller asked for alone may be less than the whole, or encoded for it.
         let plain = !alone || (j.req.method == "GET" && !w.heads.has("content-encoding"));
--- a/crates/edge/src/sources.rs
+++ b/crates/edge/src/sources.rs
@@ -131,9 +131,26 @@
 
     /// The home of that reach, if it is another edge and not passed by.
     fn home_to_ask(&self, now: Mono, object: &(Svc, Lane, String), reach: Reach) -> Option<Addr> {
+        if reach == Reach::Deployment && self.rather_near(now, object) {
+            return None;
+        }
         self.home(now, object, reach).filter(|home| *home != self.follow.env.addr)
     }
 
+    /// Whether an origin of the own region is asked rather than a home beyond it: for a large body
+    /// of which there is nothing to be renewed.
+    fn rather_near(&self, now: Mono, object: &(Svc, Lane, String)) -> bool {
+        let (service, lane, _) = object;
+        let region = self.follow.env.zone.region();
+        let here = |(addr, origin): &(Addr, Origin)| {
+            origin.zone.region() == region && self.fresh_until(addr, origin) > now
+        };
+        let renewable = || self.copies.peek(object).is_some_and(|c| c.whole.heads.has("etag"));
+        self.body_sizes.exceed(lane, self.env.policy.far_body)
+            && !renewable()
+            && self.table.origins.get(service).is_some_and(|all| all.iter().any(here))
+    }
+
     fn after(&self, source: Source) -> Source {
         let Source::Home(reach) = source else { return Source::Origin };
         let wider = self.reaches().iter().find(|r| **r > reach);
--- a/crates/machine/src/parts.rs
+++ b/crates/machine/src/parts.rs
@@ -6,6 +6,8 @@
 use ledger::LedgerEnv;
 use primitives::{Birth, Mono, Span};
 
+/// Bytes; what takes longer on a small link than the way between regions.
+const FAR_BODY: usize = 32 << 10;
 /// How long controllers wait for an edge that does not answer before they count it as
 /// out of touch. Short: an operator's order is to be answered within seconds
 /// though a machine is frozen, and edges serve on without.
@@ -60,6 +62,7 @@
                 // Longer than a turn of a small processor that is busy: an origin pays for it.
                 far_home: Span::ms(400),
                 back: Some(Span::ms(120)),
+                far_body: FAR_BODY,
             },
             losses: self.losses,
             stock: false,
--- a/crates/simulator/src/carry.rs
+++ b/crates/simulator/src/carry.rs
@@ -92,6 +92,10 @@
         let bytes = postcard::to_stdvec(m).map_or(0, |b| b.len() as u64);
         p.link_free = p.link_free.max(now) + Span(bytes * 1_000_000 / rate);
         let queued = p.link_free - now;
+        let region = |w: &World, a: &Addr| w.procs.get(a).map(|p| p.zone.region().to_string());
+        if region(self, &from) != region(self, &to) {
+            self.bytes_between_regions += bytes;
+        }
         self.procs.get_mut(&to).into_iter().for_each(|p| p.bytes_to += bytes);
         queued
     }
--- a/crates/simulator/src/open.rs
+++ b/crates/simulator/src/open.rs
@@ -20,6 +20,7 @@
             far_home: Span::ms(400),
             by_load: true,
             back: Some(Span::ms(120)),
+            ..edge::EdgePolicy::default()
         };
         let zones = ["sicilia/a", "sicilia/b", "sicilia/c", "sicilia/a"];
         let lease = Span::ms(600);
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -41,6 +41,8 @@
     /// Whoever acknowledged a beat: when that was last told.
     pub beats_taken: BTreeMap<Addr, Mono>,
     pub counts: BTreeMap<&'static str, u64>,
+    /// Of messages between processes, where links are limited.
+    pub bytes_between_regions: u64,
     pub next_token: u64,
     heap: BinaryHeap<Reverse<(Mono, u64)>>,
     evs: BTreeMap<u64, Ev>,
@@ -62,6 +64,7 @@
             signed_off: BTreeSet::new(),
             beats_taken: BTreeMap::new(),
             counts: BTreeMap::new(),
+            bytes_between_regions: 0,
             next_token: 0,
             heap: BinaryHeap::new(),
             evs: BTreeMap::new(),
