--- a/crates/edge/src/policy.rs
+++ b/crates/edge/src/policy.rs
@@ -20,8 +20,11 @@
     pub home: Span,
     /// The same of homes of wider reaches: in their place the origin is asked.
     pub far_home: Span,
-    /// When a denied caller should come back; else it depends on why.
+    /// When a denied caller should come back, to any edge; else it depends on why.
     pub back: Option<Span>,
+    /// The same of one that came to an edge without a lease: where callers follow readiness, it
+    /// had nowhere better to go.
+    pub back_unready: Span,
     /// Bodies that are larger, in the middle, are asked of an origin of the own region rather than
     /// carried from another region.
     pub far_body: usize,
@@ -38,6 +41,7 @@
             near: false,
             by_load: false,
             back: None,
+            back_unready: Span::secs(3),
             far_body: usize::MAX,
         }
     }
@@ -46,10 +50,14 @@
 impl Edge {
     /// When a denied client should ask again.
     pub(crate) fn come_back(&self, d: Denied) -> Span {
-        self.env.policy.back.unwrap_or(match d {
-            Denied::Ceiling | Denied::TooMany => Span::secs(2),
-            Denied::NoLease | Denied::Leaving => Span::secs(3),
-            _ => Span::secs(1),
-        })
+        let policy = &self.env.policy;
+        match d {
+            Denied::NoLease => policy.back_unready,
+            _ => policy.back.unwrap_or(match d {
+                Denied::Ceiling | Denied::TooMany => Span::secs(2),
+                Denied::Leaving => Span::secs(3),
+                _ => Span::secs(1),
+            }),
+        }
     }
 }
--- a/crates/machine/src/parts.rs
+++ b/crates/machine/src/parts.rs
@@ -62,6 +62,7 @@
                 // Longer than a turn of a small processor that is busy: an origin pays for it.
                 far_home: Span::ms(400),
                 back: Some(Span::ms(120)),
+                back_unready: Span::secs(1),
                 far_body: FAR_BODY,
             },
             losses: self.losses,
--- a/crates/simulator/tests/denials.rs
+++ b/crates/simulator/tests/denials.rs
@@ -125,3 +125,17 @@
     assert!((1200..=1330).contains(&hits), "{hits}");
     clean(&mut w);
 }
+
+/// Guards against callers that use up their tries while the edge that they found is starting.
+#[test]
+fn given_an_edge_without_a_lease_then_its_callers_are_to_come_back_once_others_can_be_ready() {
+    let mut plan = Plan::trinacria();
+    (plan.policy.back, plan.policy.back_unready) = (Some(Span::ms(120)), Span::secs(1));
+    let (mut w, f) = World::standing(plan, 802);
+    w.isolate(&[f.edges[0]]);
+    w.run(Span::secs(12));
+    let t = w.now;
+    w.get(f.edges[0], "read", "x");
+    w.run(Span::secs(1));
+    only(&w, t, Denied::NoLease, 1, Span::secs(1));
+}
