--- a/crates/simulator/tests/purges_by.rs
+++ b/crates/simulator/tests/purges_by.rs
@@ -92,6 +92,34 @@
     }
 }
 
+/// Guards against purges by tag that throw away every fill under way, whatever its tags.
+#[test]
+fn given_tags_purged_faster_than_an_origin_answers_then_pages_without_them_are_filled_once_and_served() {
+    const PAGES: usize = 30;
+    const PAUSE: Span = Span::ms(70);
+    for seed in 2470..2473 {
+        let (mut w, f) = standing(seed);
+        f.pages.iter().for_each(|a| w.blooms.get_mut(a).unwrap().work = Span::ms(150));
+        let before = count(&w, "whole answers");
+        let mut tokens = vec![];
+        for i in 0..PAGES {
+            w.purge_by(f.edges[i % 6], tag(&format!("green{i}")));
+            tokens.extend(f.edges.iter().map(|e| w.call(*e, "read", &format!("red-{i}"))));
+            w.run(PAUSE);
+        }
+        w.run(Span::secs(3));
+        let fills = count(&w, "whole answers") - before;
+        let served: Vec<Span> = tokens.iter().filter(|t| is_served(&w, **t)).map(|t| took(&w, *t)).collect();
+        let in_time = served.iter().filter(|t| **t <= Span::secs(1)).count();
+        let asked = tokens.len();
+        println!("seed {seed}: {fills} fills of {PAGES} pages, {in_time} of {asked} served in time");
+        assert_eq!(in_time, asked, "not all were served in time, seed {seed}");
+        // Two regions fill each page.
+        assert!(fills <= 2 * PAGES as u64 + 6, "{fills} fills of {PAGES} pages, seed {seed}");
+        clean(&mut w);
+    }
+}
+
 #[test]
 fn given_a_home_out_of_touch_then_it_hands_no_purged_copy_to_a_neighbour_that_is_in_touch() {
     for (seed, by) in (2440..2446).zip([tag("red"), page(HOST, "/read/red-1")].into_iter().cycle()) {
