--- a/crates/edge/src/answers.rs
+++ b/crates/edge/src/answers.rs
@@ -103,6 +103,12 @@
         // The copy's rest of life counts from when it was asked for.
         let lives = |left: Span| good && inquiry.asked + left > now;
         match said {
+            CopySaid::Got(c) if self.purged_tags.took(&c.whole.heads, inquiry.asked) => {
+                self.count("purged on their way");
+                if current {
+                    self.ask_source(now, id, inquiry.source, out);
+                }
+            }
             CopySaid::Got(c) if lives(c.left) && (same_purges || now - inquiry.asked < UNSURE) => {
                 let (since, until) =
                     (inquiry.asked - c.aged, (inquiry.asked + c.left).min(self.leased_until()));
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -7,6 +7,7 @@
 use crate::origins::Seen;
 pub use crate::policy::EdgePolicy;
 use crate::press::Press;
+use crate::purged_tags::PurgedTags;
 use crate::read::Wish;
 use crate::table::Table;
 use control_state::*;
@@ -60,6 +61,7 @@
     /// caller is answered by the origin.
     pub(crate) solo: BTreeMap<(Svc, Lane, String), Mono>,
     pub(crate) body_sizes: BodySizes,
+    pub(crate) purged_tags: PurgedTags,
     /// How long homes take to answer, by their reach.
     pub(crate) answer_times: BTreeMap<Reach, AnswerTime>,
     /// Edges that lately did not answer.
@@ -91,6 +93,7 @@
             outgoing: vec![],
             solo: BTreeMap::new(),
             body_sizes: BodySizes::default(),
+            purged_tags: PurgedTags::default(),
             answer_times: BTreeMap::new(),
             mute: BTreeMap::new(),
             forwarded_calls: ForwardedCalls::default(),
@@ -183,6 +186,7 @@
             self.copies.drop_old(now);
             self.solo.retain(|_, t| *t > now);
             self.leave_lines_for_homes(now, out);
+            self.forget_purged_tags(now);
         }
         while self.offers.len() > 1000 {
             self.offers.pop_first();
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -17,6 +17,7 @@
 mod policy;
 mod press;
 mod purge;
+mod purged_tags;
 mod read;
 mod renew;
 mod rounds;
--- a/crates/edge/src/purge.rs
+++ b/crates/edge/src/purge.rs
@@ -1,13 +1,11 @@
 //! Purges: copies go, and what is being fetched is not used.
 use crate::copies::Copy;
 use crate::edge::Edge;
-use crate::jobs::Stage;
+use crate::jobs::{Job, Stage};
+use crate::purged_tags::tags;
 use control_state::*;
 use primitives::Mono;
 
-/// The field in which an origin's answer names its tags, parted by spaces.
-const TAGS: &str = "lanewing-tags";
-
 type Object = (Svc, Lane, String);
 
 impl Edge {
@@ -17,8 +15,7 @@
         self.spoil(now, |o| o.0 == *svc && o.2.starts_with(prefix), out);
     }
 
-    /// A purge by page or by tag. What is being fetched shows its tags too late, so
-    /// a tag spoils it all.
+    /// A purge by page or by tag. What is being fetched shows its tags when it comes.
     pub(crate) fn purge_by(&mut self, now: Mono, p: &PurgeBy, out: &mut Vec<Out>) {
         let table = self.table.clone();
         let host = |l: &Lane| table.entries.get(l).map(|e| e.host.to_ascii_lowercase());
@@ -32,12 +29,9 @@
                 self.spoil(now, |o| page(o, h, path), out);
             }
             PurgeBy::Tag(t) => {
-                let tagged = |c: &Copy| {
-                    let all = c.whole.heads.get(TAGS).unwrap_or_default();
-                    all.split_ascii_whitespace().any(|x| x == t)
-                };
-                self.copies.drop_where(|_, c| tagged(c));
-                self.spoil(now, |_| true, out);
+                self.count("purges");
+                self.purged_tags.note(now, t);
+                self.copies.drop_where(|_, c: &Copy| tags(&c.whole.heads).any(|tag| tag == t));
             }
         }
     }
@@ -61,4 +55,11 @@
             }
         }
     }
+
+    /// Forgets tags that were purged before anything under way was asked for.
+    pub(crate) fn forget_purged_tags(&mut self, now: Mono) {
+        let asked = |j: &Job| j.overdue.iter().map(|i| i.asked).fold(j.staged, Mono::min);
+        let oldest = self.jobs.values().map(asked).fold(now, Mono::min);
+        self.purged_tags.forget_before(oldest);
+    }
 }
--- a/crates/edge/src/rounds.rs
+++ b/crates/edge/src/rounds.rs
@@ -124,6 +124,7 @@
             Fetched::Whole(w) => {
                 j.tries += 1;
                 let (kind, safe, spoiled) = (j.kind, j.safe(), j.spoiled);
+                let spoiled = spoiled || self.purged_tags.took(&w.heads, sent);
                 self.note_pace(r.addr, r.birth, now - sent);
                 let failed = w.status >= 500;
                 let s = Step::Serve(Arc::new(w.clone()), Shared::Origin, Mono(u64::MAX));
