--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -2,6 +2,7 @@
 use crate::contact::Contact;
 use crate::directory::Directory;
 use crate::disk_health::DiskHealth;
+use crate::key_list::KeyList;
 use crate::landing::Landed;
 use crate::leadership::Leadership;
 use crate::lending::Lending;
@@ -67,6 +68,7 @@
     pub(crate) heard: BTreeSet<MemberId>,
     pub(crate) readers: BTreeMap<Cid, Reader>,
     pub(crate) leadership: Leadership,
+    pub(crate) all_keys: KeyList,
     /// Subscribers that want items whole.
     pub(crate) whole_subscribers: usize,
     pub(crate) lending: Lending,
@@ -126,6 +128,7 @@
             heard: BTreeSet::new(),
             readers: BTreeMap::new(),
             leadership: Leadership::new(now),
+            all_keys: KeyList::default(),
             whole_subscribers: 0,
             lending: Lending::default(),
             roll: RollWatch::default(),
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -11,6 +11,7 @@
 mod era;
 mod force;
 mod found;
+pub mod key_list;
 mod landing;
 mod leadership;
 mod leaving;
--- a/crates/controller/src/subscribers.rs
+++ b/crates/controller/src/subscribers.rs
@@ -124,8 +124,7 @@
             stream.retry(now);
         } else if may_start && stream.may_start(now, wait) {
             self.last_stream += 1;
-            let keys: Arc<[Key]> = self.state.items.keys().cloned().collect();
-            stream.start(now, self.last_stream, keys);
+            stream.start(now, self.last_stream, self.all_keys.of(&self.state));
             subscriber.life = asked.life;
             subscriber.era = asked.era;
         }
--- a/crates/controller/src/update_stream.rs
+++ b/crates/controller/src/update_stream.rs
@@ -189,7 +189,11 @@
         terms: Terms,
         may_be_seen: impl Fn(&Key, Option<Cid>) -> bool,
     ) -> Option<Piece> {
-        let room = self.under_way.is_empty() || self.bytes_under_way() < terms.window;
+        let announces = terms.wanted == Wanted::Announced && self.retries < WHOLE_AFTER;
+        let whole_after_all = terms.wanted == Wanted::Announced && !announces;
+        // Many may need it at once: one piece each.
+        let window = if whole_after_all { 0 } else { terms.window };
+        let room = self.under_way.is_empty() || self.bytes_under_way() < window;
         if !self.is_started() || self.sent == self.last || !room {
             return None;
         }
@@ -215,7 +219,6 @@
         self.progress = now;
         self.under_way.push_back(UnderWay { to, bytes: bytes.min(PIECE), sent: now });
         let piece = Piece { from, to, starts, items, announced: vec![] };
-        let announces = terms.wanted == Wanted::Announced && self.retries < WHOLE_AFTER;
         Some(if announces && bytes > SMALL { piece.announce() } else { piece })
     }
 }
--- a/crates/simulator/src/carry.rs
+++ b/crates/simulator/src/carry.rs
@@ -105,6 +105,7 @@
             return self.at(Span(0), Ev::Msg(from, to, m));
         }
         self.count("messages");
+        self.count(m.kind());
         if self.cuts.contains(&(from, to)) || self.rng.f64() < self.plan.drop {
             return;
         }
