--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -16,6 +16,7 @@
 use crate::show::Hidden;
 use crate::snapshot_transfer::SnapshotTransfer;
 use crate::subscribers::Subscriber;
+use crate::update_terms::Alike;
 use caesar::{Cid, Machine, MemberId};
 use control_state::*;
 use primitives::{Addr, Birth, Mono, NodeId, Span, Token};
@@ -69,8 +70,7 @@
     pub(crate) readers: BTreeMap<Cid, Reader>,
     pub(crate) leadership: Leadership,
     pub(crate) all_keys: KeyList,
-    /// Subscribers that want items whole.
-    pub(crate) whole_subscribers: usize,
+    pub(crate) alike: Alike,
     pub(crate) lending: Lending,
     pub(crate) roll: RollWatch,
     pub(crate) said: BTreeMap<Addr, Mono>,
@@ -129,7 +129,7 @@
             readers: BTreeMap::new(),
             leadership: Leadership::new(now),
             all_keys: KeyList::default(),
-            whole_subscribers: 0,
+            alike: Alike::default(),
             lending: Lending::default(),
             roll: RollWatch::default(),
             said: BTreeMap::new(),
--- a/crates/controller/src/subscribers.rs
+++ b/crates/controller/src/subscribers.rs
@@ -1,7 +1,8 @@
 //! Edges and ledgers that follow this controller: their update streams, and the leases that
 //! hang on them.
 use crate::controller::Controller;
-use crate::update_stream::{Piece, Terms, UpdateStream, Wanted, MICROS_A_BYTE, PIECE};
+use crate::update_stream::{Piece, UpdateStream, Wanted, MICROS_A_BYTE, PIECE};
+use crate::update_terms::Alike;
 use caesar::Cid;
 use control_state::*;
 use primitives::{Addr, Mono, NodeId, Span};
@@ -64,8 +65,7 @@
         let registered = self.is_registered(&asked);
         self.see_to_newcomer(now, &asked, registered, out);
         let same_stream = self.resume_stream(now, from, &asked);
-        let whole = |s: &&Subscriber| s.wanted == Wanted::Whole;
-        self.whole_subscribers = self.subscribers.values().filter(whole).count();
+        self.alike = Alike::count(self.subscribers.values().map(|s| s.wanted));
         let lent = registered && same_stream && self.renew_lease(now, &asked);
         let reply = self.reply(now, &asked, lent);
         let Some(mut subscriber) = self.subscribers.remove(&asked.id) else { return };
@@ -173,7 +173,7 @@
             return None;
         }
         let seen = |key: &Key, cid| self.may_be_seen(key, cid);
-        let terms = Terms::among(to.wanted, self.whole_subscribers);
+        let terms = self.alike.terms(to.wanted);
         to.stream.next_piece(now, &self.state, terms, seen)
     }
 
--- a/crates/controller/src/update_stream.rs
+++ b/crates/controller/src/update_stream.rs
@@ -5,7 +5,7 @@
 //! never stands for less. No more than a window's bytes are under way, unless it is one piece.
 pub use crate::update_piece::Piece;
 use crate::update_piece::{Batch, UnderWay};
-pub use crate::update_terms::{Terms, Wanted, WINDOW};
+pub use crate::update_terms::{Alike, Terms, Wanted, WINDOW};
 use caesar::Cid;
 use control_state::*;
 use primitives::{AnswerTime, Mono, Span};
--- a/crates/controller/src/update_terms.rs
+++ b/crates/controller/src/update_terms.rs
@@ -3,8 +3,9 @@
 /// Bytes that may be under way to one subscriber: the least and the most.
 pub const WINDOW: usize = 64 << 10;
 const LARGEST_WINDOW: usize = 512 << 10;
-/// To all subscribers together that want items whole, unless that is less than the least for each.
-const UNDER_WAY: usize = 4 << 20;
+/// To all subscribers together that want items in one way, unless that is less than the least for
+/// each. What is under way is held twice, as a message and encoded.
+const UNDER_WAY: usize = 2 << 20;
 
 /// How a subscriber wants items.
 #[derive(Copy, Clone, Debug, Default, PartialEq, Eq)]
@@ -25,14 +26,32 @@
     pub window: usize,
 }
 
-impl Terms {
-    /// Where so many subscribers want items whole: they share what may be under way.
-    pub fn among(wanted: Wanted, sources_of: usize) -> Terms {
-        let share = UNDER_WAY / sources_of.max(1);
-        let window = match wanted {
-            Wanted::Whole => share.clamp(WINDOW, LARGEST_WINDOW),
-            Wanted::Announced => LARGEST_WINDOW,
+/// How many subscribers want items in each way.
+#[derive(Copy, Clone, Debug, Default)]
+pub struct Alike {
+    whole: usize,
+    announced: usize,
+}
+
+impl Alike {
+    /// Counts them.
+    pub fn count(all: impl Iterator<Item = Wanted>) -> Alike {
+        all.fold(Alike::default(), |mut alike, wanted| {
+            match wanted {
+                Wanted::Whole => alike.whole += 1,
+                Wanted::Announced => alike.announced += 1,
+            }
+            alike
+        })
+    }
+
+    /// What each of those who want it so is sent: they share what may be under way.
+    pub fn terms(&self, wanted: Wanted) -> Terms {
+        let subscribers = match wanted {
+            Wanted::Whole => self.whole,
+            Wanted::Announced => self.announced,
         };
-        Terms { wanted, window }
+        let share = UNDER_WAY / subscribers.max(1);
+        Terms { wanted, window: share.clamp(WINDOW, LARGEST_WINDOW) }
     }
 }
