--- a/crates/edge/src/answers.rs
+++ b/crates/edge/src/answers.rs
@@ -66,7 +66,7 @@
         let open = j.overdue.iter_mut().find(|i| i.to == from);
         let current = if let Stage::Home(inquiry) = &mut j.stage { Some(inquiry) } else { None };
         let same = current.filter(|i| i.to == from).or(open);
-        same.into_iter().for_each(|i| i.at_it = true);
+        same.into_iter().for_each(|i| i.at_it = Some(now));
     }
 
     /// The question of a job that this answers, if it still waits for it: the last one, or an
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -186,6 +186,7 @@
             self.copies.drop_old(now);
             self.solo.retain(|_, t| *t > now);
             self.leave_lines_for_homes(now, out);
+            self.say_still_at_it(now, out);
             self.forget_purged_tags(now);
         }
         while self.offers.len() > 1000 {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -23,6 +23,7 @@
 mod rounds;
 mod sharing;
 mod sources;
+mod still_at_it;
 mod table;
 mod updates;
 
--- a/crates/edge/src/sources.rs
+++ b/crates/edge/src/sources.rs
@@ -17,6 +17,8 @@
 const PASSED_OVER: Span = Span::secs(2);
 /// No home is waited for longer.
 const LONGEST_WAIT: Span = Span::secs(1);
+/// A home that is at it says so again and again; one that has not for so long is gone.
+const SILENT_AT_IT: Span = Span::ms(1500);
 /// A home that said it is out of touch is passed over for so long.
 const OUT_OF_TOUCH: Span = Span::ms(300);
 /// Homes of the widest reach that are asked before the origin.
@@ -37,8 +39,8 @@
     /// Lives of what it answers count from here.
     pub asked: Mono,
     pub source: Source,
-    /// It said that it is at it.
-    pub at_it: bool,
+    /// When it said last that it is at it.
+    pub at_it: Option<Mono>,
 }
 
 impl Edge {
@@ -124,7 +126,7 @@
             Source::Origin => return self.line_up(now, id, out),
         };
         match to {
-            Some(to) => self.inquire(now, id, Inquiry { to, asked: now, source, at_it: false }, out),
+            Some(to) => self.inquire(now, id, Inquiry { to, asked: now, source, at_it: None }, out),
             None => self.ask_source(now, id, self.after(source), out),
         }
     }
@@ -182,9 +184,9 @@
     /// How long whoever was asked may take.
     pub(crate) fn patience_with(&self, inquiry: &Inquiry) -> Span {
         let policy = &self.env.policy;
-        match inquiry.source {
-            _ if inquiry.at_it => self.env.patience,
-            Source::Home(reach) => {
+        match (inquiry.source, inquiry.at_it) {
+            (_, Some(said)) => said - inquiry.asked + SILENT_AT_IT,
+            (Source::Home(reach), None) => {
                 let least = if reach == Reach::Zone { policy.home } else { policy.far_home };
                 self.answer_times.get(&reach).copied().unwrap_or_default().limit(least, LONGEST_WAIT)
             }
@@ -194,7 +196,7 @@
 
     /// The first word of an answer came.
     pub(crate) fn note_answer_time(&mut self, now: Mono, inquiry: &Inquiry) {
-        if let (Source::Home(reach), false) = (inquiry.source, inquiry.at_it) {
+        if let (Source::Home(reach), None) = (inquiry.source, inquiry.at_it) {
             self.answer_times.entry(reach).or_default().note(now - inquiry.asked);
         }
     }
--- /dev/null
+++ b/crates/edge/src/still_at_it.rs
@@ -0,0 +1,21 @@
+//! Edges that wait here for a fill hear again and again that this one is at it: without that they
+//! could not tell a home that died from one whose origin is slow.
+use crate::edge::Edge;
+use crate::jobs::{Caller, Waiting};
+use control_state::*;
+use primitives::{Mono, Span};
+
+/// Who has waited for so long is told again.
+const SAY_AGAIN: Span = Span::ms(400);
+
+impl Edge {
+    /// Tells edges that wait for a fill that it is being worked on.
+    pub(crate) fn say_still_at_it(&self, now: Mono, out: &mut Vec<Out>) {
+        let long = |w: &&Waiting| now - w.since >= SAY_AGAIN;
+        let waiting = self.jobs.values().flat_map(|j| &j.callers).filter(long);
+        out.extend(waiting.filter_map(|w| match w.caller {
+            Caller::Edge(asker, ask) => Some(Out::Send(asker, Msg::CopyWait(ask))),
+            Caller::Local(..) => None,
+        }));
+    }
+}
--- a/crates/simulator/tests/repeated_fills.rs
+++ b/crates/simulator/tests/repeated_fills.rs
@@ -73,3 +73,25 @@
         assert!(slowest < Span::ms(2_650), "answered after {} ms, seed {seed}", slowest.as_ms());
     }
 }
+
+/// Guards against askers that wait for a home that died while it was at it, until they have no time left.
+#[test]
+fn given_a_home_that_dies_while_it_fills_then_its_askers_are_served_by_others_within_half_of_their_time() {
+    // Callers wait for five seconds.
+    const HALF: Span = Span::ms(2_500);
+    for seed in 4930..4936 {
+        let (mut w, f) = World::standing_open(Plan::open(), seed);
+        f.pages.iter().for_each(|a| w.blooms.get_mut(a).unwrap().work = Span::ms(400));
+        let dies = home(&w, f.edges[0], "red-x");
+        let others: Vec<Addr> = f.edges.iter().copied().filter(|e| *e != dies).collect();
+        let tokens: Vec<Token> = others.iter().map(|e| w.call(*e, "read", "red-x")).collect();
+        w.run(Span::ms(200));
+        w.kill(dies);
+        w.run(Span::secs(6));
+        let slowest = tokens.iter().map(|t| took(&w, *t)).max().expect("some were asked");
+        println!("seed {seed}: all were told after {} ms", slowest.as_ms());
+        assert!(tokens.iter().all(|t| is_served(&w, *t)), "not all were served, seed {seed}");
+        assert!(slowest <= HALF, "served after {} ms, seed {seed}", slowest.as_ms());
+        common::clean(&mut w);
+    }
+}
