--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -45,6 +45,7 @@
     pub(crate) table: Arc<Table>,
     /// The lease ran out at some time since the copies were last dropped.
     pub(crate) lapsed: bool,
+    pub(crate) had_touch: bool,
     pub(crate) seen: Seen,
     pub(crate) press: Press,
     pub(crate) copies: Copies,
@@ -82,6 +83,7 @@
             table: Arc::new(Table::default()),
             follow: Follow::new(env.follow.clone()),
             lapsed: true,
+            had_touch: false,
             seen: Seen::default(),
             press: Press::default(),
             copies: Copies::new(env.copies),
@@ -171,12 +173,9 @@
     }
 
     fn tick(&mut self, now: Mono, out: &mut Vec<Out>) {
-        let before = self.lapsed;
         self.subscribe(now, out);
         self.check_lapse(now);
-        if self.lapsed && !before {
-            out.push(Out::Alarm("the setup lease ran out: too few controllers renew it"));
-        }
+        self.watch_touch(now, out);
         self.serve_line(now, out);
         self.expire_jobs(now, out);
         self.push_outcomes(now, out);
--- a/crates/edge/src/updates.rs
+++ b/crates/edge/src/updates.rs
@@ -62,6 +62,16 @@
         }
     }
 
+    /// Says when too few controllers renew its lease, though it serves on, and when enough do again.
+    pub(crate) fn watch_touch(&mut self, now: Mono, out: &mut Vec<Out>) {
+        let touch = self.in_touch(now);
+        match (std::mem::replace(&mut self.had_touch, touch), touch) {
+            (true, false) => out.push(Out::Alarm("out of touch: too few controllers renew the lease")),
+            (false, true) => out.push(Out::Note("in touch: enough controllers renew the lease")),
+            _ => (),
+        }
+    }
+
     fn forget(&mut self) {
         self.copies.clear();
         self.fills.clear();
