--- a/crates/simulator/tests/storm.rs
+++ b/crates/simulator/tests/storm.rs
@@ -119,3 +119,10 @@
 fn given_the_seed_in_which_an_origin_signs_off_again_and_again_then_edges_keep_their_leases() {
     storm(42, &mut Counts::new());
 }
+
+/// Guards against a sign-off that is acknowledged while an edge still sends to the origin: its
+/// address had passed to another service.
+#[test]
+fn given_the_seed_in_which_an_address_passed_on_while_an_edge_still_used_it_then_no_edge_does() {
+    storm(18, &mut Counts::new());
+}
