--- a/crates/control-state/src/feeds.rs
+++ b/crates/control-state/src/feeds.rs
@@ -7,8 +7,7 @@
 use primitives::{Addr, Version};
 use std::collections::BTreeMap;
 
-/// Pieces of one controller that may wait, for items or for the pieces before them; it sends them
-/// again if they are dropped.
+/// Pieces of one controller that may wait for items; it sends them again if they are dropped.
 const MOST_WAITING: usize = 256;
 
 /// Numbers that a piece stands for, and what it announces that may not be held yet.
@@ -109,8 +108,8 @@
             while let Some(piece) = feed.next(items) {
                 said |= piece.acknowledged;
             }
-            // A reply that holds nothing is not waited for.
-            feed.waiting.retain(|p| p.from < p.to);
+            // Out of order, or of a feed that is over.
+            feed.waiting.retain(|p| !p.announced.is_empty());
             if said {
                 due.push(Held { by: *by, feed: feed.id, got: feed.got });
             }
