--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -4,6 +4,7 @@
 use crate::jobs::Job;
 use crate::keyed::Outgoing;
 use crate::metrics::EdgeMetrics;
+use crate::neighbour::Neighbour;
 use crate::origins::Seen;
 pub use crate::policy::EdgePolicy;
 use crate::press::Press;
@@ -35,6 +36,8 @@
     pub stock: bool,
     /// A granted round must leave within this; the same at every edge and ledger.
     pub leave: Span,
+    /// The controller in the same process, if there is one: it is told who the members are.
+    pub controller: Option<Addr>,
     pub policy: EdgePolicy,
 }
 
@@ -68,6 +71,7 @@
     /// Edges that lately did not answer.
     pub(crate) mute: BTreeMap<Addr, Mono>,
     pub(crate) forwarded_calls: ForwardedCalls,
+    pub(crate) neighbour: Neighbour,
     /// When the copies were last looked through.
     swept: Mono,
     pub(crate) next: u64,
@@ -99,6 +103,7 @@
             answer_times: BTreeMap::new(),
             mute: BTreeMap::new(),
             forwarded_calls: ForwardedCalls::default(),
+            neighbour: Neighbour::default(),
             swept: Mono(0),
             // Lives begin at different numbers, for some choices are spread by them.
             // Answers find their questions by the life as well, see `answers`.
@@ -174,6 +179,7 @@
 
     fn tick(&mut self, now: Mono, out: &mut Vec<Out>) {
         self.subscribe(now, out);
+        self.tell_neighbour(now, out);
         self.check_lapse(now);
         self.watch_touch(now, out);
         self.serve_line(now, out);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -13,6 +13,7 @@
 mod lanes;
 mod line;
 mod metrics;
+mod neighbour;
 mod origins;
 mod policy;
 mod press;
--- /dev/null
+++ b/crates/edge/src/neighbour.rs
@@ -0,0 +1,30 @@
+//! The controller that runs in the same process as this edge.
+//!
+//! One without a disk is no member, and members address only the seeds of their own settings. New
+//! machines and followers may have it as their only seed, so it must know who the members are; the
+//! edge beside it follows them all the time and passes that on.
+use crate::edge::Edge;
+use control_state::*;
+use primitives::{Mono, Span};
+
+/// How often an unchanged membership is told again: messages get lost.
+const TELL_AGAIN: Span = Span::secs(1);
+
+/// What the neighbouring controller was told last.
+#[derive(Debug, Default)]
+pub(crate) struct Neighbour {
+    era: Era,
+    told: Mono,
+}
+
+impl Edge {
+    pub(crate) fn tell_neighbour(&mut self, now: Mono, out: &mut Vec<Out>) {
+        let Some(controller) = self.env.controller else { return };
+        let era = self.follow.era;
+        let news = era != self.neighbour.era || now - self.neighbour.told >= TELL_AGAIN;
+        if news && !self.follow.members.is_empty() {
+            self.neighbour = Neighbour { era, told: now };
+            out.push(Out::Send(controller, Msg::Roster(era, self.follow.members.clone())));
+        }
+    }
+}
--- a/crates/lanewing/src/roles.rs
+++ b/crates/lanewing/src/roles.rs
@@ -212,6 +212,7 @@
         losses: 1,
         stock: true,
         leave: LEAVE,
+        controller: None,
     };
     start.run(Box::new(edge::Edge::new(env)), vec![], None)
 }
--- a/crates/machine/src/parts.rs
+++ b/crates/machine/src/parts.rs
@@ -68,6 +68,7 @@
             losses: self.losses,
             stock: false,
             leave: LEAVE,
+            controller: Some(self.addr(Seat::Controller)),
         })
     }
 
--- a/crates/scale-model/src/fleet.rs
+++ b/crates/scale-model/src/fleet.rs
@@ -100,6 +100,7 @@
         losses: 1,
         stock: true,
         leave: control_state::LEAVE,
+        controller: None,
         policy: edge::EdgePolicy::default(),
     })
 }
--- a/crates/simulator/src/stage.rs
+++ b/crates/simulator/src/stage.rs
@@ -8,6 +8,9 @@
 /// What an answer takes of a link, as far as the capacity of an edge goes.
 const BYTES_AN_ANSWER: u64 = 24_000;
 
+/// Where a machine's controller is.
+const CONTROLLER_PORT: u16 = 1;
+
 pub fn addr(machine: u8, port: u16) -> Addr {
     Addr(SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 0, 0, machine)), port))
 }
@@ -85,6 +88,8 @@
         let (hands, grace) = (self.plan.hands, self.plan.grace);
         let policy = self.plan.policy.clone();
         let (losses, stock, copies) = (self.plan.losses, self.plan.stock, self.plan.copies);
+        let beside = Addr(SocketAddr::new(a.0.ip(), CONTROLLER_PORT));
+        let controller = self.plan.open.map(|_| beside);
         let boot = move |_: Vec<Vec<u8>>, life: u64, _: Mono, _: &mut Vec<Out>| {
             let env = edge::EdgeEnv {
                 follow: FollowEnv { birth: Birth(life), life, ..f.clone() },
@@ -97,6 +102,7 @@
                 losses,
                 stock,
                 leave: LEAVE,
+                controller,
             };
             Role3::Edge(Box::new(edge::Edge::new(env)))
         };
--- a/crates/simulator/tests/newcomers.rs
+++ b/crates/simulator/tests/newcomers.rs
@@ -61,3 +61,43 @@
         members_are(&w, &[6, 7, 8, 9], &what);
     }
 }
+
+/// Machines 2, 3 and 4 are replaced by 7, 8 and 9, one after the other.
+fn replace_three(w: &mut World, seeds: &[Addr]) {
+    for (old, new) in [(2, 7), (3, 8), (4, 9)] {
+        kill_machine(w, old);
+        w.run(Span::secs(1));
+        new_machine_with(w, new, seeds);
+        w.run(Span::secs(9));
+    }
+}
+
+// Guards against a deployment that dies out by replacements: a controller without a disk, the
+// only seed of the new ones, did not know the members and left them without a seat.
+#[test]
+fn given_new_disks_whose_seeds_have_none_then_they_take_the_seats_of_those_they_replace() {
+    for seed in 4820..4826 {
+        let (mut w, f) = World::standing_open(Plan::open(), seed);
+        replace_three(&mut w, &controllers(&[5]));
+        let what = format!("seed {seed}");
+        members_are(&w, &[6, 7, 8, 9], &what);
+        reads_back(&mut w, &f, &[6, 7, 8, 9], &what);
+    }
+}
+
+// The same where the only seed came later itself, and its own seeds have no disk either.
+#[test]
+fn given_seeds_that_came_later_and_have_no_disk_then_new_disks_take_their_seats() {
+    for seed in 4830..4834 {
+        let (mut w, f) = World::standing_open(Plan::open(), seed);
+        new_diskless_machine(&mut w, 10, &controllers(&[5]));
+        w.run(Span::secs(3));
+        replace_three(&mut w, &controllers(&[10]));
+        let what = format!("seed {seed}");
+        members_are(&w, &[6, 7, 8, 9], &what);
+        // One of the new disks is lost right after: it is borne.
+        wipe_machine(&mut w, 8);
+        w.run(Span::secs(8));
+        reads_back(&mut w, &f, &[6, 7, 8, 9], &what);
+    }
+}
--- a/crates/simulator/tests/single_run/stage.rs
+++ b/crates/simulator/tests/single_run/stage.rs
@@ -68,6 +68,7 @@
         losses: 1,
         stock: false,
         leave: LEAVE,
+        controller: None,
         policy: EdgePolicy::default(),
     });
     e.step(now, In::Msg(addr(CONTROLLER), news(life, now)), &mut vec![]);
