--- a/crates/control-state/src/copy_messages.rs
+++ b/crates/control-state/src/copy_messages.rs
@@ -1,5 +1,5 @@
 //! What processes say to one another of copies.
-use crate::items::*;
+use crate::object::Object;
 use crate::state::Era;
 use crate::whole::Whole;
 use primitives::Span;
@@ -58,7 +58,7 @@
 /// A copy on its way to a ledger.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StockPut {
-    pub object: (Svc, Lane, String),
+    pub object: Object,
     pub shown: Shown,
     pub mark: u64,
     /// See `mark_holds`.
--- a/crates/control-state/src/msg.rs
+++ b/crates/control-state/src/msg.rs
@@ -5,6 +5,7 @@
 use crate::copy_messages::{CopySaid, Patience, Reach, StockPut};
 use crate::heads::{Heads, Print};
 use crate::items::*;
+use crate::object::Object;
 use crate::rounds::*;
 use crate::snapshot::SnapshotMessage;
 use crate::state::Era;
@@ -131,9 +132,7 @@
     // between edges
     CopyAsk {
         ask: AskId,
-        svc: Svc,
-        lane: Lane,
-        path: String,
+        object: Object,
         /// As the first caller sent them, less what is its own.
         heads: Heads,
         /// For whom the asked one is to have a copy.
--- a/crates/control-state/src/purged.rs
+++ b/crates/control-state/src/purged.rs
@@ -1,5 +1,6 @@
 //! What purges say of copies, and when they may be forgotten.
 use crate::items::*;
+use crate::object::Object;
 use crate::state::Era;
 use std::collections::BTreeMap;
 
@@ -32,11 +33,11 @@
 
 /// What purges say of an object: grows with each that covers it, so a copy under
 /// another mark than now may be older than a purge.
-pub fn mark(items: &BTreeMap<Key, Item>, o: &(Svc, Lane, String)) -> u64 {
-    let first = Key::Purge(o.0.clone(), String::new());
+pub fn mark(items: &BTreeMap<Key, Item>, o: &Object) -> u64 {
+    let first = Key::Purge(o.service.clone(), String::new());
     let all = items.range(first..).map_while(|(k, it)| match k {
-        Key::Purge(s, p) if *s == o.0 => Some((p, it.ver.0)),
+        Key::Purge(s, p) if *s == o.service => Some((p, it.ver.0)),
         _ => None,
     });
-    all.filter(|(p, _)| o.2.starts_with(p.as_str())).fold(0, |m, (p, v)| m ^ primitives::hash(&(p, v)))
+    all.filter(|(p, _)| o.path.starts_with(p.as_str())).fold(0, |m, (p, v)| m ^ primitives::hash(&(p, v)))
 }
--- a/crates/edge/src/answers.rs
+++ b/crates/edge/src/answers.rs
@@ -96,7 +96,7 @@
         // It is slow, not gone.
         self.mute.remove(&from);
         let Some(j) = self.jobs.get(&id) else { return };
-        let (good, object) = (!j.spoiled && self.leased(now), j.object());
+        let (good, object, lane) = (!j.spoiled && self.leased(now), j.object(), j.req.lane.clone());
         let stocked = inquiry.source == Source::Ledger;
         // A ledger has looked at its copy's mark itself.
         let same_purges = stocked || purges == self.purges();
@@ -115,7 +115,7 @@
                 self.count(if stocked { "filled from ledgers" } else { "filled from homes" });
                 // Whoever knew other purges may have shown what one of them took.
                 let sure = same_purges && c.whole.status == 200;
-                self.body_sizes.note(&object.1, c.whole.size());
+                self.body_sizes.note(&lane, c.whole.size());
                 let guest = !self.is_home_after(inquiry.source);
                 let copy = Copy { whole: Arc::new(c.whole), public: c.public, since, until, guest };
                 if sure {
--- a/crates/edge/src/copies.rs
+++ b/crates/edge/src/copies.rs
@@ -1,5 +1,5 @@
 //! Shared copies of readable content, in memory.
-use control_state::{Lane, Shelf, Shelved, Shown, Svc, Whole};
+use control_state::{Object, Shelf, Shelved, Shown, Whole};
 use primitives::{Mono, Span};
 use std::sync::Arc;
 
@@ -47,4 +47,4 @@
     }
 }
 
-pub(crate) type Copies = Shelf<(Svc, Lane, String), Copy>;
+pub(crate) type Copies = Shelf<Object, Copy>;
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -54,16 +54,16 @@
     pub(crate) copies: Copies,
     pub(crate) jobs: BTreeMap<u64, Job>,
     /// The job that fills each object now.
-    pub(crate) fills: BTreeMap<(Svc, Lane, String), u64>,
+    pub(crate) fills: BTreeMap<Object, u64>,
     pub(crate) rounds: BTreeMap<u64, u64>,
     /// Of all purges known, unless one came since it was last asked for.
     pub(crate) purge_digest: Option<u64>,
     /// Copies offered to ledgers, by the job that filled them.
-    pub(crate) offers: BTreeMap<u64, (Svc, Lane, String)>,
+    pub(crate) offers: BTreeMap<u64, Object>,
     pub(crate) outgoing: Vec<Outgoing>,
     /// Objects whose answers lately were not to be shared, and until when each
     /// caller is answered by the origin.
-    pub(crate) solo: BTreeMap<(Svc, Lane, String), Mono>,
+    pub(crate) solo: BTreeMap<Object, Mono>,
     pub(crate) body_sizes: BodySizes,
     pub(crate) purged_tags: PurgedTags,
     /// How long homes take to answer, by their reach.
@@ -232,9 +232,9 @@
             In::Msg(from, m) => match m {
                 Msg::CallAnswered(n, said) => self.on_call_answered(now, from, n, *said, out),
                 Msg::Update(n) => self.on_update(now, from, *n, out),
-                Msg::CopyAsk { ask, svc, lane, path, heads, reach, held, patience } => {
+                Msg::CopyAsk { ask, object, heads, reach, held, patience } => {
                     let wish = Wish { heads, reach, held, patience };
-                    self.on_copy_ask(now, (from, ask), (svc, lane, path), wish, out)
+                    self.on_copy_ask(now, (from, ask), object, wish, out)
                 }
                 Msg::CopyWait(ask) => self.on_copy_wait(now, from, ask),
                 Msg::CopyGot { ask, said, purges } => self.on_copy_got(now, (from, ask), said, purges, out),
--- a/crates/edge/src/jobs.rs
+++ b/crates/edge/src/jobs.rs
@@ -41,6 +41,8 @@
 pub(crate) struct Job {
     pub req: Req,
     pub svc: Svc,
+    /// As it was when the request came, whatever becomes of the lane.
+    pub site: Site,
     pub row: Row,
     /// The lane's, not the row's.
     pub kind: Kind,
@@ -77,8 +79,8 @@
 }
 
 impl Job {
-    pub fn object(&self) -> (Svc, Lane, String) {
-        (self.svc.clone(), self.req.lane.clone(), self.req.path.clone())
+    pub fn object(&self) -> Object {
+        Object { service: self.svc.clone(), site: self.site.clone(), path: self.req.path.clone() }
     }
 
     /// It is worked on for as long as any of its callers waits.
@@ -158,6 +160,7 @@
         let by = now + req.left.map_or(most, |l| l.min(most));
         yes(held < self.env.hands.0, Denied::TooMany)?;
         Ok(Job {
+            site: self.table.site(&req.lane),
             req,
             svc,
             row,
--- a/crates/edge/src/keyed.rs
+++ b/crates/edge/src/keyed.rs
@@ -65,7 +65,8 @@
             let back = self.come_back(Denied::NoLease);
             return self.tell(now, &c, Step::Deny(Denied::NoLease, back), out);
         }
-        let key = format!("{}/{}", self.key_space(&j.req.lane), j.req.key.as_deref().unwrap_or(""));
+        // Lanes of a host come, go and are renamed while their callers' keys stay the same.
+        let key = format!("{}/{}", j.site.0, j.req.key.as_deref().unwrap_or(""));
         let print = Print::of(&j.req.method, &j.req.path, &j.req.heads, &j.req.body);
         let n = self.number();
         let round = RoundId { node: self.follow.env.id, birth: self.follow.env.birth, n };
@@ -83,13 +84,6 @@
         self.count_votes(now, n, false, out);
     }
 
-    /// Within which a key names one operation: the lane's host, for lanes of a host come,
-    /// go and are renamed while their callers' keys stay the same.
-    fn key_space(&self, lane: &Lane) -> String {
-        let host = self.table.entries.get(lane).map(|e| e.host.to_ascii_lowercase());
-        host.unwrap_or_else(|| lane.to_string())
-    }
-
     /// A claim or its answer may be lost with a link; asking again changes nothing.
     pub(crate) fn claim_again(&mut self, now: Mono, id: u64, out: &mut Vec<Out>) {
         let Some(j) = self.jobs.get_mut(&id) else { return };
--- a/crates/edge/src/purge.rs
+++ b/crates/edge/src/purge.rs
@@ -6,22 +6,18 @@
 use control_state::*;
 use primitives::Mono;
 
-type Object = (Svc, Lane, String);
-
 impl Edge {
     /// A purge of all whose path begins so.
     pub(crate) fn purge(&mut self, now: Mono, svc: &Svc, prefix: &str, out: &mut Vec<Out>) {
-        self.copies.drop_where(|k, _| k.0 == *svc && k.2.starts_with(prefix));
-        self.spoil(now, |o| o.0 == *svc && o.2.starts_with(prefix), out);
+        self.copies.drop_where(|k, _| k.service == *svc && k.path.starts_with(prefix));
+        self.spoil(now, |o| o.service == *svc && o.path.starts_with(prefix), out);
     }
 
     /// A purge by page or by tag. What is being fetched shows its tags when it comes.
     pub(crate) fn purge_by(&mut self, now: Mono, p: &PurgeBy, out: &mut Vec<Out>) {
-        let table = self.table.clone();
-        let host = |l: &Lane| table.entries.get(l).map(|e| e.host.to_ascii_lowercase());
-        let page = |o: &Object, h: &str, path: &str| {
+        let page = |o: &Object, host: &str, path: &str| {
             let bare = |s: &str| s.split('?').next().unwrap_or(s).to_string();
-            bare(&o.2) == bare(path) && host(&o.1).is_none_or(|x| x == h.to_ascii_lowercase())
+            bare(&o.path) == bare(path) && o.site.0 == host.to_ascii_lowercase()
         };
         match p {
             PurgeBy::Page(h, path) => {
--- a/crates/edge/src/read.rs
+++ b/crates/edge/src/read.rs
@@ -52,7 +52,7 @@
 
     /// Fills are coalesced: later callers wait for the first one's. Who acts for a reach
     /// does not wait for another who does.
-    fn join_fill(&mut self, obj: &(Svc, Lane, String), callers: &[Waiting], acts_for: Option<Reach>) -> bool {
+    fn join_fill(&mut self, obj: &Object, callers: &[Waiting], acts_for: Option<Reach>) -> bool {
         let id = self.fills.get(obj).copied();
         let beyond = |j: &Job| match (&j.stage, acts_for) {
             (Stage::Home(inquiry), Some(acts)) => inquiry.source > Source::Home(acts),
@@ -71,7 +71,7 @@
         &mut self,
         now: Mono,
         (from, ask): (Addr, AskId),
-        obj: (Svc, Lane, String),
+        obj: Object,
         wish: Wish,
         out: &mut Vec<Out>,
     ) {
@@ -80,8 +80,10 @@
         if !self.in_touch(now) {
             return out.push(self.copy_got(from, ask, CopySaid::NotYet));
         }
-        let rows = self.table.lanes.get(&obj.1).cloned().unwrap_or_default();
-        let ttl = rows.iter().find(|(s, _)| *s == obj.0).map_or(Span(0), |(_, r)| r.ttl);
+        // By the lane that leads to it now: the asker may go by an older configuration, or a newer.
+        let lane = self.table.lane_of(&obj.site, &obj.path).unwrap_or_default();
+        let rows = self.table.lanes.get(&lane).cloned().unwrap_or_default();
+        let ttl = rows.iter().find(|(s, _)| *s == obj.service).map_or(Span(0), |(_, r)| r.ttl);
         let held = self.copies.get(now, &obj).filter(|c| now - c.since < ttl).cloned();
         if let Some(c) = held {
             let until = c.until.min(self.leased_until());
@@ -101,19 +103,18 @@
         if self.leased(now) && self.join_fill(&obj, std::slice::from_ref(&waiting), Some(wish.reach)) {
             return;
         }
-        let (svc, lane, path) = obj.clone();
         let (method, body) = ("GET".into(), Arc::new(vec![]));
         let req = Req {
             method,
             lane,
-            path,
+            path: obj.path.clone(),
             key: None,
             heads: wish.heads.for_all(),
             body,
             left: Some(wish.patience.left),
             ..Req::default()
         };
-        match self.admit(now, req).ok().filter(|j| j.svc == svc && j.kind == Kind::Read) {
+        match self.admit(now, req).ok().filter(|j| j.object() == obj && j.kind == Kind::Read) {
             Some(mut j) => {
                 j.join(&[waiting]);
                 j.acts_for = Some(wish.reach);
@@ -126,7 +127,7 @@
         }
     }
 
-    pub(crate) fn keep(&mut self, now: Mono, obj: (Svc, Lane, String), c: Copy) {
+    pub(crate) fn keep(&mut self, now: Mono, obj: Object, c: Copy) {
         if c.until > now && c.whole.size() <= self.env.copies {
             self.copies.put(obj, c);
         }
@@ -137,7 +138,7 @@
         let Some(j) = self.jobs.get(&id) else { return };
         let says = sharing(&j.req, &w, j.row.ttl);
         let (obj, until, alone) = (j.object(), sent + says.life, j.solo);
-        self.body_sizes.note(&obj.1, w.size());
+        self.body_sizes.note(&j.req.lane, w.size());
         let common = !says.personal && (w.status != 200 || says.life > Span(0));
         // What one caller asked for alone may be less than the whole, or encoded for it.
         let plain = !alone || (j.req.method == "GET" && !w.heads.has("content-encoding"));
--- a/crates/edge/src/sources.rs
+++ b/crates/edge/src/sources.rs
@@ -54,14 +54,14 @@
     }
 
     /// The first home by rendezvous of those that have not kept silent lately.
-    pub(crate) fn home(&self, now: Mono, object: &(Svc, Lane, String), reach: Reach) -> Option<Addr> {
+    pub(crate) fn home(&self, now: Mono, object: &Object, reach: Reach) -> Option<Addr> {
         let homes = self.table.homes(reach, &self.follow.env.zone).iter();
         let speaks = |e: &&EdgeNode| self.mute.get(&e.addr).is_none_or(|t| *t <= now);
         primitives::first(object, homes.filter(speaks), |e| e.id.0, |e| e.capacity).map(|e| e.addr)
     }
 
     /// The ledger that stocks an object, of this edge's region, if ledgers stock any.
-    pub(crate) fn stock_of(&self, now: Mono, obj: &(Svc, Lane, String)) -> Option<Addr> {
+    pub(crate) fn stock_of(&self, now: Mono, obj: &Object) -> Option<Addr> {
         if !self.env.stock {
             return None;
         }
@@ -73,12 +73,7 @@
     }
 
     /// The first source that is to be asked by one who acts for that reach, or for callers.
-    pub(crate) fn first_source(
-        &self,
-        now: Mono,
-        object: &(Svc, Lane, String),
-        acts_for: Option<Reach>,
-    ) -> Source {
+    pub(crate) fn first_source(&self, now: Mono, object: &Object, acts_for: Option<Reach>) -> Source {
         let me = self.follow.env.addr;
         let wider = self.reaches().iter().filter(|r| acts_for.is_none_or(|acts| **r > acts));
         // Who is the home of a reach asks nobody of a nearer one.
@@ -132,7 +127,7 @@
     }
 
     /// The home of that reach, if it is another edge and not passed by.
-    fn home_to_ask(&self, now: Mono, object: &(Svc, Lane, String), reach: Reach) -> Option<Addr> {
+    fn home_to_ask(&self, now: Mono, object: &Object, reach: Reach) -> Option<Addr> {
         if reach == Reach::Deployment && self.rather_near(now, object) {
             return None;
         }
@@ -141,16 +136,16 @@
 
     /// Whether an origin of the own region is asked rather than a home beyond it: for a large body
     /// of which there is nothing to be renewed.
-    fn rather_near(&self, now: Mono, object: &(Svc, Lane, String)) -> bool {
-        let (service, lane, _) = object;
+    fn rather_near(&self, now: Mono, object: &Object) -> bool {
+        let Some(lane) = self.table.lane_of(&object.site, &object.path) else { return false };
         let region = self.follow.env.zone.region();
         let here = |(addr, origin): &(Addr, Origin)| {
             origin.zone.region() == region && self.fresh_until(addr, origin) > now
         };
         let renewable = || self.copies.peek(object).is_some_and(|c| c.whole.heads.has("etag"));
-        self.body_sizes.exceed(lane, self.env.policy.far_body)
+        self.body_sizes.exceed(&lane, self.env.policy.far_body)
             && !renewable()
-            && self.table.origins.get(service).is_some_and(|all| all.iter().any(here))
+            && self.table.origins.get(&object.service).is_some_and(|all| all.iter().any(here))
     }
 
     fn after(&self, source: Source) -> Source {
@@ -162,13 +157,13 @@
     fn inquire(&mut self, now: Mono, id: u64, inquiry: Inquiry, out: &mut Vec<Out>) {
         let ask = self.ask_id(id);
         let Some(j) = self.jobs.get(&id) else { return };
-        let ((svc, lane, path), heads, patience) = (j.object(), j.req.heads.clone(), j.patience(now));
+        let (object, heads, patience) = (j.object(), j.req.heads.clone(), j.patience(now));
         let reach = match inquiry.source {
             Source::Home(reach) => reach,
             _ => Reach::Deployment,
         };
         // Only what is kept here can be renewed.
-        let lapsed = self.copies.peek(&(svc.clone(), lane.clone(), path.clone()));
+        let lapsed = self.copies.peek(&object);
         let held = lapsed.and_then(|c| c.whole.heads.get("etag")).map(str::to_string);
         let held = held.filter(|_| inquiry.source != Source::Ledger);
         self.count(match inquiry.source {
@@ -177,7 +172,7 @@
             Source::Home(Reach::Deployment) => "asked of deployment homes",
             _ => "asked of ledgers",
         });
-        out.push(Out::Send(inquiry.to, Msg::CopyAsk { ask, svc, lane, path, heads, reach, held, patience }));
+        out.push(Out::Send(inquiry.to, Msg::CopyAsk { ask, object, heads, reach, held, patience }));
         self.stage(now, id, Stage::Home(inquiry));
     }
 
--- a/crates/edge/src/table.rs
+++ b/crates/edge/src/table.rs
@@ -85,6 +85,17 @@
         self.entries.insert(Lane(name.to_string()), Arc::new(l.clone()));
     }
 
+    /// What tells the lane's paths apart from equal ones of its service.
+    pub fn site(&self, lane: &Lane) -> Site {
+        Site(self.entries.get(lane).map_or_else(|| lane.0.clone(), |e| e.host.to_ascii_lowercase()))
+    }
+
+    /// The lane by which requests for that path of the site come now, if any.
+    pub fn lane_of(&self, site: &Site, path: &str) -> Option<Lane> {
+        let hostless = || Some(Lane(site.0.clone())).filter(|lane| !self.entries.contains_key(lane));
+        self.paths.find(&site.0, path).cloned().or_else(hostless)
+    }
+
     /// The strictest kind of the lane's rows.
     pub fn kind(&self, l: &Lane) -> Option<Kind> {
         self.lanes.get(l)?.iter().map(|(_, r)| r.kind).max()
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -196,9 +196,7 @@
                 }
                 Msg::StockOffer(ask) => self.on_stock_offer(now, from, ask, out),
                 Msg::StockPut(at, p) => self.on_stock_put(now, at, *p, out),
-                Msg::CopyAsk { ask, svc, lane, path, .. } => {
-                    self.on_copy_ask(now, from, ask, (svc, lane, path), out)
-                }
+                Msg::CopyAsk { ask, object, .. } => self.on_copy_ask(now, from, ask, object, out),
                 Msg::Digests(d) => self.on_digests(now, from, d, out),
                 Msg::Ranges(r) => self.on_ranges(now, r, out),
                 Msg::Recall { ask, roll, purpose } => self.on_recall(now, from, ask, (roll, purpose), out),
--- a/crates/ledger/src/stock.rs
+++ b/crates/ledger/src/stock.rs
@@ -6,8 +6,6 @@
 use primitives::{Addr, Mono, Span};
 use serde::{Deserialize, Serialize};
 
-pub(crate) type Object = (Svc, Lane, String);
-
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Stocked {
     pub object: Object,
--- a/crates/simulator/src/field.rs
+++ b/crates/simulator/src/field.rs
@@ -156,14 +156,16 @@
         let b = self.blooms.get_mut(&r.addr).filter(|b| b.up && b.birth.0 == birth);
         let Some(b) = b else { return self.report(g, life, r.n, Fetched::Lost) };
         b.in_hand = b.in_hand.saturating_sub(1);
-        let name = format!("\"{}-{edition}\"", r.req.path);
+        let host = r.req.heads.get("host").unwrap_or_default();
+        let name = format!("\"{host}{}-{edition}\"", r.req.path);
         if b.tags && r.req.heads.get("if-none-match") == Some(&name) {
             return self.unchanged(g, life, &r, edition);
         }
-        // Whose answer, to what, of which edition, made when.
+        // Whose answer, to what, of which edition, made when, and of which host if it was told one.
         let open = b.heads.get("cache-control").is_some_and(|c| c.contains("public"));
         let who = if open { String::new() } else { who(&r.req) };
-        let body = format!("{}|{}|{}|{}|{who}", b.svc, r.req.path, edition, self.now.0).into_bytes();
+        let body = format!("{}|{}|{}|{}|{who}|{host}", b.svc, r.req.path, edition, self.now.0);
+        let body = body.trim_end_matches('|').as_bytes().to_vec();
         let mut heads = b.heads.clone().with("content-digest", digest(&body));
         if b.tags {
             // Its tag is the first word of the last part of its path.
