--- a/crates/edge/src/line.rs
+++ b/crates/edge/src/line.rs
@@ -87,6 +87,11 @@
         }
     }
 
+    /// Whether anybody here has had to wait for leave to ask that service.
+    pub(crate) fn has_line(&self, now: Mono, svc: &Svc) -> bool {
+        self.jobs.values().any(|j| j.in_line() && j.svc == *svc && j.staged < now)
+    }
+
     /// Lets the lines move, each until somebody in it has to wait.
     pub(crate) fn serve_line(&mut self, now: Mono, out: &mut Vec<Out>) {
         for line in self.lines(now) {
--- a/crates/edge/src/sources.rs
+++ b/crates/edge/src/sources.rs
@@ -128,24 +128,31 @@
 
     /// The home of that reach, if it is another edge and not passed by.
     fn home_to_ask(&self, now: Mono, object: &Object, reach: Reach) -> Option<Addr> {
-        if reach == Reach::Deployment && self.rather_near(now, object) {
+        if self.rather_near(now, object, reach) {
             return None;
         }
         self.home(now, object, reach).filter(|home| *home != self.follow.env.addr)
     }
 
-    /// Whether an origin of the own region is asked rather than a home beyond it: for a large body
-    /// of which there is nothing to be renewed.
-    fn rather_near(&self, now: Mono, object: &Object) -> bool {
-        let Some(lane) = self.table.lane_of(&object.site, &object.path) else { return false };
-        let region = self.follow.env.zone.region();
-        let here = |(addr, origin): &(Addr, Origin)| {
-            origin.zone.region() == region && self.fresh_until(addr, origin) > now
+    /// Whether an origin of the own zone or region is asked rather than a home beyond it: for a
+    /// large body of which there is nothing to be renewed.
+    fn rather_near(&self, now: Mono, object: &Object, reach: Reach) -> bool {
+        let here = &self.follow.env.zone;
+        let at_hand = |origin: &Origin| match reach {
+            Reach::Zone => false,
+            Reach::Region => origin.zone == *here,
+            Reach::Deployment => origin.zone.region() == here.region(),
         };
+        let usable =
+            |(addr, origin): &(Addr, Origin)| at_hand(origin) && self.fresh_until(addr, origin) > now;
+        let Some(lane) = self.table.lane_of(&object.site, &object.path) else { return false };
         let renewable = || self.copies.peek(object).is_some_and(|c| c.whole.heads.has("etag"));
+        // Within a region an origin is spared the others' fills as soon as it is pressed.
+        let pressed = || reach == Reach::Region && self.has_line(now, &object.service);
         self.body_sizes.exceed(&lane, self.env.policy.far_body)
             && !renewable()
-            && self.table.origins.get(&object.service).is_some_and(|all| all.iter().any(here))
+            && self.table.origins.get(&object.service).is_some_and(|all| all.iter().any(usable))
+            && !pressed()
     }
 
     fn after(&self, source: Source) -> Source {
--- a/crates/runtime/tests/links_slow.rs
+++ b/crates/runtime/tests/links_slow.rs
@@ -2,7 +2,7 @@
 //! grows old, frames stay whole, and connections are made anew.
 mod peers;
 
-use control_state::{AskId, Lane, Msg, Svc};
+use control_state::{AskId, Msg, Object, Site, Svc};
 use peers::{digests, number, Peer};
 use primitives::{Addr, Birth};
 use runtime::net::{Counts, Net};
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -43,6 +43,7 @@
     pub counts: BTreeMap<&'static str, u64>,
     /// Of messages between processes, where links are limited.
     pub bytes_between_regions: u64,
+    pub bytes_between_zones: u64,
     pub next_token: u64,
     heap: BinaryHeap<Reverse<(Mono, u64)>>,
     evs: BTreeMap<u64, Ev>,
@@ -65,6 +66,7 @@
             beats_taken: BTreeMap::new(),
             counts: BTreeMap::new(),
             bytes_between_regions: 0,
+            bytes_between_zones: 0,
             next_token: 0,
             heap: BinaryHeap::new(),
             evs: BTreeMap::new(),
