--- /dev/null
+++ b/crates/edge/src/job.rs
@@ -0,0 +1,103 @@
+//! A request in hand: what it asks for, who waits for it, and how far it is.
+use crate::claim::Claim;
+use crate::sources::Inquiry;
+use control_state::*;
+use primitives::{Addr, Birth, Mono, Token};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Who waits for a job's end.
+#[derive(Clone, Debug)]
+pub(crate) enum Caller {
+    Local(Token, Arc<Req>),
+    /// Another edge, and its name for the question.
+    Edge(Addr, AskId),
+}
+
+/// A caller, since when it waits, and until when: in line, and in all.
+#[derive(Clone, Debug)]
+pub(crate) struct Waiting {
+    pub caller: Caller,
+    pub since: Mono,
+    pub in_line_until: Mono,
+    pub by: Mono,
+}
+
+#[derive(Debug)]
+pub(crate) enum Stage {
+    /// Waits for somebody who may have a copy.
+    Home(Inquiry),
+    /// Waits for the ledgers' words.
+    Claim(BTreeMap<Addr, Claimed>),
+    /// Waits in line for leave to press the service.
+    Line,
+    /// A round is out; its number, where, until when it might have left.
+    Out(Box<Round>, Mono),
+}
+
+#[derive(Debug)]
+pub(crate) struct Job {
+    pub req: Req,
+    pub svc: Svc,
+    /// As it was when the request came, whatever becomes of the lane.
+    pub site: Site,
+    pub row: Row,
+    /// The lane's, not the row's.
+    pub kind: Kind,
+    pub callers: Vec<Waiting>,
+    pub stage: Stage,
+    pub staged: Mono,
+    /// Rounds of which bytes may have reached an origin.
+    pub tries: u32,
+    /// Rounds that found no way out.
+    pub unsent: u32,
+    pub tried: Vec<(Addr, Birth)>,
+    /// A purge (or a lapse) came in between: what was fetched before is not used.
+    pub spoiled: bool,
+    /// Readable, but for its one caller alone: no copy is used or joined.
+    pub solo: bool,
+    /// The whole is asked for, whatever copy there was.
+    pub plain: bool,
+    /// It is filled for others, as the home of that reach.
+    pub acts_for: Option<Reach>,
+    /// Whoever was asked for a copy and has kept silent so far.
+    pub overdue: Vec<Inquiry>,
+    /// Keyed only: what was claimed of which ledgers.
+    pub claim: Option<Claim>,
+    /// Keyed only. Invariant: nothing leaves after this, however long we froze.
+    pub must_leave: Mono,
+    /// Served in time until then.
+    pub due: Mono,
+    /// Given up after this: the latest of its callers'.
+    pub by: Mono,
+    /// Origins it may be sent to.
+    pub attempts: u32,
+    /// Rounds that origins say they did not run.
+    pub refused: u32,
+}
+
+impl Job {
+    pub fn object(&self) -> Object {
+        Object { service: self.svc.clone(), site: self.site.clone(), path: self.req.path.clone() }
+    }
+
+    /// It is worked on for as long as any of its callers waits.
+    pub fn join(&mut self, callers: &[Waiting]) {
+        self.by = callers.iter().map(|c| c.by).fold(self.by, Mono::max);
+        self.callers.extend(callers.iter().cloned());
+    }
+
+    /// Whether running it twice does no harm.
+    pub fn safe(&self) -> bool {
+        match self.kind {
+            Kind::Read => true,
+            // What the configuration calls repeatable is, whatever its method.
+            Kind::Plain => self.req.host.is_some() || harmless(&self.req.method),
+            Kind::Once | Kind::Keyed => false,
+        }
+    }
+}
+
+pub(crate) fn harmless(method: &str) -> bool {
+    method == "GET" || method == "HEAD"
+}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -8,6 +8,7 @@
 mod expiry;
 mod forwarded_calls;
 mod homes;
+mod job;
 mod jobs;
 mod keyed;
 mod lanes;
