--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -2,10 +2,10 @@
 use crate::copies::Copies;
 use crate::forwarded_calls::ForwardedCalls;
 use crate::jobs::Job;
-use crate::keyed::Outgoing;
 use crate::metrics::EdgeMetrics;
 use crate::neighbour::Neighbour;
 use crate::origins::Seen;
+use crate::outgoing::Outgoing;
 pub use crate::policy::EdgePolicy;
 use crate::press::Press;
 use crate::purged_tags::PurgedTags;
@@ -240,7 +240,7 @@
                 Msg::CopyGot { ask, said, purges } => self.on_copy_got(now, (from, ask), said, purges, out),
                 Msg::StockWant { ask, at } => self.on_stock_want(now, from, ask, at, out),
                 Msg::Claimed { round, said, .. } => self.on_claimed(now, from, round, said, out),
-                Msg::Kept { round, .. } => self.on_kept(from, round),
+                Msg::Kept { round, .. } => self.on_kept(now, from, round),
                 _ => self.count("stray"),
             },
         }
--- a/crates/edge/src/keyed.rs
+++ b/crates/edge/src/keyed.rs
@@ -4,57 +4,15 @@
 use crate::claim::Claim;
 use crate::edge::Edge;
 use crate::jobs::*;
+use crate::outgoing::{Outgoing, RanKey};
 use control_state::*;
-use primitives::{Addr, Backoff, Mono, Span};
+use primitives::{Addr, Backoff, Birth, Mono, Span};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// An outcome on its way to the key's ledgers.
-#[derive(Debug)]
-pub(crate) struct Outgoing {
-    key: String,
-    print: Print,
-    round: RoundId,
-    whole: Whole,
-    to: BTreeSet<Addr>,
-    /// Asked instead if the one chosen keeps silent; the next one last.
-    others: Vec<Addr>,
-    began: Mono,
-    send_again: Backoff,
-    chosen: Mono,
-}
-
-impl Outgoing {
-    /// Turns from a ledger that kept silent for long to the next one; whether it did.
-    fn choose_again(&mut self, now: Mono) -> bool {
-        if now - self.chosen < CHOICE {
-            return false;
-        }
-        let Some(next) = self.others.pop() else { return false };
-        self.chosen = now;
-        self.to = BTreeSet::from([next]);
-        true
-    }
-
-    fn messages(&self) -> impl Iterator<Item = Out> + '_ {
-        let outcome = || Msg::Outcome {
-            key: self.key.clone(),
-            print: self.print,
-            round: self.round,
-            whole: self.whole.clone(),
-        };
-        self.to.iter().map(move |a| Out::Send(*a, outcome()))
-    }
-}
-
 /// How long after a lease keys are claimed, where an edge serves on without one.
 const CLAIMS_ON: Span = Span::secs(5);
-/// How long the one ledger that is to keep an outcome may keep silent.
-const CHOICE: Span = Span::secs(1);
 /// The first and the longest pause after which silent ledgers are asked again.
 const ASK_AGAIN: (Span, Span) = (Span::ms(120), Span::ms(480));
-/// The same for an outcome that is not known to be kept.
-const SEND_AGAIN: (Span, Span) = (Span::ms(250), Span::secs(2));
-
 impl Edge {
     /// Only under a lease that holds or lapsed a moment ago: a set of ledgers loses its
     /// force a window after every lease that knew no newer one, and claims of before
@@ -131,7 +89,7 @@
             self.deny(now, id, Denied::KeyReused, out);
         } else if let Some(w) = known {
             self.release_job(id, out);
-            let s = Step::Serve(std::sync::Arc::new(w), Shared::Record, Mono(u64::MAX));
+            let s = Step::Serve(std::sync::Arc::new(w.without_holders()), Shared::Record, Mono(u64::MAX));
             self.finish(now, id, s, out);
         } else if claim.won(votes, self.env.losses) {
             self.note_granted(id);
@@ -176,16 +134,16 @@
     pub(crate) fn ran(&mut self, now: Mono, id: u64, w: Whole, s: Step, out: &mut Vec<Out>) {
         let claim = self.jobs.get(&id).and_then(|j| j.claim.clone());
         if let Some(c) = claim {
-            let mut others = self.recorders(&c);
-            let to = match self.env.policy.near {
-                true => others.pop().into_iter().collect(),
-                false => std::mem::take(&mut others).into_iter().collect(),
-            };
+            let ledgers = self.recorders(&c);
             let Claim { round, key, print, .. } = c;
-            let send_again = Backoff::new(now, SEND_AGAIN.0, SEND_AGAIN.1);
-            let (began, chosen) = (now, now);
-            let outgoing = Outgoing { key, print, round, whole: w, to, others, began, send_again, chosen };
-            out.extend(outgoing.messages());
+            let of = RanKey { key, print, round };
+            let outgoing = if self.env.policy.near {
+                // On one disk more than may be lost at once.
+                Outgoing::new(now, of, w, ledgers, self.env.losses + 1)
+            } else {
+                Outgoing::to_all(now, of, w, ledgers)
+            };
+            outgoing.send(out);
             self.outgoing.push(outgoing);
         }
         self.finish(now, id, s, out);
@@ -198,34 +156,32 @@
         c.ledgers().into_iter().chain(now.into_iter().flatten()).collect()
     }
 
-    /// Who is to keep the outcome, the first choice last: the key's ledgers, those that
-    /// granted it before others, of them those of the newest set, and of them the nearest.
-    fn recorders(&self, c: &Claim) -> Vec<Addr> {
+    /// Who may keep the outcome, the first choices last: the key's ledgers, those that granted it
+    /// before others, of them those of the newest set, and of them the nearest.
+    fn recorders(&self, c: &Claim) -> Vec<Holder> {
         let newest = self.table.roll.named(&c.key, self.env.losses).pop().unwrap_or_default();
         let here = &self.follow.env.zone;
-        let zone = |a: &Addr| self.table.ledgers.iter().find(|x| x.1 == *a).map(|x| x.2.clone());
-        let near = |a: &Addr| zone(a).is_some_and(|z| z == *here);
+        let known = |a: &Addr| self.table.ledgers.iter().find(|l| l.addr == *a);
+        let near = |a: &Addr| {
+            let zone = known(a).map(|l| &l.zone);
+            zone.map(|z| (z.region() == here.region(), z == here)).unwrap_or_default()
+        };
         let mut all: Vec<Addr> = self.holders(c).into_iter().collect();
         all.sort_by_key(|a| (c.granted.contains(a), newest.contains(a), near(a)));
-        all
+        let birth = |a: &Addr| known(a).map_or(Birth(0), |l| l.birth);
+        all.into_iter().map(|addr| Holder { addr, birth: birth(&addr) }).collect()
     }
 
     pub(crate) fn push_outcomes(&mut self, now: Mono, out: &mut Vec<Out>) {
-        for o in &mut self.outgoing {
-            if o.choose_again(now) || o.send_again.due(now) {
-                out.extend(o.messages());
-            }
-        }
-        self.outgoing.retain(|o| !o.to.is_empty() && now - o.began < Span::secs(8));
+        self.outgoing.iter_mut().for_each(|o| o.push(now, out));
+        self.outgoing.retain(|o| !o.is_over(now));
     }
 
-    pub(crate) fn on_kept(&mut self, from: Addr, round: RoundId) {
+    pub(crate) fn on_kept(&mut self, now: Mono, from: Addr, round: RoundId) {
         if self.own_round(round).is_none() {
             return;
         }
-        for o in self.outgoing.iter_mut().filter(|o| o.round == round) {
-            o.to.remove(&from);
-        }
-        self.outgoing.retain(|o| !o.to.is_empty());
+        self.outgoing.iter_mut().filter(|o| o.of.round == round).for_each(|o| o.note_kept(from));
+        self.outgoing.retain(|o| !o.is_over(now));
     }
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -16,6 +16,7 @@
 mod metrics;
 mod neighbour;
 mod origins;
+mod outgoing;
 mod policy;
 mod press;
 mod purge;
--- a/crates/edge/src/sources.rs
+++ b/crates/edge/src/sources.rs
@@ -66,10 +66,10 @@
             return None;
         }
         let here = self.follow.env.zone.region();
-        let near: Vec<_> = self.table.ledgers.iter().filter(|c| c.2.region() == here).cloned().collect();
-        let ranked = primitives::rank(obj, &near, |c| c.0 .0);
+        let near: Vec<_> = self.table.ledgers.iter().filter(|l| l.zone.region() == here).cloned().collect();
+        let ranked = primitives::rank(obj, &near, |l| l.id.0);
         let speaks = |a: &Addr| self.mute.get(a).is_none_or(|t| *t <= now);
-        ranked.into_iter().map(|c| c.1).next().filter(speaks)
+        ranked.into_iter().map(|l| l.addr).next().filter(speaks)
     }
 
     /// The first source that is to be asked by one who acts for that reach, or for callers.
--- a/crates/edge/src/table.rs
+++ b/crates/edge/src/table.rs
@@ -2,10 +2,20 @@
 use crate::homes::Homes;
 use crate::lanes::Lanes;
 use control_state::*;
-use primitives::{Addr, NodeId, Version};
+use primitives::{Addr, Birth, NodeId, Version};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+/// A ledger as it registered.
+#[derive(Clone, Debug)]
+pub struct LedgerNode {
+    pub id: NodeId,
+    pub addr: Addr,
+    pub zone: Zone,
+    /// The life of its disk.
+    pub birth: Birth,
+}
+
 #[derive(Clone, Debug, Default)]
 pub struct Table {
     /// Only live rows.
@@ -17,7 +27,7 @@
     homes: Homes,
     /// See `parts`.
     parts: BTreeMap<NodeId, f64>,
-    pub ledgers: Vec<(NodeId, Addr, Zone)>,
+    pub ledgers: Vec<LedgerNode>,
     pub roll: Roll,
     pub roll_version: Version,
     pub shares: BTreeMap<Svc, Share>,
@@ -48,7 +58,8 @@
                     t.origins.entry(o.svc.clone()).or_default().push((*a, o.clone()));
                 }
                 (Key::Node(id), Some(Body::Node(n))) if n.role == Role::Ledger => {
-                    t.ledgers.push((*id, n.addr, n.zone.clone()));
+                    let (addr, zone) = (n.addr, n.zone.clone());
+                    t.ledgers.push(LedgerNode { id: *id, addr, zone, birth: n.birth });
                 }
                 _ => (),
             }
--- a/crates/ledger/src/claims.rs
+++ b/crates/ledger/src/claims.rs
@@ -1,9 +1,12 @@
 //! Claims, releases and outcomes of rounds, as edges send them.
-use crate::grants::Kept;
+use crate::grants::{Grant, Kept};
 use crate::ledger::Ledger;
 use control_state::*;
 use primitives::{Addr, Mono, Version};
 
+/// The largest outcome that is kept, as a part of the room: one in so many.
+const LARGEST_OUTCOME: usize = 16;
+
 /// An edge's asking for a key.
 #[derive(Debug)]
 pub(crate) struct KeyClaim {
@@ -49,7 +52,7 @@
 
     pub(crate) fn on_release(&mut self, now: Mono, key: String, round: RoundId, out: &mut Vec<Out>) {
         self.recall.released(round);
-        let ours = |g: &crate::grants::Grant| g.round == round && g.whole.is_none();
+        let ours = |g: &Grant| g.round == round && g.whole.is_none();
         if self.grants.get(&key).is_some_and(ours) {
             self.save(now, Kept::Release { key, round }, out);
         }
@@ -65,19 +68,45 @@
         out: &mut Vec<Out>,
     ) {
         let Kept::Grant { key, round, .. } = grant.clone() else { return };
-        let held = self.grants.get(&key).map(|g| (g.round == round, g.whole.is_some()));
-        if held.is_none() {
+        if !self.grants.contains(&key) {
             self.save(now, grant, out);
         }
         // Too large to keep: later tries are in doubt, as if the answer were lost.
-        // Nor may an outcome that may as well be lost take the room of grants.
-        let room = !self.env.sparing || self.grants.bytes() < self.env.most / 4 * 3;
-        let small = whole.size() <= self.env.most / 16 && room;
-        if small && held.is_none_or(|(same, known)| same && !known) {
-            self.count("outcomes");
-            self.save(now, Kept::Outcome { key: key.clone(), round, whole }, out);
+        if whole.size() <= self.env.most / LARGEST_OUTCOME {
+            self.keep_outcome(now, key.clone(), round, whole, out);
         }
         self.leaving.note(&key);
         out.push(Out::Send(from, Msg::Kept { key, round }));
     }
+
+    /// Keeps the outcome of that round; older ones make room.
+    pub(crate) fn keep_outcome(
+        &mut self,
+        now: Mono,
+        key: String,
+        round: RoundId,
+        whole: Whole,
+        out: &mut Vec<Out>,
+    ) {
+        // Known already, it may be held by others since.
+        let news =
+            |g: &Grant| g.round == round && g.whole.as_ref().is_none_or(|w| w.holders() != whole.holders());
+        if !self.grants.get(&key).is_some_and(news) {
+            return;
+        }
+        self.count("outcomes");
+        self.grants.shed_outcomes(self.outcome_room().saturating_sub(whole.size()));
+        self.save(now, Kept::Outcome { key: key.clone(), round, whole }, out);
+        self.note_outcome(&key);
+    }
+
+    /// Bytes of grants and outcomes up to which outcomes are kept: an outcome that may as well be
+    /// lost does not take the room of grants.
+    pub(crate) fn outcome_room(&self) -> usize {
+        if self.env.sparing {
+            self.env.most / 4 * 3
+        } else {
+            usize::MAX
+        }
+    }
 }
--- a/crates/ledger/src/grants.rs
+++ b/crates/ledger/src/grants.rs
@@ -69,6 +69,8 @@
 pub(crate) struct Grants {
     keys: BTreeMap<String, Grant>,
     by_age: BTreeSet<(Mono, String)>,
+    /// Those whose outcome is known.
+    with_outcome: BTreeSet<(Mono, String)>,
     bytes: usize,
 }
 
@@ -115,13 +117,18 @@
         self.remove(&key);
         self.bytes += size(&key, &grant);
         self.by_age.insert((grant.at, key.clone()));
+        if grant.whole.is_some() {
+            self.with_outcome.insert((grant.at, key.clone()));
+        }
         self.keys.insert(key, grant);
     }
 
     fn remove(&mut self, key: &str) -> Option<Grant> {
         let grant = self.keys.remove(key)?;
         self.bytes -= size(key, &grant);
-        self.by_age.remove(&(grant.at, key.to_string()));
+        let place = (grant.at, key.to_string());
+        self.by_age.remove(&place);
+        self.with_outcome.remove(&place);
         Some(grant)
     }
 
@@ -160,6 +167,15 @@
         }
     }
 
+    /// Forgets outcomes, the oldest first, until all comes to no more than that. The grants stay.
+    pub fn shed_outcomes(&mut self, most: usize) {
+        while self.bytes > most {
+            let Some((_, key)) = self.with_outcome.first().cloned() else { return };
+            let grant = self.remove(&key);
+            grant.into_iter().for_each(|g| self.insert(key.clone(), Grant { whole: None, ..g }));
+        }
+    }
+
     /// Drops those whose window is over, the oldest first.
     pub fn drop_old(&mut self, now: Mono, window: Span) {
         while let Some((at, key)) = self.by_age.first() {
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -4,6 +4,7 @@
 use crate::grants::*;
 use crate::leave::Leaving;
 use crate::recall::Recall;
+use crate::replicate::Replication;
 use crate::short_form::ShortForm;
 use crate::stock::Stock;
 use control_state::*;
@@ -31,7 +32,7 @@
     /// A granted round must leave within this; the same at every edge and ledger.
     pub leave: Span,
     /// Outcomes stay where they were given: a key is known at all of its ledgers, its
-    /// outcome at one.
+    /// outcome at one more than disks may be lost at once.
     pub sparing: bool,
 }
 
@@ -53,6 +54,7 @@
     pub(crate) recall: Recall,
     pub(crate) fill: Fill,
     pub(crate) leaving: Leaving,
+    pub(crate) replication: Replication,
     pub(crate) boot: Mono,
     pub(crate) written: usize,
     pub(crate) mended: Mono,
@@ -104,6 +106,7 @@
             recall: Recall::new(life),
             fill: Fill::default(),
             leaving: Leaving::default(),
+            replication: Replication::default(),
             boot: now,
             written: 0,
             mended: now,
@@ -146,6 +149,7 @@
         if now - self.swept >= SWEEP {
             self.swept = now;
             self.grants.drop_old(now, self.env.window);
+            self.replicate(now, out);
         }
         if self.written > self.env.base_after {
             self.written = 0;
@@ -205,7 +209,10 @@
                 }
                 Msg::Fill { roll } => self.on_fill(now, from, roll, out),
                 Msg::HandOver { ask, held } => self.on_hand_over(now, from, ask, held, out),
-                Msg::HandedOver { ask } => self.on_handed_over(ask),
+                Msg::HandedOver { ask } => {
+                    self.on_handed_over(ask);
+                    self.on_replicated(now, from, ask, out);
+                }
                 _ => self.count("stray"),
             },
         }
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -6,6 +6,7 @@
 mod ledger;
 mod mend;
 mod recall;
+mod replicate;
 mod short_form;
 mod stock;
 
--- a/crates/ledger/src/mend.rs
+++ b/crates/ledger/src/mend.rs
@@ -151,9 +151,9 @@
             // As old as it was there, so that it is not passed round for ever.
             self.grants.set_at(&h.key, now - h.age);
         }
-        let lacks = |g: &Grant| g.round == h.round && g.whole.is_none();
+        let lacks = |g: &Grant| g.whole.is_none();
         if let (Some(whole), true) = (h.whole, self.grants.get(&h.key).is_some_and(lacks)) {
-            self.save(now, Kept::Outcome { key: h.key, round: h.round, whole }, out);
+            self.keep_outcome(now, h.key, h.round, whole, out);
         }
     }
 }
--- a/crates/ledger/src/recall.rs
+++ b/crates/ledger/src/recall.rs
@@ -241,7 +241,7 @@
         self.grants.set_at(&h.key, at);
         let known = was.is_some_and(|(_, known, _)| known);
         if let (Some(whole), true) = (h.whole, round == h.round && !known) {
-            self.save(now, Kept::Outcome { key: h.key, round, whole }, out);
+            self.keep_outcome(now, h.key, round, whole, out);
         }
     }
 }
