--- a/crates/simulator/tests/outcomes.rs
+++ b/crates/simulator/tests/outcomes.rs
@@ -142,6 +142,30 @@
     }
 }
 
+// The same where two losses at once are to be borne, and a third comes later.
+#[test]
+fn given_two_losses_borne_then_repeats_get_the_first_answer_after_two_at_once_and_one_later() {
+    for seed in 2870..2874 {
+        let open = Plan::open().open.map(|o| controller::Open { losses: 2, ..o });
+        let (mut w, f) = World::standing_open(Plan { open, losses: 2, ..Plan::open() }, seed);
+        let all = ran(&mut w, &f, 24);
+        let ledger = |i: u64| f.ledgers[((seed + i) % 4) as usize];
+        for lost in [ledger(0), ledger(1)] {
+            common::lose_disk(&mut w, lost);
+            w.start(lost);
+        }
+        w.run(Span::secs(10));
+        all_known(&mut w, &f, &all, &format!("two lost, seed {seed}"));
+        for lost in [ledger(2), ledger(3)] {
+            common::lose_disk(&mut w, lost);
+            w.start(lost);
+        }
+        w.run(Span::secs(10));
+        all_known(&mut w, &f, &all, &format!("all lost, two at a time, seed {seed}"));
+        once(&mut w, &all);
+    }
+}
+
 // The same where the first machine is gone for good, and a new one has taken its place.
 #[test]
 fn given_a_machine_replaced_and_later_a_disk_lost_then_repeats_get_the_first_answer() {
