--- a/crates/ledger/src/grants.rs
+++ b/crates/ledger/src/grants.rs
@@ -60,6 +60,31 @@
     }
 }
 
+/// Keys in the order in which their outcomes came. Ages do not tell it: after a restart all grants
+/// are as old as the process.
+#[derive(Clone, Debug, Default)]
+struct Arrivals {
+    in_order: BTreeMap<u64, String>,
+    places: BTreeMap<String, u64>,
+    last: u64,
+}
+
+impl Arrivals {
+    fn insert(&mut self, key: &str) {
+        self.last += 1;
+        self.in_order.insert(self.last, key.to_string());
+        self.places.insert(key.to_string(), self.last);
+    }
+
+    fn remove(&mut self, key: &str) {
+        self.places.remove(key).and_then(|place| self.in_order.remove(&place));
+    }
+
+    fn first(&self) -> Option<String> {
+        self.in_order.values().next().cloned()
+    }
+}
+
 /// Invariant: a key is granted to one round until its window is over or that
 /// round gave it back unsent.
 ///
@@ -69,8 +94,7 @@
 pub(crate) struct Grants {
     keys: BTreeMap<String, Grant>,
     by_age: BTreeSet<(Mono, String)>,
-    /// Those whose outcome is known.
-    with_outcome: BTreeSet<(Mono, String)>,
+    outcomes: Arrivals,
     bytes: usize,
 }
 
@@ -118,7 +142,7 @@
         self.bytes += size(&key, &grant);
         self.by_age.insert((grant.at, key.clone()));
         if grant.whole.is_some() {
-            self.with_outcome.insert((grant.at, key.clone()));
+            self.outcomes.insert(&key);
         }
         self.keys.insert(key, grant);
     }
@@ -126,9 +150,8 @@
     fn remove(&mut self, key: &str) -> Option<Grant> {
         let grant = self.keys.remove(key)?;
         self.bytes -= size(key, &grant);
-        let place = (grant.at, key.to_string());
-        self.by_age.remove(&place);
-        self.with_outcome.remove(&place);
+        self.by_age.remove(&(grant.at, key.to_string()));
+        self.outcomes.remove(key);
         Some(grant)
     }
 
@@ -170,7 +193,7 @@
     /// Forgets outcomes, the oldest first, until all comes to no more than that. The grants stay.
     pub fn shed_outcomes(&mut self, most: usize) {
         while self.bytes > most {
-            let Some((_, key)) = self.with_outcome.first().cloned() else { return };
+            let Some(key) = self.outcomes.first() else { return };
             let grant = self.remove(&key);
             grant.into_iter().for_each(|g| self.insert(key.clone(), Grant { whole: None, ..g }));
         }
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -95,7 +95,7 @@
             out.push(Out::Base(Kept::Birth(env.follow.birth).encode()));
             out.push(Out::Note("the disk is new"));
         }
-        Ledger {
+        let mut ledger = Ledger {
             follow: Follow::new(env.follow.clone()),
             env,
             grants,
@@ -111,7 +111,10 @@
             written: 0,
             mended: now,
             counts: BTreeMap::new(),
-        }
+        };
+        // What was forgotten for room since the last short form is in its records yet.
+        ledger.grants.shed_outcomes(ledger.outcome_room());
+        ledger
     }
 
     pub(crate) fn count(&mut self, name: &'static str) {
