--- a/crates/machine/src/memory.rs
+++ b/crates/machine/src/memory.rs
@@ -2,9 +2,11 @@
 use crate::MachineEnv;
 
 /// Of what is left beside the parts that keep data on disk: copies may take a third, answers on
-/// their way a quarter. The rest is for threads, requests in hand and what allocation loses.
+/// their way a quarter, and bodies of callers' requests three tenths. The rest is for threads and what
+/// allocation loses.
 const COPIES: usize = 3;
 const ANSWERS: usize = 4;
+const BODIES: (usize, usize) = (3, 10);
 /// What a ledger takes in memory beside its grants' size on disk: the grants themselves, their
 /// indexes, and the buffer in which they are written in short.
 const LEDGER_TIMES: usize = 3;
@@ -33,4 +35,9 @@
     pub fn answers_memory(&self) -> usize {
         (self.memory - self.kept_memory()) / ANSWERS
     }
+
+    /// Bytes of bodies of callers' requests that may be in hand at a time.
+    pub fn bodies_memory(&self) -> usize {
+        (self.memory - self.kept_memory()) / BODIES.1 * BODIES.0
+    }
 }
--- a/crates/machine/src/run.rs
+++ b/crates/machine/src/run.rs
@@ -6,7 +6,7 @@
 use crate::{MachineEnv, Seat};
 use control_state::*;
 use primitives::{Addr, Mono, Span};
-use runtime::door::{self, Door, Limits, Visit};
+use runtime::door::{self, Door, Extras, Limits, Visit};
 use runtime::exec::{ExecEnv, Manner};
 use runtime::front::Reply;
 use runtime::logs::{on_panic, LogRing};
@@ -149,6 +149,7 @@
         None => None,
     };
     let room = Room::new(env.answers_memory());
+    let bodies = Room::new(env.bodies_memory());
     let exec = ExecEnv { answer: 64 << 20, room, manner: fronts.manner.clone() };
     let (tx, start) = runtime::exec::rounds(exec);
     let listen = |a: Option<SocketAddr>| a.map(bind).transpose();
@@ -167,11 +168,16 @@
         let slow_calls = SlowCalls::new(log.clone());
         let watch = Arc::new(move |exchange| slow_calls.note(runtime::now(), &exchange));
         let (hl, lf) = (h.clone(), fronts.limits.clone());
-        let callers = serve(front, &fronts.callers, now_and_then(move || lf(&hl)));
+        let (caller_handle, answer_caller) = (h.clone(), fronts.callers.clone());
+        let serve_caller = move |visit| answer_caller(&caller_handle, visit);
+        let extras = Extras { bodies: Some(bodies), ..Extras::default() };
+        let caller_limits = now_and_then(move || lf(&hl));
+        let callers = front.map(|l| door::open_with(l, caller_limits, serve_caller, extras));
         let _ready = serve(ready, &fronts.ready, Arc::new(inner));
         let (control_handle, answer) = (h.clone(), fronts.control.clone());
         let serve_control = move |visit| answer(&control_handle, visit);
-        let _control = control.map(|l| door::open_watched(l, Arc::new(inner), serve_control, Some(watch)));
+        let watched = Extras { watch: Some(watch), ..Extras::default() };
+        let _control = control.map(|l| door::open_with(l, Arc::new(inner), serve_control, watched));
         thread::spawn(move || {
             let Ok(controller) = controller.recv() else { return h.stop() };
             let ledger = ledger.and_then(|l| l.recv().ok());
--- a/crates/machine/tests/memory.rs
+++ b/crates/machine/tests/memory.rs
@@ -38,6 +38,15 @@
     assert!(left >= 20 * MB, "{left} bytes for all the rest");
 }
 
+#[test]
+fn given_the_largest_bodies_that_operators_usually_allow_then_one_fits_beside_copies_and_answers() {
+    let machine = env(260 * MB, None);
+    let bodies = machine.bodies_memory();
+    assert!(bodies >= 64 << 20, "{bodies} bytes for bodies");
+    let all = bodies + machine.copies_memory() + machine.answers_memory();
+    assert!(all <= 260 * MB / 10 * 9, "{all} bytes promised");
+}
+
 #[test]
 fn given_a_machine_that_keeps_nothing_then_nothing_is_set_aside() {
     let machine = env(78 * MB, None);
--- a/crates/runtime/src/door.rs
+++ b/crates/runtime/src/door.rs
@@ -13,7 +13,7 @@
 use crate::front::Reply;
 use control_state::Heads;
 use exchange::Service;
-pub use exchange::{Exchange, Watch};
+pub use exchange::{Exchange, Extras, Watch};
 use nix::sys::socket::sockopt::{TcpNoDelay, TcpUserTimeout};
 use nix::sys::socket::{setsockopt, shutdown, Shutdown::Both};
 use primitives::{Mono, Span};
@@ -203,17 +203,17 @@
     limits: Arc<dyn Fn() -> Limits + Send + Sync>,
     f: impl Fn(Visit) -> Reply + Send + Sync + 'static,
 ) -> Arc<Door> {
-    open_watched(l, limits, f, None)
+    open_with(l, limits, f, Extras::default())
 }
 
-/// As `open`; `watch` is told of each request once its answer was written.
-pub fn open_watched(
+/// As `open`, with something besides.
+pub fn open_with(
     l: TcpListener,
     limits: Arc<dyn Fn() -> Limits + Send + Sync>,
     f: impl Fn(Visit) -> Reply + Send + Sync + 'static,
-    watch: Option<Arc<Watch>>,
+    extras: Extras,
 ) -> Arc<Door> {
-    let service = Service { serve: Box::new(f), watch };
+    let service = Service { serve: Box::new(f), extras };
     // Accepted connections inherit these.
     let _ = setsockopt(&l, TcpNoDelay, &true);
     let _ = setsockopt(&l, TcpUserTimeout, &(UNHEARD.as_ms() as u32));
--- a/crates/runtime/src/door/body.rs
+++ b/crates/runtime/src/door/body.rs
@@ -3,6 +3,9 @@
 use super::Limits;
 use crate::front::Reply;
 use crate::intake::{large, token, Body};
+use crate::room::{Room, Taken};
+use std::sync::Arc;
+use std::time::Duration;
 
 /// Set aside before anything of a body has come.
 const AHEAD: usize = 64 << 10;
@@ -13,20 +16,46 @@
     Reply::problem(400, "invalid", why)
 }
 
-pub fn read(i: &mut Input, framed: Body, l: &Limits) -> Result<Vec<u8>, Stop> {
-    let n = match framed {
-        Body::None => return Ok(vec![]),
-        Body::Chunked => return chunks(i, l),
-        Body::Sized(n) => n,
-    };
-    let mut body = Vec::with_capacity(n.min(AHEAD));
-    i.exactly(n, &mut body, l.send)?;
+/// A body, and the memory set aside for it: given back when dropped.
+#[derive(Default)]
+pub struct Held {
+    pub bytes: Vec<u8>,
+    pub memory: Option<Taken>,
+}
+
+impl Held {
+    /// So much more is to come.
+    fn reach(&mut self, more: usize) -> Result<(), Reply> {
+        let all = self.bytes.len() + more;
+        let fits = self.memory.as_mut().is_none_or(|memory| memory.reach(all, Duration::ZERO));
+        fits.then_some(()).ok_or_else(no_room)
+    }
+}
+
+fn no_room() -> Reply {
+    Reply::problem(503, "denied", "no room for the body now").after(1)
+}
+
+pub fn read(i: &mut Input, framed: Body, l: &Limits, room: Option<&Arc<Room>>) -> Result<Held, Stop> {
+    let memory = room.and_then(|room| room.take(0, Duration::ZERO));
+    let mut body = Held { bytes: vec![], memory };
+    match framed {
+        Body::None => (),
+        Body::Chunked => chunks(i, l, &mut body)?,
+        Body::Sized(n) => {
+            body.reach(n)?;
+            // What is counted is set aside whole: growing would take up to twice as much.
+            let ahead = if body.memory.is_some() { n } else { n.min(AHEAD) };
+            body.bytes.reserve_exact(ahead);
+            i.exactly(n, &mut body.bytes, l.send)?;
+        }
+    }
     Ok(body)
 }
 
-fn chunks(i: &mut Input, l: &Limits) -> Result<Vec<u8>, Stop> {
+fn chunks(i: &mut Input, l: &Limits, body: &mut Held) -> Result<(), Stop> {
     // Of what is ignored, there may be as much as of a head.
-    let (mut body, mut spare) = (vec![], l.heads);
+    let mut spare = l.heads;
     loop {
         let end = line(i, DIGITS + spare, wordy, l)?;
         let (n, digits) = size(&i.unread()[..end])?;
@@ -35,10 +64,11 @@
         if n == 0 {
             break;
         }
-        if n > l.body - body.len() {
+        if n > l.body - body.bytes.len() {
             return Err(large(l.body).reply.into());
         }
-        i.exactly(n, &mut body, l.send)?;
+        body.reach(n)?;
+        i.exactly(n, &mut body.bytes, l.send)?;
         let end = line(i, 0, || bad("a chunk is longer than its size"), l)?;
         i.eat(end + 2);
     }
@@ -49,7 +79,7 @@
         let named = name.len() < end && std::str::from_utf8(name).is_ok_and(token);
         i.eat(end + 2);
         match (end, named) {
-            (0, _) => return Ok(body),
+            (0, _) => return Ok(()),
             (_, true) => (),
             _ => return Err(bad("a trailer is not a header").into()),
         }
--- a/crates/runtime/src/door/conn.rs
+++ b/crates/runtime/src/door/conn.rs
@@ -4,6 +4,7 @@
 use super::{answer, body, Door, Exchange, Guest, Hand, Limits, Service, Visit};
 use crate::front::Reply;
 use crate::intake::Body;
+use crate::room::Taken;
 use primitives::Span;
 use std::io::{Read, Write};
 use std::net::Shutdown;
@@ -68,9 +69,9 @@
         }
         let _hand = Hand::new(self.door);
         self.limits = (self.door.limits)();
-        match self.request() {
+        match self.request(f) {
             Ok(None) => After::Next,
-            Ok(Some((v, p))) => {
+            Ok(Some((v, p, _memory))) => {
                 self.door.requests.fetch_add(1, SeqCst);
                 self.serve(f, v, p)
             }
@@ -80,7 +81,7 @@
 
     fn serve(&mut self, f: &Service, v: Visit, p: Persist) -> After {
         let asked_head = v.method == "HEAD";
-        let Some(watch) = &f.watch else {
+        let Some(watch) = &f.extras.watch else {
             return self.answer((f.serve)(v), asked_head, p);
         };
         let (method, target, read) = (v.method.clone(), v.target.clone(), v.read);
@@ -94,8 +95,9 @@
         after
     }
 
-    /// None if there was but an empty line, which some callers send after a body.
-    fn request(&mut self) -> Result<Option<(Visit, Persist)>, Stop> {
+    /// None if there was but an empty line, which some callers send after a body. The memory of
+    /// its body is taken until the request was answered.
+    fn request(&mut self, f: &Service) -> Result<Option<(Visit, Persist, Option<Taken>)>, Stop> {
         let (mut seen, mut until) = (0, None);
         let mut skipped = false;
         let end = loop {
@@ -126,9 +128,9 @@
         if expects && more && self.input.unread().is_empty() {
             (&self.guest.stream).write_all(b"HTTP/1.1 100 Continue\r\n\r\n")?;
         }
-        let body = body::read(&mut self.input, body, &self.limits)?;
-        let (peer, read) = (self.guest.peer, crate::now());
-        Ok(Some((Visit { method, target, host, heads, body, peer, read }, persist)))
+        let held = body::read(&mut self.input, body, &self.limits, f.extras.bodies.as_ref())?;
+        let (peer, read, body) = (self.guest.peer, crate::now(), held.bytes);
+        Ok(Some((Visit { method, target, host, heads, body, peer, read }, persist, held.memory)))
     }
 
     fn last_word(&mut self, s: Stop) -> After {
--- a/crates/runtime/src/door/exchange.rs
+++ b/crates/runtime/src/door/exchange.rs
@@ -1,6 +1,7 @@
 //! What answers requests, and what is told of each once its answer was written.
 use super::Visit;
 use crate::front::Reply;
+use crate::room::Room;
 use primitives::Span;
 use std::sync::Arc;
 
@@ -24,8 +25,17 @@
 /// Is told how each request went, on its connection's thread.
 pub type Watch = dyn Fn(Exchange) + Send + Sync;
 
-/// What answers requests, and who is told how each went.
+/// What a door may have besides.
+#[derive(Clone, Default)]
+pub struct Extras {
+    /// Told of each request once its answer was written.
+    pub watch: Option<Arc<Watch>>,
+    /// Memory for the bodies of all requests in hand; without it they are not counted.
+    pub bodies: Option<Arc<Room>>,
+}
+
+/// What answers requests, and what stands beside it.
 pub(super) struct Service {
     pub serve: Box<Serve>,
-    pub watch: Option<Arc<Watch>>,
+    pub extras: Extras,
 }
