--- a/review/stand-ins-2/src/fleet.rs
+++ b/review/stand-ins-2/src/fleet.rs
@@ -4,6 +4,7 @@
 use crate::words::Words;
 use crate::{http, web};
 use std::net::{SocketAddr, TcpListener};
+use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::thread::sleep;
@@ -21,7 +22,7 @@
     block: u8,
     port: u16,
     pub size: usize,
-    disks: usize,
+    disks: Range<usize>,
     command: Vec<String>,
     processes: Vec<Option<Child>>,
 }
@@ -44,8 +45,8 @@
 }
 
 impl Fleet {
-    /// `disks` machines with a disk and others without one. Nothing is started yet.
-    pub fn new(root: &Path, words: &Words, size: usize, disks: usize) -> Fleet {
+    /// Machines, those of the numbers in `disks` with a disk. Nothing is started yet.
+    pub fn new(root: &Path, words: &Words, size: usize, disks: Range<usize>) -> Fleet {
         let dir = std::env::temp_dir().join(format!("stand-ins-2-{}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("a temporary folder");
         let block = (std::process::id() % 200 + 20) as u8;
@@ -85,7 +86,7 @@
     /// Settings with the figures of the small site: 64 MB of disk, a beat each 1.5 s, keys for a minute.
     pub fn write_settings(&self, words: &Words, i: usize, initial: bool) {
         let s = |index: usize| words.setting(index);
-        let disk = i < self.disks;
+        let disk = self.disks.contains(&i);
         let seeds: Vec<String> = (0..3).map(|n| format!("\"{}\"", self.control(n))).collect();
         let data = self.dir.join(format!("data-{i}"));
         if disk {
@@ -132,6 +133,14 @@
         let _ = Command::new("sh").args(["-c", &format!("kill -{signal} {}", child.id())]).status();
     }
 
+    /// Kills a machine's process.
+    pub fn kill(&mut self, i: usize) {
+        if let Some(mut child) = self.processes[i].take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
     pub fn is_ready(&self, words: &Words, i: usize) -> bool {
         let host = [("Host", self.ip(i))];
         let get = http::request("GET", &format!("/{}", words.readiness_path()), &host, b"");
--- a/review/stand-ins-2/src/joined.rs
+++ b/review/stand-ins-2/src/joined.rs
@@ -20,7 +20,7 @@
 
 pub fn play(stage: &Stage) -> Verdict {
     let (words, record) = (&stage.words, &stage.record);
-    let mut fleet = Fleet::new(&stage.root, words, 6, 4);
+    let mut fleet = Fleet::new(&stage.root, words, 6, 0..4);
     let route = Route {
         name: "terms".into(),
         host: HOST,
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -1,12 +1,14 @@
 //! Plays one case of the review: `stand-ins-2 CASE ROOT RECORD`. Exit code 0 if the rule held, 1 if it was
 //! broken, 2 if the case could not run. With `TROUBLE=0` the same is played without the disruption.
 mod fleet;
+mod founder;
 mod http;
 mod joined;
 mod origin;
 mod outcomes;
 mod record;
 mod refused;
+mod unframed;
 mod web;
 mod words;
 
@@ -44,9 +46,11 @@
         root,
     };
     let verdict = match case.as_str() {
+        "founder" => founder::play(&stage),
         "joined" => joined::play(&stage),
         "outcomes" => outcomes::play(&stage),
         "refused" => refused::play(&stage),
+        "unframed" => unframed::play(&stage),
         _ => Verdict::NotRun,
     };
     let (code, text) = match verdict {
--- a/review/stand-ins-2/src/origin.rs
+++ b/review/stand-ins-2/src/origin.rs
@@ -16,6 +16,9 @@
 pub enum Deed {
     /// Works for this long and answers.
     Answer { work: Duration, status: &'static str, fields: Vec<(&'static str, String)>, body: Vec<u8> },
+    /// Works for this long and answers with success, whole; the answer has no length and ends with its
+    /// connection.
+    AnswerToTheEnd { work: Duration, body: Vec<u8> },
     /// Works for this long; the answer is lost and the connection ends.
     Lose { work: Duration },
 }
@@ -108,6 +111,20 @@
                 record.note(format!("origin {} loses the answer to {id}", self.id));
                 None
             }
+            Deed::AnswerToTheEnd { work, body } => {
+                sleep(work);
+                let mut head = format!("HTTP/1.1 200 OK\r\n{}: {id}\r\n", words.request_id());
+                head += &format!("{}: {}.{number}\r\nConnection: close\r\n\r\n", words.seal(), self.id);
+                record.note(format!(
+                    "origin {} answers {id} without a length, {} bytes",
+                    self.id,
+                    body.len()
+                ));
+                stream.write_all(&[head.as_bytes(), &body].concat()).ok()?;
+                stream.shutdown(std::net::Shutdown::Write).ok()?;
+                // Nothing is left unread, so that closing does not reset the connection.
+                std::io::copy(&mut stream, &mut std::io::sink()).ok().map(|_| ())
+            }
             Deed::Answer { work, status, fields, body } => {
                 sleep(work);
                 let mut head = format!("HTTP/1.1 {status}\r\n{}: {id}\r\n", words.request_id());
--- a/review/stand-ins-2/src/refused.rs
+++ b/review/stand-ins-2/src/refused.rs
@@ -21,7 +21,7 @@
 
 pub fn play(stage: &Stage) -> Verdict {
     let (words, record) = (&stage.words, &stage.record);
-    let mut fleet = Fleet::new(&stage.root, words, MACHINES, 4);
+    let mut fleet = Fleet::new(&stage.root, words, MACHINES, 0..4);
     let route = |name: &str, service: &str| Route {
         name: name.into(),
         host: HOST,
