--- a/crates/control-state/src/part.rs
+++ b/crates/control-state/src/part.rs
@@ -191,6 +191,8 @@
 pub enum In {
     Msg(Addr, Msg),
     Ask(Token, Ask),
+    /// The caller that waits for the reply to this `Ask` has closed its connection.
+    CallerGone(Token),
     /// A timer tick.
     Tick,
 }
@@ -212,6 +214,9 @@
     Tell(Token, NodeReply),
     /// The executor makes this attempt and reports its end with `Ask::Done`.
     Fetch(Round),
+    /// The executor abandons the attempt with this number: nothing of it is sent from now on, its
+    /// connection is closed, and its end is of no interest.
+    Abandon(u64),
     /// An entry for the log ring, which is written out when an alarm is raised.
     Note(&'static str),
     /// A fault: the log ring is written out.
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -193,6 +193,7 @@
     fn step(&mut self, now: Mono, inp: In, out: &mut Vec<Out>) {
         match inp {
             In::Tick => self.tick(now, out),
+            In::CallerGone(token) => self.on_caller_gone(now, token, out),
             In::Ask(token, ask) => match ask {
                 Ask::Begin(request) => self.begin(now, token, request, out),
                 Ask::Done(n, outcome) => {
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -196,6 +196,7 @@
     fn step(&mut self, now: Mono, inp: In, out: &mut Vec<Out>) {
         match inp {
             In::Tick => self.tick(now, out),
+            In::CallerGone(_) => (),
             In::Ask(token, ask @ (Ask::Ready | Ask::Drain)) => {
                 if matches!(ask, Ask::Drain) {
                     self.start_leaving(now, out);
--- a/crates/machine/src/run.rs
+++ b/crates/machine/src/run.rs
@@ -8,7 +8,7 @@
 use control_state::*;
 use primitives::{Addr, Mono, Span};
 use runtime::disk_log::{DiskLog, DiskLogError};
-use runtime::executor::{ExecutorConfig, OriginProtocol};
+use runtime::executor::{ExecutorCommand, ExecutorConfig, OriginProtocol};
 use runtime::front::Reply;
 use runtime::http_server::{self, HttpRequest, HttpServer, Limits, ServerOptions};
 use runtime::logs::{on_panic, LogBuffer};
@@ -76,7 +76,7 @@
     ring: Option<DiskLog>,
     kind: MachinePart,
     /// Sends requests for origins to the executor; only the edge has one.
-    rounds: Option<std::sync::mpsc::Sender<Round>>,
+    rounds: Option<std::sync::mpsc::Sender<ExecutorCommand>>,
 }
 
 impl Start {
@@ -180,7 +180,8 @@
         let (limits_handle, limits) = (h.clone(), handlers.limits.clone());
         let (caller_handle, answer_caller) = (h.clone(), handlers.callers.clone());
         let serve_caller = move |http| answer_caller(&caller_handle, http);
-        let caller_options = ServerOptions { bodies: Some(bodies), ..ServerOptions::default() };
+        let caller_options =
+            ServerOptions { bodies: Some(bodies), departures: true, ..ServerOptions::default() };
         let caller_limits = cache_for_a_second(move || limits(&limits_handle));
         let callers = front.map(|l| http_server::open_with(l, caller_limits, serve_caller, caller_options));
         let _ready = serve(ready, &handlers.ready, Arc::new(internal_limits));
--- a/crates/runtime/src/executor.rs
+++ b/crates/runtime/src/executor.rs
@@ -5,8 +5,9 @@
 use crate::shell::Handle;
 use control_state::*;
 use primitives::{Addr, Birth, Mono, Span};
+use std::collections::HashMap;
 use std::sync::mpsc::{channel, Sender};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 use ureq::http::{Request, Response, Uri};
@@ -114,15 +115,17 @@
 
 /// Runs one attempt and returns its outcome: a complete response, or why there is none.
 pub fn run(config: &ExecutorConfig, r: &Round) -> FetchOutcome {
+    let timeout = (r.answer_deadline - crate::now()).max(Span::ms(1));
+    run_with(config, r, agent(timeout.into(), config.origin_protocol.connect))
+}
+
+fn run_with(config: &ExecutorConfig, r: &Round, agent: Agent) -> FetchOutcome {
     // An attempt must not be sent after it was given up.
     set_send_deadline(r.until.min(r.answer_deadline));
     let failure = || if any_bytes_sent() { FetchOutcome::Lost } else { FetchOutcome::NotSent };
     let timeout = (r.answer_deadline - crate::now()).max(Span::ms(1));
     let own = (config.origin_protocol.origin_headers)(r, timeout);
-    let Some(Ok(mut resp)) = send_request(&agent(timeout.into(), config.origin_protocol.connect), r, own)
-    else {
-        return failure();
-    };
+    let Some(Ok(mut resp)) = send_request(&agent, r, own) else { return failure() };
     let mut reservation: Option<MemoryReservation> = None;
     // Waits for memory as long as for the origin; no attempt holds memory for longer.
     let mut reserve = |n: usize| {
@@ -145,21 +148,32 @@
     }
 }
 
+/// What the executor is told to do.
+pub enum ExecutorCommand {
+    Run(Round),
+    /// Abandon the attempt with this number, if it is running.
+    Abandon(u64),
+}
+
+/// The clients of the running attempts, by number. Shutting one down closes its connection, and
+/// nothing is sent by it any more.
+type RunningAttempts = Arc<Mutex<HashMap<u64, Agent>>>;
+
 /// Starts the executor. Each attempt sent to the returned sender runs on a thread of its own; the
 /// edge limits the concurrent attempts per service. The returned function takes the handle that
 /// outcomes are reported to.
-pub fn rounds(config: ExecutorConfig) -> (Sender<Round>, impl FnOnce(Handle)) {
-    let (tx, rx) = channel::<Round>();
+pub fn rounds(config: ExecutorConfig) -> (Sender<ExecutorCommand>, impl FnOnce(Handle)) {
+    let (tx, rx) = channel::<ExecutorCommand>();
     let start = move |h: Handle| {
         thread::spawn(move || {
-            for r in rx {
-                let (config, handle, n) = (config.clone(), h.clone(), r.n);
-                let job = move || {
-                    let outcome = run(&config, &r);
-                    handle.ask(Ask::Done(r.n, outcome), Duration::from_secs(1));
-                };
-                if thread::Builder::new().spawn(job).is_err() {
-                    h.ask(Ask::Done(n, FetchOutcome::NotSent), Duration::from_secs(1));
+            let running = RunningAttempts::default();
+            for command in rx {
+                match command {
+                    ExecutorCommand::Run(round) => start_attempt(&config, &running, &h, round),
+                    ExecutorCommand::Abandon(n) => {
+                        let agent = running.lock().expect("no thread panics with it").remove(&n);
+                        agent.into_iter().for_each(Agent::shutdown);
+                    }
                 }
             }
         });
@@ -167,6 +181,24 @@
     (tx, start)
 }
 
+/// Runs an attempt on a thread of its own and reports its outcome.
+fn start_attempt(config: &ExecutorConfig, running: &RunningAttempts, handle: &Handle, r: Round) {
+    let n = r.n;
+    let timeout = (r.answer_deadline - crate::now()).max(Span::ms(1));
+    let agent = agent(timeout.into(), config.origin_protocol.connect);
+    running.lock().expect("no thread panics with it").insert(n, agent.clone());
+    let (job_config, job_running, job_handle) = (config.clone(), running.clone(), handle.clone());
+    let job = move || {
+        let outcome = run_with(&job_config, &r, agent);
+        job_running.lock().expect("no thread panics with it").remove(&n);
+        job_handle.ask(Ask::Done(n, outcome), Duration::from_secs(1));
+    };
+    if thread::Builder::new().spawn(job).is_err() {
+        running.lock().expect("no thread panics with it").remove(&n);
+        handle.ask(Ask::Done(n, FetchOutcome::NotSent), Duration::from_secs(1));
+    }
+}
+
 /// Starts a thread that probes origins whose heartbeats do not arrive, as the handle names them.
 pub fn probe(h: Handle) {
     let agent = agent(Duration::from_millis(400), Duration::from_millis(400));
--- a/crates/runtime/src/http_server.rs
+++ b/crates/runtime/src/http_server.rs
@@ -6,6 +6,8 @@
 mod answer;
 mod body;
 mod conn;
+mod departure;
+mod departure_monitor;
 mod exchange;
 mod head;
 mod input;
@@ -13,6 +15,8 @@
 
 use crate::front::Reply;
 use control_state::Headers;
+pub use departure::Departure;
+use departure_monitor::DepartureMonitor;
 use exchange::Service;
 pub use exchange::{Exchange, ExchangeObserver, ServerOptions};
 use nix::sys::socket::sockopt::{TcpNoDelay, TcpUserTimeout};
@@ -64,6 +68,8 @@
     pub peer: SocketAddr,
     /// When the last byte of the request had been read.
     pub read: Mono,
+    /// Tells whether its caller has left.
+    pub departure: Arc<Departure>,
 }
 
 /// A connection with sent data unacknowledged for this long is closed: its caller may be
@@ -217,7 +223,8 @@
     f: impl Fn(HttpRequest) -> Reply + Send + Sync + 'static,
     options: ServerOptions,
 ) -> Arc<HttpServer> {
-    let service = Service { serve: Box::new(f), options };
+    let departures = options.departures.then(DepartureMonitor::start);
+    let service = Service { serve: Box::new(f), options, departures };
     // Accepted connections inherit these.
     let _ = setsockopt(&l, TcpNoDelay, &true);
     let _ = setsockopt(&l, TcpUserTimeout, &(UNACKNOWLEDGED_TIMEOUT.as_ms() as u32));
--- a/crates/runtime/src/http_server/conn.rs
+++ b/crates/runtime/src/http_server/conn.rs
@@ -11,6 +11,7 @@
 use std::io::{Read, Write};
 use std::net::Shutdown;
 use std::sync::atomic::Ordering::SeqCst;
+use std::sync::Arc;
 
 /// For how long and for how many bytes input is still read and discarded after the last
 /// response on a connection, before the connection is closed.
@@ -18,13 +19,23 @@
 
 struct Conn<'a> {
     server: &'a HttpServer,
-    connection: &'a ClientConnection,
+    connection: &'a Arc<ClientConnection>,
     input: Input<'a>,
     limits: Limits,
     /// The socket's current write timeout, so that it is set only when it changes.
     write_timeout: Option<Span>,
 }
 
+/// A request that was read completely.
+struct ReceivedRequest {
+    request: HttpRequest,
+    persist: Persist,
+    /// Whether its caller understands interim responses.
+    accepts_interim: bool,
+    /// Reserved for its body; held until the response is sent.
+    memory: Option<MemoryReservation>,
+}
+
 /// What happens to the connection after a request.
 #[derive(PartialEq, Eq)]
 enum After {
@@ -35,7 +46,7 @@
 }
 
 /// Serves a connection until it ends.
-pub fn run(server: &HttpServer, connection: &ClientConnection, service: &Service) {
+pub fn run(server: &HttpServer, connection: &Arc<ClientConnection>, service: &Service) {
     let (input, limits) = (Input::new(&connection.stream), (server.limits)());
     let mut conn = Conn { server, connection, input, limits, write_timeout: None };
     let after = loop {
@@ -75,21 +86,27 @@
         self.limits = (self.server.limits)();
         match self.read_request(service) {
             Ok(None) => After::Next,
-            Ok(Some((request, persist, _memory))) => {
+            Ok(Some(received)) => {
                 self.server.requests.fetch_add(1, SeqCst);
-                self.serve(service, request, persist)
+                self.serve(service, received)
             }
             Err(error) => self.reject(error),
         }
     }
 
-    fn serve(&mut self, service: &Service, request: HttpRequest, persist: Persist) -> After {
+    fn serve(&mut self, service: &Service, received: ReceivedRequest) -> After {
+        let ReceivedRequest { request, persist, accepts_interim, memory: _memory } = received;
         let is_head = request.method == "HEAD";
+        let departures = service.departures.as_ref();
+        let watched = departures.map(|d| d.watch(self.connection, &request.departure, accepts_interim));
         let Some(watch) = &service.options.watch else {
-            return self.answer((service.serve)(request), is_head, persist);
+            let reply = (service.serve)(request);
+            drop(watched);
+            return self.answer(reply, is_head, persist);
         };
         let (method, target, read) = (request.method.clone(), request.target.clone(), request.read);
         let reply = (service.serve)(request);
+        drop(watched);
         let answered = crate::now();
         let (status, bytes) = (reply.status, reply.body.len());
         let after = self.answer(reply, is_head, persist);
@@ -100,11 +117,8 @@
     }
 
     /// Reads one request. None if there was only an empty line, which some callers send after
-    /// a body. The memory reserved for the body is to be held until the response is sent.
-    fn read_request(
-        &mut self,
-        service: &Service,
-    ) -> Result<Option<(HttpRequest, Persist, Option<MemoryReservation>)>, ReadError> {
+    /// a body.
+    fn read_request(&mut self, service: &Service) -> Result<Option<ReceivedRequest>, ReadError> {
         let (mut scanned, mut head_deadline) = (0, None);
         let mut skipped_empty_line = false;
         let end = loop {
@@ -130,14 +144,16 @@
         };
         let head = head::parse(&self.input.unread()[..end], &self.limits)?;
         self.input.consume(end);
-        let Head { method, target, host, heads, body, persist, expects_continue } = head;
+        let Head { method, target, host, heads, body, persist, expects_continue, accepts_interim } = head;
         let has_body = !matches!(body, Body::None | Body::Sized(0));
         if expects_continue && has_body && self.input.unread().is_empty() {
             (&self.connection.stream).write_all(b"HTTP/1.1 100 Continue\r\n\r\n")?;
         }
         let received = body::read(&mut self.input, body, &self.limits, service.options.bodies.as_ref())?;
         let (peer, read, body) = (self.connection.peer, crate::now(), received.bytes);
-        Ok(Some((HttpRequest { method, target, host, heads, body, peer, read }, persist, received.memory)))
+        let departure = Default::default();
+        let request = HttpRequest { method, target, host, heads, body, peer, read, departure };
+        Ok(Some(ReceivedRequest { request, persist, accepts_interim, memory: received.memory }))
     }
 
     /// Sends the response to a request that could not be read; it closes the connection.
--- a/crates/runtime/src/http_server/exchange.rs
+++ b/crates/runtime/src/http_server/exchange.rs
@@ -1,4 +1,5 @@
 //! The request handler and the observer that is called after each response.
+use super::departure_monitor::DepartureMonitor;
 use super::HttpRequest;
 use crate::front::Reply;
 use crate::memory_budget::MemoryBudget;
@@ -34,10 +35,13 @@
     /// Memory budget for the bodies of all in-flight requests; without it they are not limited
     /// together.
     pub bodies: Option<Arc<MemoryBudget>>,
+    /// Whether requests are told of callers that leave before their response.
+    pub departures: bool,
 }
 
 /// The request handler with the server's options.
 pub(super) struct Service {
     pub serve: Box<Serve>,
     pub options: ServerOptions,
+    pub departures: Option<DepartureMonitor>,
 }
--- a/crates/runtime/src/http_server/head.rs
+++ b/crates/runtime/src/http_server/head.rs
@@ -25,6 +25,8 @@
     pub persist: Persist,
     /// The caller waits for `100 Continue` before it sends the body.
     pub expects_continue: bool,
+    /// The caller understands interim responses.
+    pub accepts_interim: bool,
 }
 
 /// Maximum number of header fields.
@@ -128,5 +130,6 @@
         return Err(Reply::problem(417, "denied", "the only supported expectation is 100-continue"));
     }
     let (host, persist) = (host(&heads, http_1_0)?, persist(&heads, http_1_0));
-    Ok(Head { method: method.into(), target: target.into(), host, heads, body, persist, expects_continue })
+    let (method, target, accepts_interim) = (method.into(), target.into(), !http_1_0);
+    Ok(Head { method, target, host, heads, body, persist, expects_continue, accepts_interim })
 }
--- a/crates/runtime/src/shell.rs
+++ b/crates/runtime/src/shell.rs
@@ -8,6 +8,7 @@
 pub use handle::{Event, Handle};
 
 use crate::disk_log::DiskLog;
+use crate::executor::ExecutorCommand;
 use crate::net::expiry::lifetime;
 use crate::net::{self, Counts, Net};
 use crate::process;
@@ -36,7 +37,7 @@
     /// Sends the messages of the part.
     pub net: Net,
     /// Receives the requests to origins that the part starts.
-    pub rounds: Option<Sender<Round>>,
+    pub rounds: Option<Sender<ExecutorCommand>>,
     pub log: Logger,
 }
 
@@ -56,10 +57,9 @@
     flush_scheduled: bool,
     /// An event has arrived since the last tick.
     active: bool,
-    rounds: Option<Sender<Round>>,
+    rounds: Option<Sender<ExecutorCommand>>,
     /// Where the replies to unanswered requests go.
     pending_asks: HashMap<Token, Sender<NodeReply>>,
-    last_token: u64,
     waiting: Waiting,
     log: Logger,
 }
@@ -84,7 +84,6 @@
             active: true,
             rounds: setup.rounds,
             pending_asks: HashMap::new(),
-            last_token: 0,
             waiting,
             log: setup.log,
         };
@@ -118,10 +117,14 @@
         self.waiting.done();
         match event {
             Event::Msg(from, message, received_at) => self.on_message(from, message, received_at),
-            Event::Ask(ask, reply_to) => {
-                self.last_token += 1;
-                self.pending_asks.insert(Token(self.last_token), reply_to);
-                self.step(In::Ask(Token(self.last_token), ask));
+            Event::Ask(token, ask, reply_to) => {
+                self.pending_asks.insert(token, reply_to);
+                self.step(In::Ask(token, ask));
+            }
+            Event::CallerGone(token) => {
+                if self.pending_asks.contains_key(&token) {
+                    self.step(In::CallerGone(token));
+                }
             }
             Event::Synced(true) => {
                 self.syncing = false;
@@ -179,6 +182,12 @@
         }
     }
 
+    fn command(&self, command: ExecutorCommand) {
+        if let Some(executor) = &self.rounds {
+            let _ = executor.send(command);
+        }
+    }
+
     /// Counters of the shell and its links, added to the health of the part.
     fn counters(&self) -> Vec<(&'static str, u64)> {
         let mut all = self.net.counts.by_name();
@@ -200,9 +209,8 @@
                     let _ = reply_to.send(reply);
                 }
             }
-            Out::Fetch(round) => self.rounds.iter().for_each(|sender| {
-                let _ = sender.send(round.clone());
-            }),
+            Out::Fetch(round) => self.command(ExecutorCommand::Run(round)),
+            Out::Abandon(n) => self.command(ExecutorCommand::Abandon(n)),
             Out::Note(text) => info!(self.log, "{}", text),
             Out::Alarm(text) => error!(self.log, "{}", text),
             Out::Report(report) => error!(self.log, "{}", report),
--- a/crates/simulator/src/outputs.rs
+++ b/crates/simulator/src/outputs.rs
@@ -88,6 +88,9 @@
                 let life = self.procs[&a].life;
                 self.at(Span(50), Event::Leave(a, life, r));
             }
+            Out::Abandon(n) => {
+                self.abandoned.insert((a, n));
+            }
             Out::Alarm(_) => self.count("alarms"),
             Out::Report(_) => self.count("reports"),
             Out::Save(_) | Out::Base(_) | Out::Trim(_) | Out::Note(_) => (),
--- a/crates/simulator/src/requests.rs
+++ b/crates/simulator/src/requests.rs
@@ -76,6 +76,13 @@
         t
     }
 
+    /// The caller of this request closes its connection.
+    pub fn hang_up(&mut self, token: Token) {
+        if let Some((at, ..)) = self.pending.get(&token) {
+            self.at(Span(200), Event::CallerGone(*at, token));
+        }
+    }
+
     /// Sends a GET request.
     pub fn get(&mut self, edge: Addr, lane: &str, path: &str) -> Token {
         self.ask(edge, Want::Request(req("GET", lane, path, None)))
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -13,6 +13,8 @@
 pub enum Event {
     Msg(Addr, Addr, Msg),
     Ask(Addr, Token, Ask),
+    /// The caller of this request closes its connection.
+    CallerGone(Addr, Token),
     Synced(Addr, u64, Vec<Out>),
     Tick(Addr, u64),
     /// An origin request of an edge is sent; the number is the edge's process instance.
@@ -42,6 +44,8 @@
     pub exchanges: Vec<Exchange>,
     /// Origins whose deregistration was acknowledged as in force.
     pub signed_off: BTreeSet<Addr>,
+    /// Attempts that edges have abandoned.
+    pub(crate) abandoned: BTreeSet<(Addr, u64)>,
     /// When each process last acknowledged an `OriginHeartbeat`.
     pub heartbeats_acknowledged: BTreeMap<Addr, Mono>,
     pub counts: BTreeMap<&'static str, u64>,
@@ -67,6 +71,7 @@
             pending: BTreeMap::new(),
             exchanges: vec![],
             signed_off: BTreeSet::new(),
+            abandoned: BTreeSet::new(),
             heartbeats_acknowledged: BTreeMap::new(),
             counts: BTreeMap::new(),
             bytes_between_regions: 0,
@@ -120,7 +125,7 @@
             Event::Msg(_, to, _) | Event::Ask(to, ..) | Event::Tick(to, _) | Event::Leave(to, ..) => {
                 Some(*to)
             }
-            Event::Synced(to, ..) | Event::Probe(to, _) => Some(*to),
+            Event::Synced(to, ..) | Event::Probe(to, _) | Event::CallerGone(to, _) => Some(*to),
             _ => None,
         };
         let frozen = to.and_then(|a| self.procs.get_mut(&a)).filter(|p| p.frozen);
@@ -131,6 +136,7 @@
             Event::Msg(from, to, m) => self.step(to, In::Msg(from, m)),
             Event::Ask(to, t, a) => self.step(to, In::Ask(t, a)),
             Event::Tick(a, life) => self.tick(a, life),
+            Event::CallerGone(to, t) => self.step(to, In::CallerGone(t)),
             Event::Synced(a, life, batch) => self.synced(a, life, batch),
             Event::Leave(g, life, r) => self.leave(g, life, r),
             Event::Arrive(g, life, r) => self.arrive(g, life, r),
