--- a/crates/edge/src/answers.rs
+++ b/crates/edge/src/answers.rs
@@ -2,7 +2,7 @@
 //! no request is dropped and counted.
 use crate::copies::Copy;
 use crate::edge::Edge;
-use crate::jobs::Stage;
+use crate::jobs::{Caller, Stage};
 use crate::read::DELIVERY_MARGIN;
 use crate::shared_fetch::SharedFetchId;
 use crate::sources::{CopyRequest, Source, MIN_DISK_CACHE_TTL};
@@ -118,6 +118,7 @@
         let from_ledger = copy_request.source == Source::Ledger;
         // A ledger has checked the purge mark of its copy itself.
         let same_purges = from_ledger || purges == self.current_purge_digest();
+        let other_purges = (!same_purges).then_some(purges);
         // The remaining time-to-live counts from the time of the request.
         let is_fresh = |left: Span| usable && copy_request.asked + left > now;
         let expired_in_transit = match &reply {
@@ -148,10 +149,11 @@
                 if storable {
                     self.keep(now, object, copy.clone());
                 }
-                self.serve_copy(now, id, copy, out);
+                self.serve_copy(now, id, copy, other_purges, out);
             }
             CopyReply::Same { left, current_age } if is_fresh(left) => {
-                match self.copies.peek(&object).cloned() {
+                let is_the_one_asked_about = |c: &&Copy| c.etag_hash() == copy_request.held;
+                match self.copies.peek(&object).filter(is_the_one_asked_about).cloned() {
                     Some(cached) => {
                         let (since, until) = (
                             copy_request.asked - current_age,
@@ -159,10 +161,12 @@
                         );
                         self.count("renewed from homes");
                         let copy = Copy { since, until, ..cached };
-                        self.copies.put(object, copy.clone());
-                        self.serve_copy(now, id, copy, out);
+                        if same_purges {
+                            self.copies.put(object, copy.clone());
+                        }
+                        self.serve_copy(now, id, copy, other_purges, out);
                     }
-                    // The copy was evicted meanwhile: the whole response is needed after all.
+                    // The copy left or changed meanwhile: the whole response is needed after all.
                     None if current => self.ask_source(now, id, copy_request.source, out),
                     None => (),
                 }
@@ -205,7 +209,19 @@
         source > Source::Home(if self.env.policy.near { Reach::Zone } else { Reach::Deployment })
     }
 
-    fn serve_copy(&mut self, now: Mono, id: SharedFetchId, copy: Copy, out: &mut Vec<Out>) {
+    /// Serves a copy. `other_purges` is the digest of the purges that its source knows, if this edge
+    /// knows others.
+    fn serve_copy(
+        &mut self,
+        now: Mono,
+        id: SharedFetchId,
+        copy: Copy,
+        other_purges: Option<u64>,
+        out: &mut Vec<Out>,
+    ) {
+        if let Some(purges) = other_purges {
+            self.relay_copy(now, id, &copy, purges, out);
+        }
         let send_deadline = (copy.until + DELIVERY_MARGIN).min(self.leased_until());
         self.finish(
             now,
@@ -214,4 +230,19 @@
             out,
         );
     }
+
+    /// Hands a copy to the edges that wait for it under its source's purges, not this edge's: this
+    /// edge cannot tell whether a purge that only one of them knows covers the copy.
+    fn relay_copy(&mut self, now: Mono, id: SharedFetchId, copy: &Copy, purges: u64, out: &mut Vec<Out>) {
+        let Some(job) = self.jobs.get_mut(&id.job()) else { return };
+        job.callers.retain(|waiting| {
+            let Caller::Edge(to, ask) = waiting.caller else { return true };
+            let transfer = TransferredCopy { public: false, ..copy.to_transfer(now, copy.until) };
+            out.push(Out::Send(
+                to,
+                Msg::CopyResult { ask, said: CopyReply::Got(Box::new(transfer)), purges },
+            ));
+            false
+        });
+    }
 }
--- a/crates/edge/src/copies.rs
+++ b/crates/edge/src/copies.rs
@@ -40,6 +40,11 @@
 }
 
 impl Copy {
+    /// Hash of its `ETag`; `None` if it has none.
+    pub fn etag_hash(&self) -> Option<u64> {
+        self.whole.heads.get("etag").map(|etag| primitives::hash(&etag))
+    }
+
     /// The copy as sent to another process, usable until `until`.
     pub fn to_transfer(&self, now: Mono, until: Mono) -> TransferredCopy {
         let (whole, current_age) = ((*self.whole).clone(), now - self.since);
--- a/crates/edge/src/sources.rs
+++ b/crates/edge/src/sources.rs
@@ -41,6 +41,8 @@
     /// The time-to-live of the answer counts from here.
     pub asked: Mono,
     pub source: Source,
+    /// Hash of the `ETag` of the copy that the other process is asked about, if any.
+    pub held: Option<u64>,
     /// When the other process last reported progress.
     pub last_progress_at: Option<Mono>,
 }
@@ -133,7 +135,7 @@
             Some(to) => self.send_copy_request(
                 now,
                 id,
-                CopyRequest { to, asked: now, source, last_progress_at: None },
+                CopyRequest { to, asked: now, source, held: None, last_progress_at: None },
                 out,
             ),
             None => self.ask_source(now, id, self.next_source(source), out),
@@ -172,6 +174,8 @@
         let cached = self.copies.peek(&object);
         let held = cached.and_then(|c| c.whole.heads.get("etag")).map(str::to_string);
         let held = held.filter(|_| copy_request.source != Source::Ledger);
+        let copy_request =
+            CopyRequest { held: held.as_ref().map(|etag| primitives::hash(etag)), ..copy_request };
         self.count(match copy_request.source {
             Source::Home(Reach::Zone) => "asked of zone homes",
             Source::Home(Reach::Region) => "asked of region homes",
