--- a/crates/control-state/src/message.rs
+++ b/crates/control-state/src/message.rs
@@ -135,12 +135,12 @@
     Digests(Vec<u64>),
     /// The answer: the numbers of the ranges whose digests differ, with their records.
     Ranges(Vec<(u16, Vec<Held>)>),
-    /// A ledger asks another for all that it holds of the sender's keys, by this version of the
-    /// ledger sets.
-    Recall { ask: u64, roll: Version, purpose: RecallPurpose },
-    /// Part number `part` of `of` of the answer. Invariant: sent only by a ledger that may grant,
-    /// and all parts of one answer show its state at one moment.
-    Recalled { ask: u64, part: u32, of: u32, held: Vec<Held> },
+    /// A ledger asks another for a page of what it holds of the sender's keys, by this version of
+    /// the ledger sets: the keys after `after`, in order; `None` asks for the first page.
+    Recall { ask: u64, roll: Version, purpose: RecallPurpose, after: Option<String> },
+    /// One page, and the key after which the next one begins; `None` if it is the last one.
+    /// Invariant: sent only by a ledger that may grant.
+    Recalled { ask: u64, held: Vec<Held>, next: Option<String> },
     /// To a ledger of the newer set: this version of the ledger sets is in force.
     Fill { roll: Version },
     /// This ledger holds, on disk, what the older set granted.
--- a/crates/ledger/src/grants.rs
+++ b/crates/ledger/src/grants.rs
@@ -4,6 +4,7 @@
 use control_state::{Claimed, Fingerprint, Held, RoundId, Whole};
 use primitives::{Mono, Span};
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
 
 /// Stands for the fingerprint of a request whose grant was trimmed.
 const UNKNOWN_PRINT: Fingerprint = Fingerprint([0; 32]);
@@ -72,6 +73,12 @@
         self.keys.iter()
     }
 
+    /// The grants of the keys after this one, in order; all if it is `None`.
+    pub fn after(&self, key: Option<&str>) -> impl Iterator<Item = (&String, &Grant)> {
+        let start = key.map_or(Bound::Unbounded, Bound::Excluded);
+        self.keys.range::<str, _>((start, Bound::Unbounded))
+    }
+
     /// The answer to a claim. `Granted` to a new round must be saved before it is sent.
     pub fn check_claim(&self, key: &str, print: Fingerprint, round: RoundId) -> Claimed {
         let current = self.keys.get(key);
--- a/crates/ledger/src/leave.rs
+++ b/crates/ledger/src/leave.rs
@@ -2,29 +2,41 @@
 //! it does not stop while it is the only holder of a grant or an outcome.
 use crate::grants::Grant;
 use crate::ledger::Ledger;
+use crate::page::{Page, MAX_PAGE_BYTES};
 use control_state::*;
-use primitives::{Addr, Epoch, Mono, Span};
+use primitives::{Addr, Backoff, Epoch, Mono, Span};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Time without an acknowledgement after which records are sent again.
-const RETRY_INTERVAL: Span = Span::ms(300);
+/// The first and the longest pause after which a page that was not acknowledged is sent again.
+const RETRY_INTERVALS: (Span, Span) = (Span::ms(300), Span::ms(1200));
 /// How long a leaving ledger waits for others to take its keys.
 const LEAVE_TIMEOUT: Span = Span::secs(2);
 /// By this time after its grant all holders that an outcome names have stored it, or were replaced.
 const OUTCOME_DELIVERY_TIME: Span = Span::secs(12);
-/// Bytes of one message; a record that is larger is sent alone.
-const MAX_PART_BYTES: usize = 256 << 10;
+
+/// How far the records were handed to one other ledger: one page at a time, in the order of keys.
+#[derive(Clone, Debug)]
+struct HandOver {
+    request: u64,
+    /// The page in flight begins after this key.
+    after: Option<String>,
+    /// The keys of the page in flight; empty once all pages were acknowledged.
+    keys: Vec<String>,
+    /// Whether further pages follow.
+    more: bool,
+    retry: Backoff,
+    /// Each other ledger gets all records once, and then those that no ledger has acknowledged.
+    first_pass: bool,
+}
 
 /// State of this ledger's leaving: the keys that are still to be handed over.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Leaving {
     since: Option<Mono>,
-    last_sent: Mono,
     last_request: u64,
     /// Keys that no other ledger has acknowledged.
     keys: BTreeSet<String>,
-    /// The keys of each message that is not yet acknowledged.
-    unacknowledged: BTreeMap<u64, Vec<String>>,
+    hand_overs: BTreeMap<Addr, HandOver>,
 }
 
 impl Leaving {
@@ -56,37 +68,54 @@
 
     pub(crate) fn hand_over(&mut self, now: Mono, out: &mut Vec<Out>) {
         let Some(since) = self.leaving.since else { return };
-        if now - since >= LEAVE_TIMEOUT {
+        let others = self.other_ledgers();
+        if now - since >= LEAVE_TIMEOUT || others.is_empty() {
             self.leaving.keys.clear();
         }
-        let due = self.leaving.last_sent == Mono(0) || now - self.leaving.last_sent >= RETRY_INTERVAL;
-        if self.leaving.keys.is_empty() || !due {
+        if self.leaving.keys.is_empty() {
             return;
         }
-        self.leaving.last_sent = now;
         self.leaving.keys.retain(|key| self.grants.contains(key));
-        let others = self.other_ledgers();
-        if others.is_empty() {
-            self.leaving.keys.clear();
-        }
         for other in others {
-            self.hand_over_to(now, other, out);
+            let pass = self.leaving.hand_overs.get_mut(&other);
+            match pass.map(|pass| (pass.retry.due(now), pass.keys.is_empty())) {
+                None => self.start_pass(now, other, true, out),
+                Some((true, true)) => self.start_pass(now, other, false, out),
+                Some((true, false)) => self.send_page(now, other, out),
+                Some((false, _)) => (),
+            }
         }
     }
 
-    fn hand_over_to(&mut self, now: Mono, other: Addr, out: &mut Vec<Out>) {
+    /// Begins to hand over the records of the other ledger's keys, from the first one on.
+    fn start_pass(&mut self, now: Mono, other: Addr, first_pass: bool, out: &mut Vec<Out>) {
+        let retry = Backoff::new(now, RETRY_INTERVALS.0, RETRY_INTERVALS.1);
+        let pass = HandOver { request: 0, after: None, keys: vec![], more: false, retry, first_pass };
+        self.leaving.hand_overs.insert(other, pass);
+        self.send_page(now, other, out);
+    }
+
+    /// Sends the page of this pass that is in flight, or comes next.
+    fn send_page(&mut self, now: Mono, other: Addr, out: &mut Vec<Out>) {
+        let Some(pass) = self.leaving.hand_overs.get(&other) else { return };
+        let (after, first_pass) = (pass.after.clone(), pass.first_pass);
         let ledger_sets = Roll::of(&self.follow.items);
         let losses = self.env.losses;
-        let is_replica = |key: &str| ledger_sets.named(key, losses).iter().any(|set| set.contains(&other));
-        let keys = self.leaving.keys.iter().filter(|key| is_replica(key));
-        let grants = keys.filter_map(|key| self.grants.get(key).map(|grant| (key, grant)));
-        let held: Vec<Held> =
-            grants.map(|(key, grant)| self.handed_over_record(now, &ledger_sets, key, grant)).collect();
-        for held in split_into_parts(held, MAX_PART_BYTES).into_iter().filter(|part| !part.is_empty()) {
-            self.leaving.last_request += 1;
-            let ask = self.leaving.last_request;
-            self.leaving.unacknowledged.insert(ask, held.iter().map(|h| h.key.clone()).collect());
-            out.push(Out::Send(other, Msg::HandOver { ask, held }));
+        let is_due = |key: &String| {
+            (first_pass || self.leaving.keys.contains(key))
+                && ledger_sets.named(key, losses).iter().any(|set| set.contains(&other))
+        };
+        let grants = self.grants.after(after.as_deref()).filter(|(key, _)| is_due(key));
+        let page = Page::of(
+            grants.map(|(key, grant)| self.handed_over_record(now, &ledger_sets, key, grant)),
+            MAX_PAGE_BYTES,
+        );
+        self.leaving.last_request += 1;
+        let request = self.leaving.last_request;
+        let Some(pass) = self.leaving.hand_overs.get_mut(&other) else { return };
+        (pass.request, pass.keys, pass.more) = (request, page.keys(), page.more);
+        if !page.records.is_empty() {
+            out.push(Out::Send(other, Msg::HandOver { ask: request, held: page.records }));
         }
     }
 
@@ -117,26 +146,20 @@
         out.push(Out::Send(from, Msg::HandedOver { ask }));
     }
 
-    pub(crate) fn on_handed_over(&mut self, ask: u64) {
-        for key in self.leaving.unacknowledged.remove(&ask).unwrap_or_default() {
-            self.leaving.keys.remove(&key);
+    /// Another ledger has saved a page: the next one follows.
+    pub(crate) fn on_handed_over(&mut self, now: Mono, from: Addr, ask: u64, out: &mut Vec<Out>) {
+        let Some(pass) = self.leaving.hand_overs.get_mut(&from).filter(|pass| pass.request == ask) else {
+            return;
+        };
+        let acknowledged = std::mem::take(&mut pass.keys);
+        pass.after = acknowledged.last().cloned().or(pass.after.take());
+        pass.retry = Backoff::new(now, RETRY_INTERVALS.0, RETRY_INTERVALS.1);
+        let more = pass.more;
+        for key in &acknowledged {
+            self.leaving.keys.remove(key);
         }
-    }
-}
-
-/// Splits records into parts of at most `max_bytes`; a record that is larger is a part of its
-/// own. Gives at least one part, which may be empty.
-pub(crate) fn split_into_parts(records: Vec<Held>, max_bytes: usize) -> Vec<Vec<Held>> {
-    let mut parts = vec![vec![]];
-    let mut bytes = 0;
-    for record in records {
-        bytes += record.size();
-        let full = bytes > max_bytes && parts.last().is_some_and(|part: &Vec<Held>| !part.is_empty());
-        if full {
-            bytes = record.size();
-            parts.push(vec![]);
+        if more {
+            self.send_page(now, from, out);
         }
-        parts.last_mut().into_iter().for_each(|part| part.push(record.clone()));
     }
-    parts
 }
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -6,10 +6,11 @@
 use crate::leave::Leaving;
 use crate::log_position::{LogForm, LogUse};
 use crate::recall::Recall;
+use crate::recall_answer::{AnsweredRequest, PageRequest};
 use crate::records::*;
 use crate::replicate::Replication;
 use control_state::*;
-use primitives::{Birth, Epoch, Mono, NodeId, Span, Version};
+use primitives::{Addr, Birth, Epoch, Mono, NodeId, Span, Version};
 use std::collections::BTreeMap;
 
 /// Settings of one ledger.
@@ -57,6 +58,7 @@
     /// disk before any answer that relies on it; see `may_grant`.
     pub(crate) fence: Version,
     pub(crate) recall: Recall,
+    pub(crate) answered_requests: BTreeMap<Addr, AnsweredRequest>,
     pub(crate) fill: Fill,
     pub(crate) leaving: Leaving,
     pub(crate) replication: Replication,
@@ -118,6 +120,7 @@
             open,
             fence,
             recall: Recall::new(life),
+            answered_requests: BTreeMap::new(),
             fill: Fill::default(),
             leaving: Leaving::default(),
             replication: Replication::default(),
@@ -223,14 +226,14 @@
                 Msg::CopyQuery { ask, object, .. } => self.on_copy_query(now, from, ask, object, out),
                 Msg::Digests(digests) => self.on_digests(now, from, digests, out),
                 Msg::Ranges(ranges) => self.on_ranges(now, ranges, out),
-                Msg::Recall { ask, roll, purpose } => self.on_recall(now, from, ask, (roll, purpose), out),
-                Msg::Recalled { ask, part, of, held } => {
-                    self.on_recalled(now, from, (ask, part, of), held, out)
+                Msg::Recall { ask, roll: version, purpose, after } => {
+                    self.on_recall(now, from, PageRequest { ask, version, purpose, after }, out)
                 }
+                Msg::Recalled { ask, held, next } => self.on_recalled(now, from, (ask, next), held, out),
                 Msg::Fill { roll } => self.on_fill(now, from, roll, out),
                 Msg::HandOver { ask, held } => self.on_hand_over(now, from, ask, held, out),
                 Msg::HandedOver { ask } => {
-                    self.on_handed_over(ask);
+                    self.on_handed_over(now, from, ask, out);
                     self.on_transfer_confirmed(now, from, ask, out);
                 }
                 _ => self.count("stray"),
--- /dev/null
+++ b/crates/ledger/src/page.rs
@@ -0,0 +1,43 @@
+//! Pages of records: what one ledger sends to another in one message.
+//!
+//! A ledger may hold as many bytes of records as its memory allows. It therefore never encodes them
+//! all at once: the next page is made when the receiver has confirmed or requested it.
+use control_state::Held;
+
+/// Bytes of one page; a record that is larger is sent alone.
+pub(crate) const MAX_PAGE_BYTES: usize = 256 << 10;
+
+/// Records in the order of their keys, and whether more follow.
+#[derive(Default)]
+pub(crate) struct Page {
+    pub records: Vec<Held>,
+    pub more: bool,
+}
+
+impl Page {
+    /// The first of these records, of at most `max_bytes` together. Takes no more records from the
+    /// iterator than it needs to see that they do not fit.
+    pub(crate) fn of(records: impl Iterator<Item = Held>, max_bytes: usize) -> Page {
+        let mut page = Page::default();
+        let mut bytes = 0;
+        for record in records {
+            bytes += record.size();
+            if bytes > max_bytes && !page.records.is_empty() {
+                page.more = true;
+                break;
+            }
+            page.records.push(record);
+        }
+        page
+    }
+
+    /// The key after which the next page begins; `None` if this is the last one.
+    pub(crate) fn next(&self) -> Option<String> {
+        self.records.last().filter(|_| self.more).map(|record| record.key.clone())
+    }
+
+    /// The keys of its records.
+    pub(crate) fn keys(&self) -> Vec<String> {
+        self.records.iter().map(|record| record.key.clone()).collect()
+    }
+}
--- a/crates/ledger/src/recall.rs
+++ b/crates/ledger/src/recall.rs
@@ -1,8 +1,6 @@
 //! Recall: a ledger asks the members of the authoritative ledger set for all their records of
 //! its keys. A ledger with a new disk grants again once it cannot have missed a grant of the
 //! lost disk; the members of a newer set are filled the same way (see `fill`).
-use crate::grants::*;
-use crate::leave::split_into_parts;
 use crate::ledger::Ledger;
 use crate::records::*;
 use control_state::*;
@@ -11,8 +9,6 @@
 
 /// Time without an answer after which a member is asked again.
 const RETRY_INTERVAL: Span = Span::ms(300);
-/// Bytes of one part of an answer; a record that is larger is sent alone.
-const MAX_PART_BYTES: usize = 256 << 10;
 
 /// The answers received so far. Invariant: all were requested under this version of the ledger
 /// sets, for this purpose and by this process; to reopen after a disk loss, also once every
@@ -26,13 +22,15 @@
     released: BTreeSet<RoundId>,
 }
 
-/// The parts received, by request. Parts of two requests are of two moments and together
-/// do not make a complete answer.
-#[derive(Clone, Debug, Default)]
+/// How far one member has answered. It is asked for one page after the other, so that it never has
+/// to hold its answer as a whole.
+#[derive(Clone, Debug)]
 struct Answers {
-    parts: BTreeMap<u64, BTreeSet<u32>>,
-    /// When the last request was sent or the last part received.
-    last_activity: Mono,
+    /// The request for the next page.
+    request: u64,
+    /// The last key of the pages received.
+    after: Option<String>,
+    last_sent: Mono,
     complete: bool,
 }
 
@@ -136,70 +134,45 @@
     }
 
     fn send_recalls(&mut self, now: Mono, out: &mut Vec<Out>) {
-        let (roll, purpose) = self.recall.task;
         for addr in self.sources() {
-            let answers = self.recall.members.entry(addr).or_default();
-            let due = answers.last_activity == Mono(0) || now - answers.last_activity >= RETRY_INTERVAL;
-            if !answers.complete && due {
-                self.recall.last_request += 1;
-                let ask = self.recall.last_request;
-                answers.last_activity = now;
-                answers.parts.insert(ask, BTreeSet::new());
-                out.push(Out::Send(addr, Msg::Recall { ask, roll, purpose }));
+            match self.recall.members.get(&addr) {
+                None => self.request_page(now, addr, None, out),
+                Some(answers) if !answers.complete && now - answers.last_sent >= RETRY_INTERVAL => {
+                    self.send_request(now, addr, out);
+                }
+                Some(_) => (),
             }
         }
     }
 
-    /// Answers with the records of all keys that the requester is a replica of, including those
-    /// not yet settled. A ledger that may not grant itself, or that follows another version of
-    /// the ledger sets, does not answer.
-    pub(crate) fn on_recall(
-        &mut self,
-        now: Mono,
-        from: Addr,
-        ask: u64,
-        (version, purpose): (Version, RecallPurpose),
-        out: &mut Vec<Out>,
-    ) {
-        if !self.open || version != self.ledger_set_version() {
-            return;
-        }
-        self.count("recalls answered");
-        if purpose == RecallPurpose::Fill {
-            self.raise_fence(now, version, out);
-        }
-        self.grants.drop_old(now, self.env.window);
-        let ledger_sets = Roll::of(&self.follow.items);
-        let is_replica = |k: &str| ledger_sets.named(k, self.env.losses).iter().any(|s| s.contains(&from));
-        let keys = self.grants.iter().filter(|(k, _)| is_replica(k));
-        let held = keys.map(|(k, g)| self.recalled_record(now, purpose, &ledger_sets, k, g)).collect();
-        let parts = split_into_parts(held, MAX_PART_BYTES);
-        let of = parts.len() as u32;
-        let message = |(i, held)| Out::Send(from, Msg::Recalled { ask, part: i as u32, of, held });
-        out.extend(parts.into_iter().enumerate().map(message));
+    /// Asks a member for the page after this key.
+    fn request_page(&mut self, now: Mono, addr: Addr, after: Option<String>, out: &mut Vec<Out>) {
+        self.recall.last_request += 1;
+        let request = self.recall.last_request;
+        self.recall.members.insert(addr, Answers { request, after, last_sent: now, complete: false });
+        self.send_request(now, addr, out);
     }
 
-    /// The record without an outcome that is stored at few ledgers only, except where this
-    /// ledger leaves the key's replicas and will not be asked for the outcome any more.
-    fn recalled_record(&self, now: Mono, purpose: RecallPurpose, sets: &Roll, key: &str, g: &Grant) -> Held {
-        let newest = sets.named(key, self.env.losses).pop().unwrap_or_default();
-        let stays = newest.contains(&self.follow.env.addr);
-        match purpose {
-            RecallPurpose::Fill if !stays => g.show(now, key),
-            _ => self.shared_record(now, key, g),
-        }
+    fn send_request(&mut self, now: Mono, addr: Addr, out: &mut Vec<Out>) {
+        let (roll, purpose) = self.recall.task;
+        let Some(answers) = self.recall.members.get_mut(&addr) else { return };
+        answers.last_sent = now;
+        let (ask, after) = (answers.request, answers.after.clone());
+        out.push(Out::Send(addr, Msg::Recall { ask, roll, purpose, after }));
     }
 
+    /// A page of a member's answer. The answer is complete with its last page; a page that comes
+    /// twice counts once.
     pub(crate) fn on_recalled(
         &mut self,
         now: Mono,
         from: Addr,
-        (ask, part, of): (u64, u32, u32),
+        (ask, next): (u64, Option<String>),
         held: Vec<Held>,
         out: &mut Vec<Out>,
     ) {
-        let requested = self.recall.members.get(&from).is_some_and(|a| a.parts.contains_key(&ask));
-        if !requested || (self.open && !self.filling()) {
+        let expected = self.recall.members.get(&from).is_some_and(|a| a.request == ask && !a.complete);
+        if !expected || (self.open && !self.filling()) {
             return;
         }
         let is_released = |record: &Held| self.recall.released.contains(&record.round);
@@ -212,11 +185,10 @@
             // The keys that it must know do not fit: it stays closed until the window is over.
             return self.count("no room for keys");
         }
-        let answers = self.recall.members.entry(from).or_default();
-        answers.last_activity = now;
-        let received = answers.parts.entry(ask).or_default();
-        received.insert(part);
-        answers.complete |= received.len() == of as usize;
+        if next.is_some() {
+            return self.request_page(now, from, next, out);
+        }
+        self.recall.members.entry(from).and_modify(|answers| answers.complete = true);
         self.maybe_open(now, out);
         self.maybe_complete_fill(out);
     }
--- a/crates/ledger/src/replicate.rs
+++ b/crates/ledger/src/replicate.rs
@@ -3,15 +3,15 @@
 //! An outcome names the disks that hold it. Once one of them is lost or leaves the ledger sets,
 //! the first of the remaining holders sends the outcome to another ledger: one transfer for
 //! each copy lost.
-use crate::leave::split_into_parts;
 use crate::ledger::Ledger;
+use crate::page::Page;
 use crate::records::Kept;
 use control_state::*;
 use primitives::{Addr, Birth, Mono, Span};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Bytes of one message; a record that is larger is sent alone.
-const MAX_PART_BYTES: usize = 64 << 10;
+/// Bytes of one transfer; a record that is larger is sent alone.
+const MAX_PAGE_BYTES: usize = 64 << 10;
 /// Time without an acknowledgement after which a transfer is abandoned and sent anew.
 const RETRY_INTERVAL: Span = Span::ms(500);
 /// Request numbers of transfers begin here, apart from those of a leaving ledger.
@@ -103,29 +103,35 @@
 
     fn send_under_replicated(&mut self, now: Mono, out: &mut Vec<Out>) {
         let ledger_sets = Roll::of(&self.follow.items);
-        let mut by_ledger: BTreeMap<Holder, Vec<Held>> = BTreeMap::new();
+        let mut keys: BTreeMap<Holder, Vec<String>> = BTreeMap::new();
         for key in &self.replication.under_replicated {
-            let Some(grant) = self.grants.get(key) else { continue };
-            let Some(whole) = &grant.whole else { continue };
-            let mut holders = self.replication.live_holders(whole);
+            let Some(whole) = self.grants.get(key).and_then(|grant| grant.whole.as_ref()) else { continue };
+            let holders = self.replication.live_holders(whole);
             let Some(next) = self.next_holder(key, &ledger_sets, &holders) else { continue };
             if !self.replication.transfers.contains_key(&next.addr) {
-                holders.push(next);
-                let whole = Some(whole.with_holders(&holders));
-                by_ledger.entry(next).or_default().push(Held { whole, ..grant.show(now, key) });
+                keys.entry(next).or_default().push(key.clone());
             }
         }
-        for (to, held) in by_ledger {
-            let held = split_into_parts(held, MAX_PART_BYTES).swap_remove(0);
+        for (to, keys) in keys {
+            let records = keys.iter().filter_map(|key| self.replicated_record(now, key, to));
+            let page = Page::of(records, MAX_PAGE_BYTES);
             self.replication.last_request += 1;
             let ask = FIRST_REQUEST + self.replication.last_request;
-            let keys = held.iter().map(|h| h.key.clone()).collect();
-            self.replication.transfers.insert(to.addr, Transfer { ask, to, keys, sent: now });
+            self.replication.transfers.insert(to.addr, Transfer { ask, to, keys: page.keys(), sent: now });
             self.count("outcomes handed on");
-            out.push(Out::Send(to.addr, Msg::HandOver { ask, held }));
+            out.push(Out::Send(to.addr, Msg::HandOver { ask, held: page.records }));
         }
     }
 
+    /// The record of an outcome for a further holder, which is named in it.
+    fn replicated_record(&self, now: Mono, key: &str, to: Holder) -> Option<Held> {
+        let grant = self.grants.get(key)?;
+        let whole = grant.whole.as_ref()?;
+        let mut holders = self.replication.live_holders(whole);
+        holders.push(to);
+        Some(Held { whole: Some(whole.with_holders(&holders)), ..grant.show(now, key) })
+    }
+
     /// Another ledger acknowledged a transfer: it is saved as a holder of the outcomes.
     pub(crate) fn on_transfer_confirmed(&mut self, now: Mono, from: Addr, ask: u64, out: &mut Vec<Out>) {
         if self.replication.transfers.get(&from).is_none_or(|transfer| transfer.ask != ask) {
--- a/crates/machine/src/recovered_log.rs
+++ b/crates/machine/src/recovered_log.rs
@@ -12,6 +12,7 @@
     decode: fn(&[u8]) -> Option<K>,
 ) -> Result<(DiskLog, Vec<K>)> {
     let entries = shell::read_entries(&mut log, records);
-    let decoded = entries.and_then(|entries| entries.iter().map(|entry| decode(entry)).collect());
+    // Each entry is freed once it is decoded: all of them twice may be more than there is memory for.
+    let decoded = entries.and_then(|entries| entries.into_iter().map(|entry| decode(&entry)).collect());
     decoded.map(|records| (log, records)).ok_or(StartError::Undecodable)
 }
--- a/crates/runtime/src/frame.rs
+++ b/crates/runtime/src/frame.rs
@@ -6,7 +6,7 @@
 const MAGIC: [u8; 2] = *b"LW";
 /// Version of the protocol between nodes. It must be raised with every change of a message: a
 /// frame of another version is rejected and its connection closed.
-pub const VERSION: u8 = 4;
+pub const VERSION: u8 = 5;
 /// Largest message in bytes. Larger frames are never sent, and close the connection when
 /// received.
 pub(crate) const MAX_CONTENT_LEN: usize = 16 << 20;
