--- a/crates/machine/src/ledger_log.rs
+++ b/crates/machine/src/ledger_log.rs
@@ -18,7 +18,7 @@
 const CAPACITY_PERCENT: usize = 72;
 /// Grants and outcomes take at most this fraction (1/n) of the memory beyond what a process of any size needs.
 const MEMORY_DIVISOR: usize = 4;
-const BASE_MEMORY: usize = 40 << 20;
+const BASE_MEMORY: usize = 24 << 20;
 /// They may take at least this fraction (1/n) of all memory.
 const MIN_MEMORY_DIVISOR: usize = 16;
 
--- a/crates/machine/src/memory.rs
+++ b/crates/machine/src/memory.rs
@@ -2,10 +2,10 @@
 use crate::MachineConfig;
 
 /// Shares of the memory that remains after the parts that store data on disk: a third for cached copies, a
-/// quarter for answers in transit from origins, and three tenths for the bodies of callers' requests. The rest
+/// fifth for answers in transit from origins, and three tenths for the bodies of callers' requests. The rest
 /// is for threads and for fragmentation in the allocator.
 const CACHE_DIVISOR: usize = 3;
-const ANSWERS_DIVISOR: usize = 4;
+const ANSWERS_DIVISOR: usize = 5;
 /// Numerator and denominator.
 const BODIES_SHARE: (usize, usize) = (3, 10);
 /// Memory of a controller as a multiple of its state's size on disk: the state, the state at the start of its
