--- a/crates/control-state/src/bounded_cache.rs
+++ b/crates/control-state/src/bounded_cache.rs
@@ -53,7 +53,12 @@
         self.bytes += entry.size();
         self.order.insert((entry.stays(), entry.kept(), key.clone()));
         self.entries.insert(key, entry);
-        while self.bytes > self.capacity {
+        self.shrink_to(self.capacity);
+    }
+
+    /// Evicts entries until they take at most so many bytes. The capacity stays as it is.
+    pub fn shrink_to(&mut self, bytes: usize) {
+        while self.bytes > bytes {
             let Some((.., first)) = self.order.first().cloned() else { return };
             self.remove(&first);
         }
--- /dev/null
+++ b/crates/control-state/src/memory_pressure.rs
@@ -0,0 +1,13 @@
+//! How close a process is to its memory limit.
+
+/// Tells a part how to save memory. Holders of memory yield in this order: cached copies, then
+/// requests that are not accepted yet; accepted requests are completed.
+#[derive(Copy, Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum MemoryPressure {
+    #[default]
+    None,
+    /// Copies are dropped, and no more are kept.
+    High,
+    /// New requests are denied as well.
+    Critical,
+}
--- a/crates/control-state/src/part.rs
+++ b/crates/control-state/src/part.rs
@@ -5,6 +5,7 @@
 use crate::digest::ItemsDigest;
 use crate::headers::Headers;
 use crate::items::*;
+use crate::memory_pressure::MemoryPressure;
 use crate::message::*;
 use crate::report::Report;
 use crate::state::ControlState;
@@ -150,6 +151,8 @@
     Probes,
     /// The limits on requests of callers.
     Limits,
+    /// How close the process is to its memory limit now.
+    MemoryPressure(MemoryPressure),
     // At any node.
     Ready,
     /// Stops accepting new work; complete once no request is in flight.
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -83,6 +83,7 @@
     /// When the edge began to leave: it reports not ready at once, but accepts requests for
     /// `grace`.
     pub(crate) leaving_since: Option<Mono>,
+    pub(crate) memory_pressure: MemoryPressure,
     pub(crate) counters: BTreeMap<&'static str, u64>,
     pub(crate) metrics: EdgeMetrics,
 }
@@ -116,6 +117,7 @@
             // Answers are matched to requests by incarnation as well, see `answers`.
             last_number: env.follow.birth.0 << 20,
             leaving_since: None,
+            memory_pressure: MemoryPressure::None,
             counters: BTreeMap::new(),
             metrics: EdgeMetrics::default(),
             env,
@@ -206,6 +208,10 @@
                     out.push(Out::Tell(token, NodeReply::Acknowledged));
                 }
                 Ask::Limits => out.push(Out::Tell(token, NodeReply::Limits(self.table.limits.clone()))),
+                Ask::MemoryPressure(pressure) => {
+                    self.on_memory_pressure(pressure);
+                    out.push(Out::Tell(token, NodeReply::Acknowledged));
+                }
                 Ask::Ready => out.push(Out::Tell(token, NodeReply::Health(self.health(now)))),
                 Ask::Drain => {
                     self.leave(now);
--- a/crates/edge/src/jobs.rs
+++ b/crates/edge/src/jobs.rs
@@ -46,6 +46,7 @@
         require(!self.drained(now), Denied::Leaving)?;
         require(self.leased(now), Denied::NoLease)?;
         require(self.jobs.len() < self.env.hands.1, Denied::TooMany)?;
+        self.require_memory()?;
         let find_route = |host: &String| self.table.paths.find(host, &req.path).cloned();
         let lane = req.host.as_ref().map_or(Some(req.lane.clone()), find_route).ok_or(Denied::NoLane)?;
         let req = CallerRequest { lane, ..req };
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -19,6 +19,7 @@
 mod keyed;
 mod load_balancing;
 mod local_controller;
+mod memory_pressure;
 mod metrics;
 mod nearby_origins;
 mod origins;
--- a/crates/edge/src/read.rs
+++ b/crates/edge/src/read.rs
@@ -115,7 +115,7 @@
 
     /// Stores a copy, unless it has expired or is larger than the cache.
     pub(crate) fn keep(&mut self, now: Mono, object: Object, copy: Copy) {
-        if copy.until > now && copy.whole.size() <= self.env.copies {
+        if copy.until > now && copy.whole.size() <= self.env.copies && self.may_keep_copies() {
             self.copies.put(object, copy);
         }
     }
--- a/crates/machine/src/lib.rs
+++ b/crates/machine/src/lib.rs
@@ -10,6 +10,7 @@
 mod run;
 mod slow_calls;
 
+pub use memory_watch::pressure_at;
 pub use run::{run, HttpHandlers, StartError};
 
 use control_state::Zone;
--- a/crates/machine/tests/memory.rs
+++ b/crates/machine/tests/memory.rs
@@ -1,7 +1,8 @@
 //! Parameters derived from a machine's limits: the division of memory, and the capacity to serve other nodes.
 mod common;
 use common::config;
-use machine::MachineConfig;
+use control_state::MemoryPressure;
+use machine::{pressure_at, MachineConfig};
 
 const MB: usize = 1_000_000;
 
@@ -51,3 +52,14 @@
     assert_eq!(large, capacity(None, 0.5), "limited by its processor");
     assert_eq!(capacity(Some(1), 0.000_001), 1);
 }
+
+/// Guards against processes that end over their memory (LOST): copies go first, then new requests are
+/// denied, long before the limit.
+#[test]
+fn given_a_process_that_nears_its_limit_then_copies_go_first_and_new_requests_next() {
+    let pressures: Vec<MemoryPressure> = (0..=120).map(pressure_at).collect();
+    assert!(pressures.is_sorted());
+    let first = |pressure| pressures.iter().position(|p| *p == pressure).expect("it is reached");
+    let (high, critical) = (first(MemoryPressure::High), first(MemoryPressure::Critical));
+    assert!(high < critical && critical <= 90, "{high} and {critical} percent");
+}
