--- a/crates/edge/src/sources.rs
+++ b/crates/edge/src/sources.rs
@@ -174,8 +174,7 @@
         let cached = self.copies.peek(&object);
         let held = cached.and_then(|c| c.whole.heads.get("etag")).map(str::to_string);
         let held = held.filter(|_| copy_request.source != Source::Ledger);
-        let copy_request =
-            CopyRequest { held: held.as_ref().map(|etag| primitives::hash(etag)), ..copy_request };
+        let copy_request = CopyRequest { held: held.as_ref().map(primitives::hash), ..copy_request };
         self.count(match copy_request.source {
             Source::Home(Reach::Zone) => "asked of zone homes",
             Source::Home(Reach::Region) => "asked of region homes",
--- a/crates/ledger/tests/common/mod.rs
+++ b/crates/ledger/tests/common/mod.rs
@@ -28,6 +28,22 @@
     }
 }
 
+/// Settings of a ledger at this port whose log is trimmed, with room for all that a test stores.
+pub fn trimmed_env(port: u16) -> LedgerEnv {
+    LedgerEnv {
+        follow: follow(port),
+        window: Span::secs(90),
+        compact_after_bytes: 1 << 24,
+        log_form: ledger::LogForm::Trimmed { capacity: 1 << 24 },
+        room: 0,
+        most: 1 << 24,
+        boot: 1,
+        losses: 1,
+        leave: control_state::LEAVE,
+        minimal_outcome_copies: true,
+    }
+}
+
 /// The ledger at this port, on a disk of this incarnation, with at most this many bytes of keys.
 pub fn ledger(port: u16, birth: u64, max_key_bytes: usize) -> Ledger {
     let window = Span::secs(90);
--- a/crates/runtime/src/executor.rs
+++ b/crates/runtime/src/executor.rs
@@ -150,7 +150,7 @@
 
 /// What the executor is told to do.
 pub enum ExecutorCommand {
-    Run(Round),
+    Run(Box<Round>),
     /// Abandon the attempt with this number, if it is running.
     Abandon(u64),
 }
@@ -169,7 +169,7 @@
             let running = RunningAttempts::default();
             for command in rx {
                 match command {
-                    ExecutorCommand::Run(round) => start_attempt(&config, &running, &h, round),
+                    ExecutorCommand::Run(round) => start_attempt(&config, &running, &h, *round),
                     ExecutorCommand::Abandon(n) => {
                         let agent = running.lock().expect("no thread panics with it").remove(&n);
                         agent.into_iter().for_each(Agent::shutdown);
--- a/crates/runtime/src/shell.rs
+++ b/crates/runtime/src/shell.rs
@@ -209,7 +209,7 @@
                     let _ = reply_to.send(reply);
                 }
             }
-            Out::Fetch(round) => self.command(ExecutorCommand::Run(round)),
+            Out::Fetch(round) => self.command(ExecutorCommand::Run(Box::new(round))),
             Out::Abandon(n) => self.command(ExecutorCommand::Abandon(n)),
             Out::Note(text) => info!(self.log, "{}", text),
             Out::Alarm(text) => error!(self.log, "{}", text),
