--- a/crates/ledger/tests/leave.rs
+++ b/crates/ledger/tests/leave.rs
@@ -71,3 +71,84 @@
         assert_eq!(held.iter().filter(|record| record.whole.is_some()).count() as u64, KEYS, "{holders:?}");
     }
 }
+
+fn claim(member: &mut Ledger, now: Mono, key: &str, n: u64) {
+    let print = Fingerprint([1; 32]);
+    step(member, now, 5, Msg::Claim { key: key.into(), print, round: round(n), roll: Version(1) });
+}
+
+fn outcome(member: &mut Ledger, now: Mono, key: &str, n: u64) {
+    let whole = Whole::new(200, "", vec![1; BODY_BYTES]);
+    let print = Fingerprint([1; 32]);
+    step(member, now, 5, Msg::Outcome { key: key.into(), print, round: round(n), whole });
+}
+
+fn round(n: u64) -> RoundId {
+    RoundId { node: NodeId(9), birth: Birth(1), n }
+}
+
+/// The pages that the ledger sends with a tick, or when it is told to leave.
+fn pages(member: &mut Ledger, now: Mono, input: In) -> Vec<(u64, Vec<Held>)> {
+    let mut out = vec![];
+    member.step(now, input, &mut out);
+    let page = |message| if let Msg::HandOver { ask, held } = message { Some((ask, held)) } else { None };
+    sent(out).into_iter().filter_map(page).collect()
+}
+
+/// Number of keys that are still to be handed over.
+fn keys_left(member: &mut Ledger, now: Mono) -> u64 {
+    let mut out = vec![];
+    member.step(now, In::Ask(primitives::Token(2), Ask::Ready), &mut out);
+    let in_hand = |output| match output {
+        Out::Tell(_, NodeReply::Health(health)) => Some(health.in_hand),
+        _ => None,
+    };
+    out.into_iter().find_map(in_hand).expect("a report of its health")
+}
+
+// Guards against a planned stop that gives up over a slow link: each time a page was sent again, the
+// acknowledgements under way no longer counted.
+#[test]
+fn given_acknowledgements_later_than_the_pauses_then_a_leaving_ledger_still_hands_over_all() {
+    let mut member = member();
+    (0..KEYS).for_each(|n| claim(&mut member, Mono(2), &format!("pay/k{n}"), n));
+    let (start, round_trip) = (Mono(3_000_000), Span::ms(1300));
+    let mut acknowledgements: Vec<(Mono, u64)> = vec![];
+    let mut now = start;
+    let mut input = In::Ask(primitives::Token(1), Ask::Drain);
+    while now - start < Span::ms(1900) {
+        let sent = pages(&mut member, now, input);
+        acknowledgements.extend(sent.into_iter().map(|(ask, _)| (now + round_trip, ask)));
+        now = now + Span::ms(10);
+        let due: Vec<u64> =
+            acknowledgements.iter().filter(|(at, _)| *at == now).map(|(_, ask)| *ask).collect();
+        for ask in due {
+            step(&mut member, now, 2, Msg::HandedOver { ask });
+        }
+        input = In::Tick;
+    }
+    assert_eq!(keys_left(&mut member, now), 0);
+}
+
+// Guards against an outcome that is lost with its ledger: it came while a page without it was under way, and
+// the acknowledgement of that page counted for it.
+#[test]
+fn given_an_outcome_that_arrives_while_its_key_is_handed_over_then_it_is_handed_over_too() {
+    let mut member = member();
+    claim(&mut member, Mono(2), "pay/k", 1);
+    let start = Mono(3_000_000);
+    let first = pages(&mut member, start, In::Ask(primitives::Token(1), Ask::Drain));
+    assert!(first.iter().all(|(_, held)| held.iter().all(|record| record.whole.is_none())));
+    outcome(&mut member, start, "pay/k", 1);
+    let mut now = start + Span::ms(10);
+    for (ask, _) in first {
+        step(&mut member, now, 2, Msg::HandedOver { ask });
+    }
+    assert_eq!(keys_left(&mut member, now), 1);
+    let mut handed_over = vec![];
+    while now - start < Span::secs(1) {
+        now = now + Span::ms(10);
+        handed_over.extend(pages(&mut member, now, In::Tick));
+    }
+    assert!(handed_over.iter().any(|(_, held)| held.iter().any(|record| record.whole.is_some())));
+}
