--- a/crates/ledger/src/leave.rs
+++ b/crates/ledger/src/leave.rs
@@ -14,16 +14,23 @@
 /// By this time after its grant all holders that an outcome names have stored it, or were replaced.
 const OUTCOME_DELIVERY_TIME: Span = Span::secs(12);
 
+/// A page as it was sent. Its keys are those whose records have not changed since.
+#[derive(Clone, Debug)]
+struct SentPage {
+    keys: BTreeSet<String>,
+    last_key: Option<String>,
+    /// Whether further pages follow.
+    more: bool,
+}
+
 /// How far the records were handed to one other ledger: one page at a time, in the order of keys.
 #[derive(Clone, Debug)]
 struct HandOver {
-    request: u64,
     /// The page in flight begins after this key.
     after: Option<String>,
-    /// The keys of the page in flight; empty once all pages were acknowledged.
-    keys: Vec<String>,
-    /// Whether further pages follow.
-    more: bool,
+    /// The page in flight, by the number of each request that it was sent with. Any of them may be
+    /// acknowledged. Empty once all pages were acknowledged.
+    sent: BTreeMap<u64, SentPage>,
     retry: Backoff,
     /// Each other ledger gets all records once, and then those that no ledger has acknowledged.
     first_pass: bool,
@@ -40,11 +47,17 @@
 }
 
 impl Leaving {
-    /// Adds a key that was granted, or whose outcome arrived, while this ledger leaves.
+    /// Adds a key that was granted, or whose outcome arrived, while this ledger leaves. Pages that were
+    /// sent before do not hand it over.
     pub(crate) fn add_key(&mut self, key: &str) {
-        if self.since.is_some() {
-            self.keys.insert(key.to_string());
+        if self.since.is_none() {
+            return;
         }
+        self.keys.insert(key.to_string());
+        let sent = self.hand_overs.values_mut().flat_map(|pass| pass.sent.values_mut());
+        sent.for_each(|page| {
+            page.keys.remove(key);
+        });
     }
 
     /// Number of keys that are still to be handed over.
@@ -78,7 +91,7 @@
         self.leaving.keys.retain(|key| self.grants.contains(key));
         for other in others {
             let pass = self.leaving.hand_overs.get_mut(&other);
-            match pass.map(|pass| (pass.retry.due(now), pass.keys.is_empty())) {
+            match pass.map(|pass| (pass.retry.due(now), pass.sent.is_empty())) {
                 None => self.start_pass(now, other, true, out),
                 Some((true, true)) => self.start_pass(now, other, false, out),
                 Some((true, false)) => self.send_page(now, other, out),
@@ -90,7 +103,7 @@
     /// Begins to hand over the records of the other ledger's keys, from the first one on.
     fn start_pass(&mut self, now: Mono, other: Addr, first_pass: bool, out: &mut Vec<Out>) {
         let retry = Backoff::new(now, RETRY_INTERVALS.0, RETRY_INTERVALS.1);
-        let pass = HandOver { request: 0, after: None, keys: vec![], more: false, retry, first_pass };
+        let pass = HandOver { after: None, sent: BTreeMap::new(), retry, first_pass };
         self.leaving.hand_overs.insert(other, pass);
         self.send_page(now, other, out);
     }
@@ -113,10 +126,14 @@
         self.leaving.last_request += 1;
         let request = self.leaving.last_request;
         let Some(pass) = self.leaving.hand_overs.get_mut(&other) else { return };
-        (pass.request, pass.keys, pass.more) = (request, page.keys(), page.more);
-        if !page.records.is_empty() {
-            out.push(Out::Send(other, Msg::HandOver { ask: request, held: page.records }));
+        if page.records.is_empty() {
+            pass.sent.clear();
+            return;
         }
+        let keys = page.keys();
+        let last_key = keys.last().cloned();
+        pass.sent.insert(request, SentPage { keys: keys.into_iter().collect(), last_key, more: page.more });
+        out.push(Out::Send(other, Msg::HandOver { ask: request, held: page.records }));
     }
 
     /// The record with its outcome, also where the other replicas usually hold none, for the copy on
@@ -148,17 +165,15 @@
 
     /// Another ledger has saved a page: the next one follows.
     pub(crate) fn on_handed_over(&mut self, now: Mono, from: Addr, ask: u64, out: &mut Vec<Out>) {
-        let Some(pass) = self.leaving.hand_overs.get_mut(&from).filter(|pass| pass.request == ask) else {
-            return;
-        };
-        let acknowledged = std::mem::take(&mut pass.keys);
-        pass.after = acknowledged.last().cloned().or(pass.after.take());
+        let Some(pass) = self.leaving.hand_overs.get_mut(&from) else { return };
+        let Some(page) = pass.sent.remove(&ask) else { return };
+        pass.sent.clear();
+        pass.after = page.last_key;
         pass.retry = Backoff::new(now, RETRY_INTERVALS.0, RETRY_INTERVALS.1);
-        let more = pass.more;
-        for key in &acknowledged {
+        for key in &page.keys {
             self.leaving.keys.remove(key);
         }
-        if more {
+        if page.more {
             self.send_page(now, from, out);
         }
     }
