--- a/crates/control-state/src/holders.rs
+++ b/crates/control-state/src/holders.rs
@@ -6,6 +6,7 @@
 use crate::roll::Roll;
 use crate::whole::Whole;
 use primitives::{Addr, Birth, NodeId};
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Name of the field. Its entries are `address@birth`, with the birth in hexadecimal, separated by
@@ -13,7 +14,7 @@
 const HOLDERS_FIELD: &str = "lanewing-holders";
 
 /// A ledger and the incarnation of its disk: another disk at that address has lost what this one held.
-#[derive(Copy, Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Copy, Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Holder {
     pub addr: Addr,
     pub birth: Birth,
--- a/crates/control-state/src/part.rs
+++ b/crates/control-state/src/part.rs
@@ -9,6 +9,7 @@
 use crate::message::*;
 use crate::report::Report;
 use crate::state::ControlState;
+use crate::stored_message::StoredMessage;
 use crate::verdict::Verdict;
 use crate::whole::Whole;
 use primitives::{Addr, Birth, Mono, Span, Token};
@@ -196,6 +197,8 @@
     Ask(Token, Ask),
     /// The caller that waits for the reply to this `Ask` has closed its connection.
     CallerGone(Token),
+    /// The records of the log that `Out::Read` asked for, in order; `None` for one that cannot be read.
+    Read(Box<StoredMessage>, Vec<Option<Vec<u8>>>),
     /// A timer tick.
     Tick,
 }
@@ -211,6 +214,8 @@
     /// Records before this one are not needed any more. Records are numbered from the first one that
     /// was read back at the start; those that are saved later follow.
     Trim(u64),
+    /// Reads the records of the log that this message lacks. The answer is `In::Read`.
+    Read(Box<StoredMessage>),
     Send(Addr, Msg),
     /// A message that depends on no saved record: it is sent at once, even during a save.
     SendNow(Addr, Msg),
--- a/crates/controller/src/dispatch.rs
+++ b/crates/controller/src/dispatch.rs
@@ -9,7 +9,7 @@
         let first_output = out.len();
         match input {
             In::Tick => self.tick(now, out),
-            In::CallerGone(_) => (),
+            In::CallerGone(_) | In::Read(..) => (),
             In::Ask(token, ask) => self.ask(now, token, ask, out),
             In::Msg(from, message) => match message {
                 Msg::Agreement(era, member_id, m) => self.on_agreement(now, from, era, member_id, *m, out),
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -196,6 +196,7 @@
         match inp {
             In::Tick => self.tick(now, out),
             In::CallerGone(token) => self.on_caller_gone(now, token, out),
+            In::Read(..) => (),
             In::Ask(token, ask) => match ask {
                 Ask::Begin(request) => self.begin(now, token, request, out),
                 Ask::Done(n, outcome) => {
--- a/crates/lanewing/src/roles.rs
+++ b/crates/lanewing/src/roles.rs
@@ -213,6 +213,7 @@
         // One file of the ring log, less the cached copies and a reserve of an eighth.
         most: compact_after_bytes - copies_bytes - compact_after_bytes / 8,
         boot: runtime::boot(),
+        max_content_bytes: usize::MAX,
         losses: 1,
         leave: LEAVE,
         minimal_outcome_copies: false,
--- a/crates/ledger/src/claims.rs
+++ b/crates/ledger/src/claims.rs
@@ -1,6 +1,7 @@
 //! Claims, releases and outcomes of rounds, as edges send them.
-use crate::grants::Grant;
+use crate::grant::Grant;
 use crate::ledger::Ledger;
+use crate::outgoing;
 use crate::records::Kept;
 use control_state::*;
 use primitives::{Addr, Mono, Version};
@@ -31,7 +32,10 @@
             self.save(now, Kept::Grant { key: key.clone(), print, round }, out);
             self.leaving.add_key(&key);
         }
-        out.push(Out::Send(from, Msg::Claimed { key, round, said }));
+        let known = self.grants.get(&key).filter(|_| said == Claimed::Held(None));
+        let in_log = known.and_then(Grant::outcome_in_log);
+        let missing = in_log.map(|outcome| outcome.missing_at(0)).into_iter().collect();
+        outgoing::send(from, Msg::Claimed { key, round, said }, missing, out);
     }
 
     /// Invariant: once this ledger has answered a fill for a version of the ledger sets, or
@@ -55,7 +59,7 @@
 
     pub(crate) fn on_release(&mut self, now: Mono, key: String, round: RoundId, out: &mut Vec<Out>) {
         self.recall.add_released(round);
-        let is_releasable = |g: &Grant| g.round == round && g.whole.is_none();
+        let is_releasable = |g: &Grant| g.round == round && g.outcome.is_none();
         if self.grants.get(&key).is_some_and(is_releasable) {
             self.save(now, Kept::Release { key, round }, out);
         }
@@ -93,8 +97,8 @@
         out: &mut Vec<Out>,
     ) {
         // An outcome that is already stored may by now have other holders.
-        let is_new =
-            |g: &Grant| g.round == round && g.whole.as_ref().is_none_or(|w| w.holders() != whole.holders());
+        let holders = whole.holders();
+        let is_new = |g: &Grant| g.round == round && g.outcome.as_ref().is_none_or(|o| o.holders != holders);
         if !self.grants.get(&key).is_some_and(is_new) {
             return;
         }
--- a/crates/ledger/src/compacted_state.rs
+++ b/crates/ledger/src/compacted_state.rs
@@ -1,6 +1,7 @@
 //! Compaction: the whole state as one record, encoded without a copy of it in memory.
 use crate::disk_cache::{DiskCache, StoredCopy};
-use crate::grants::{Grant, Grants};
+use crate::grant::Grant;
+use crate::grants::Grants;
 use control_state::BoundedCacheEntry;
 use primitives::{Birth, Version};
 use serde::ser::{Serialize, SerializeTupleVariant, Serializer};
@@ -34,7 +35,8 @@
 
 impl Serialize for AllGrants<'_> {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        let fields = |(key, g): (&'_ String, &'_ Grant)| (key.clone(), g.print, g.round, g.whole.clone());
+        let whole = |g: &Grant| g.outcome.as_ref().and_then(|outcome| outcome.content.clone());
+        let fields = |(key, g): (&'_ String, &'_ Grant)| (key.clone(), g.print, g.round, whole(g));
         serializer.collect_seq(self.0.iter().map(fields))
     }
 }
--- a/crates/ledger/src/leave.rs
+++ b/crates/ledger/src/leave.rs
@@ -1,7 +1,8 @@
 //! Orderly leaving: this ledger hands its records to the other ledgers of each key, so that
 //! it does not stop while it is the only holder of a grant or an outcome.
-use crate::grants::Grant;
+use crate::grant::Grant;
 use crate::ledger::Ledger;
+use crate::outgoing::{self, OutgoingRecord};
 use crate::page::{Page, MAX_PAGE_BYTES};
 use control_state::*;
 use primitives::{Addr, Backoff, Epoch, Mono, Span};
@@ -133,14 +134,14 @@
         let keys = page.keys();
         let last_key = keys.last().cloned();
         pass.sent.insert(request, SentPage { keys: keys.into_iter().collect(), last_key, more: page.more });
-        out.push(Out::Send(other, Msg::HandOver { ask: request, held: page.records }));
+        outgoing::send(other, Msg::HandOver { ask: request, held: page.records }, page.missing, out);
     }
 
     /// The record with its outcome, also where the other replicas usually hold none, for the copy on
     /// this ledger goes away; without it if another replica holds it as well.
-    fn handed_over_record(&self, now: Mono, ledger_sets: &Roll, key: &str, grant: &Grant) -> Held {
+    fn handed_over_record(&self, now: Mono, ledger_sets: &Roll, key: &str, grant: &Grant) -> OutgoingRecord {
         let replicas = ledger_sets.named(key, self.env.losses).pop().unwrap_or_default();
-        let holders = grant.whole.iter().flat_map(|whole| self.replication.live_holders(whole));
+        let holders = grant.outcome.iter().flat_map(|outcome| self.replication.live_holders(outcome));
         let mut others = holders.filter(|holder| holder.addr != self.follow.env.addr);
         let is_delivered = now - grant.granted_at > OUTCOME_DELIVERY_TIME;
         if is_delivered && others.any(|holder| replicas.contains(&holder.addr)) {
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -8,6 +8,8 @@
 use crate::recall::Recall;
 use crate::recall_answer::{AnsweredRequest, PageRequest};
 use crate::records::*;
+use crate::recovered_record::RecoveredRecord;
+use crate::recovered_state::RecoveredState;
 use crate::replicate::Replication;
 use control_state::*;
 use primitives::{Addr, Birth, Epoch, Mono, NodeId, Span, Version};
@@ -30,6 +32,8 @@
     /// Bytes of keys and outcomes above which no key is granted. Together with `room` they
     /// must fit one file of the ring, or the compacted state could not be written.
     pub most: usize,
+    /// Bytes of outcomes whose contents stay in memory. Those of a trimmed log are read again when needed.
+    pub max_content_bytes: usize,
     /// Identifies the current boot of the machine.
     pub boot: u64,
     /// Disks that may be lost at once without harm; the same at every edge and ledger.
@@ -72,37 +76,15 @@
 impl Ledger {
     /// Starts from the disk's records, oldest first. `life` is a fresh random number: it
     /// becomes the incarnation of a disk that is new.
-    pub fn start(mut env: LedgerEnv, records: Vec<Kept>, life: u64, now: Mono, out: &mut Vec<Out>) -> Ledger {
-        let mut grants = Grants::default();
-        let mut disk_cache = DiskCache::new(env.room);
-        let mut birth = None;
-        let mut open = false;
-        let mut fence = Version(0);
-        let mut log = LogUse::default();
-        for record in records {
-            let bytes = record.approximate_bytes();
-            let is_checkpoint = matches!(record, Kept::State(_));
-            let position = if is_checkpoint { log.append_checkpoint(bytes) } else { log.append(bytes) };
-            match &record {
-                Kept::Birth(stored) => birth = Some(*stored),
-                Kept::Open => open = true,
-                Kept::Base(stored, was_open, _, copies) | Kept::Whole(stored, was_open, _, _, copies) => {
-                    (birth, open) = (Some(*stored), *was_open);
-                    if let Kept::Whole(_, _, version, ..) = &record {
-                        fence = *version;
-                    }
-                    disk_cache.clear();
-                    copies.iter().for_each(|copy| disk_cache.put(copy.object.clone(), copy.clone()));
-                }
-                Kept::State(state) => (birth, open, fence) = (Some(state.birth), state.open, state.fence),
-                Kept::Fence(version) => fence = fence.max(*version),
-                Kept::Copy(copy) => disk_cache.put(copy.object.clone(), copy.clone()),
-                _ => (),
-            }
-            grants.apply(record, position, now);
-        }
-        // Times of another boot cannot be compared with this boot's clock.
-        disk_cache.drop_where(|_, copy| copy.boot != env.boot || copy.until <= now);
+    pub fn start(
+        mut env: LedgerEnv,
+        records: Vec<impl Into<RecoveredRecord>>,
+        life: u64,
+        now: Mono,
+        out: &mut Vec<Out>,
+    ) -> Ledger {
+        let RecoveredState { grants, disk_cache, birth, open, fence, mut log } =
+            RecoveredState::read(&env, records, now);
         let is_new = birth.is_none();
         env.follow.birth = birth.unwrap_or(Birth(life));
         if is_new {
@@ -200,6 +182,7 @@
         match inp {
             In::Tick => self.tick(now, out),
             In::CallerGone(_) => (),
+            In::Read(message, records) => self.on_read(*message, records, out),
             In::Ask(token, ask @ (Ask::Ready | Ask::Drain)) => {
                 if matches!(ask, Ask::Drain) {
                     self.start_leaving(now, out);
--- a/crates/ledger/src/log_position.rs
+++ b/crates/ledger/src/log_position.rs
@@ -27,7 +27,8 @@
 /// The share of the capacity, in percent, above which no further key is granted: the rest is for the
 /// outcomes of keys that are granted already.
 pub(crate) const GRANTING_PERCENT: u64 = 90;
-/// The rest of the state is written anew after this fraction (1/n) of the capacity was appended.
+/// The rest of the state is written anew after this fraction (1/n) of the capacity was appended, or can be
+/// trimmed.
 const CHECKPOINT_DIVISOR: u64 = 6;
 
 /// Bookkeeping of the log.
@@ -38,6 +39,8 @@
     /// The last record of the state without outcomes, and its size in bytes.
     checkpoint: LogPosition,
     checkpoint_bytes: u64,
+    /// Bytes before the first record that was needed when the log was last trimmed.
+    trimmed: u64,
 }
 
 impl LogUse {
@@ -54,15 +57,20 @@
         self.checkpoint
     }
 
-    /// Whether the state without outcomes should be written anew.
-    pub fn is_checkpoint_due(&self, capacity: usize) -> bool {
+    /// Whether the state without outcomes should be written anew. A restart would hold the grants of
+    /// records that could have been trimmed for another window.
+    pub fn is_checkpoint_due(&self, grants: &Grants, capacity: usize) -> bool {
         let appended = self.next.byte - self.checkpoint.byte - self.checkpoint_bytes;
-        appended > capacity as u64 / CHECKPOINT_DIVISOR
+        let needed_from = grants.oldest_outcome().unwrap_or(self.next).byte;
+        let obsolete = needed_from.saturating_sub(self.trimmed + self.checkpoint_bytes);
+        appended.max(obsolete) > capacity as u64 / CHECKPOINT_DIVISOR
     }
 
-    /// The oldest record that is needed.
-    pub fn first_needed(&self, grants: &Grants) -> LogPosition {
-        grants.oldest_outcome().map_or(self.checkpoint, |oldest| oldest.min(self.checkpoint))
+    /// The log is trimmed; returns the oldest record that is needed.
+    pub fn trim(&mut self, grants: &Grants) -> LogPosition {
+        let first_needed = grants.oldest_outcome().unwrap_or(self.checkpoint).min(self.checkpoint);
+        self.trimmed = first_needed.byte;
+        first_needed
     }
 
     /// Bytes of records from the oldest outcome that is held to the newest record.
--- a/crates/ledger/src/page.rs
+++ b/crates/ledger/src/page.rs
@@ -2,7 +2,8 @@
 //!
 //! A ledger may hold as many bytes of records as its memory allows. It therefore never encodes them
 //! all at once: the next page is made when the receiver has confirmed or requested it.
-use control_state::Held;
+use crate::outgoing::OutgoingRecord;
+use control_state::{Held, MissingOutcome};
 
 /// Bytes of one page; a record that is larger is sent alone.
 pub(crate) const MAX_PAGE_BYTES: usize = 256 << 10;
@@ -11,13 +12,15 @@
 #[derive(Default)]
 pub(crate) struct Page {
     pub records: Vec<Held>,
+    /// The outcomes that the records lack, for they stand in the log only.
+    pub missing: Vec<MissingOutcome>,
     pub more: bool,
 }
 
 impl Page {
     /// The first of these records, of at most `max_bytes` together. Takes no more records from the
     /// iterator than it needs to see that they do not fit.
-    pub(crate) fn of(records: impl Iterator<Item = Held>, max_bytes: usize) -> Page {
+    pub(crate) fn of(records: impl Iterator<Item = OutgoingRecord>, max_bytes: usize) -> Page {
         let mut page = Page::default();
         let mut bytes = 0;
         for record in records {
@@ -26,7 +29,9 @@
                 page.more = true;
                 break;
             }
-            page.records.push(record);
+            let missing = record.in_log.map(|outcome| outcome.missing_at(page.records.len()));
+            page.missing.extend(missing);
+            page.records.push(record.held);
         }
         page
     }
--- a/crates/ledger/src/recall.rs
+++ b/crates/ledger/src/recall.rs
@@ -201,7 +201,7 @@
         if record.age >= self.env.window {
             return;
         }
-        let own = self.grants.get(&record.key).map(|g| (g.round, g.whole.is_some(), g.granted_at));
+        let own = self.grants.get(&record.key).map(|g| (g.round, g.outcome.is_some(), g.granted_at));
         let round = match own {
             None => record.round,
             Some((own_round, known, _)) if known || own_round == record.round => own_round,
--- a/crates/ledger/src/recall_answer.rs
+++ b/crates/ledger/src/recall_answer.rs
@@ -3,8 +3,9 @@
 //! Pages are of different moments. That is enough: what the other ledger must learn was granted here
 //! before it asked for the first page, and stays here until its window is over or its round released
 //! it. Each page shows all keys of its range that are held when it is made.
-use crate::grants::Grant;
+use crate::grant::Grant;
 use crate::ledger::Ledger;
+use crate::outgoing::{self, OutgoingRecord};
 use crate::page::{Page, MAX_PAGE_BYTES};
 use control_state::*;
 use primitives::{Addr, Backoff, Mono, Span, Version};
@@ -50,7 +51,7 @@
         let records = grants.map(|(k, g)| self.recalled_record(now, purpose, &ledger_sets, k, g));
         let page = Page::of(records, MAX_PAGE_BYTES);
         let next = page.next();
-        out.push(Out::Send(from, Msg::Recalled { ask, held: page.records, next }));
+        outgoing::send(from, Msg::Recalled { ask, held: page.records, next }, page.missing, out);
     }
 
     /// Whether the request is new, or its answer is due to be repeated.
@@ -67,7 +68,14 @@
 
     /// The record without an outcome that is stored at few ledgers only, except where this
     /// ledger leaves the key's replicas and will not be asked for the outcome any more.
-    fn recalled_record(&self, now: Mono, purpose: RecallPurpose, sets: &Roll, key: &str, g: &Grant) -> Held {
+    fn recalled_record(
+        &self,
+        now: Mono,
+        purpose: RecallPurpose,
+        sets: &Roll,
+        key: &str,
+        g: &Grant,
+    ) -> OutgoingRecord {
         let newest = sets.named(key, self.env.losses).pop().unwrap_or_default();
         let stays = newest.contains(&self.follow.env.addr);
         match purpose {
--- a/crates/ledger/src/records.rs
+++ b/crates/ledger/src/records.rs
@@ -1,6 +1,6 @@
 //! The records that the ledger writes to disk.
 use crate::disk_cache::StoredCopy;
-use control_state::{Fingerprint, RoundId, Whole};
+use control_state::{Fingerprint, Holder, RoundId, Whole};
 use primitives::{Birth, Version};
 use serde::{Deserialize, Serialize};
 
@@ -28,6 +28,8 @@
     Whole(Birth, bool, Version, Vec<(String, Fingerprint, RoundId, Option<Whole>)>, Vec<StoredCopy>),
     /// The complete state, replacing all records before it but the outcomes of its grants.
     State(StoredState),
+    /// The ledgers that hold the outcome of the round, in place of those named with the outcome.
+    Holders { key: String, round: RoundId, holders: Vec<Holder> },
 }
 
 /// The state of a ledger without the outcomes, which stand in earlier records.
--- a/crates/ledger/src/repair.rs
+++ b/crates/ledger/src/repair.rs
@@ -1,6 +1,8 @@
 //! Repair: ledgers compare digests over ranges of keys and adopt the records that they lack.
-use crate::grants::*;
+use crate::grant::Grant;
+
 use crate::ledger::Ledger;
+use crate::outgoing::{self, OutgoingRecord};
 use crate::records::*;
 use control_state::*;
 use primitives::{Addr, Mono, Span};
@@ -31,6 +33,23 @@
     primitives::hash(&key) as usize % RANGES
 }
 
+/// Sends ranges of records, once the outcomes that they lack were read.
+fn send_ranges(to: Addr, ranges: Vec<(u16, Vec<OutgoingRecord>)>, out: &mut Vec<Out>) {
+    let mut missing = vec![];
+    let mut position = 0;
+    let mut complete = vec![];
+    for (index, records) in ranges {
+        let mut held = vec![];
+        for record in records {
+            missing.extend(record.in_log.map(|outcome| outcome.missing_at(position)));
+            held.push(record.held);
+            position += 1;
+        }
+        complete.push((index, held));
+    }
+    outgoing::send(to, Msg::Ranges(complete), missing, out);
+}
+
 impl Ledger {
     /// Addresses of all other ledgers in the ledger sets.
     pub(crate) fn other_ledgers(&self) -> BTreeSet<Addr> {
@@ -45,7 +64,7 @@
         let me = self.follow.env.addr;
         // An outcome that is stored at few ledgers does not make a grant settled: the other
         // replicas do not see it.
-        let has_outcome = |g: &Grant| g.whole.is_some() && !self.env.minimal_outcome_copies;
+        let has_outcome = |g: &Grant| g.outcome.is_some() && !self.env.minimal_outcome_copies;
         let is_settled = move |g: &Grant| {
             has_outcome(g) || (now - g.granted_at > Span::secs(8) && g.round != RoundId::NONE)
         };
@@ -63,7 +82,7 @@
     }
 
     fn digest(&self, key: &str, grant: &Grant) -> u64 {
-        primitives::hash(&(key, grant.round, grant.whole.is_some() && !self.env.minimal_outcome_copies))
+        primitives::hash(&(key, grant.round, grant.outcome.is_some() && !self.env.minimal_outcome_copies))
     }
 
     /// The ranges shared with one other ledger, in one pass over the keys.
@@ -103,10 +122,10 @@
 
     /// The record of a grant as other ledgers receive it: without the outcome where outcomes are
     /// stored at few ledgers only.
-    pub(crate) fn shared_record(&self, now: Mono, key: &str, grant: &Grant) -> Held {
+    pub(crate) fn shared_record(&self, now: Mono, key: &str, grant: &Grant) -> OutgoingRecord {
         let record = grant.show(now, key);
         if self.env.minimal_outcome_copies {
-            Held { whole: None, ..record }
+            record.without_outcome()
         } else {
             record
         }
@@ -135,12 +154,12 @@
             .map(records)
             .take_while(|(_, held)| {
                 let before = bytes;
-                bytes += held.iter().map(Held::size).sum::<usize>();
+                bytes += held.iter().map(OutgoingRecord::size).sum::<usize>();
                 before < MAX_ANSWER_BYTES
             })
             .collect();
         if !ranges.is_empty() {
-            out.push(Out::Send(from, Msg::Ranges(ranges)));
+            send_ranges(from, ranges, out);
         }
     }
 
@@ -165,7 +184,7 @@
             // among themselves for ever.
             self.grants.set_granted_at(&record.key, now - record.age);
         }
-        let lacks_outcome = |g: &Grant| g.whole.is_none();
+        let lacks_outcome = |g: &Grant| g.outcome.is_none();
         if let (Some(whole), true) = (record.whole, self.grants.get(&record.key).is_some_and(lacks_outcome)) {
             self.store_outcome(now, record.key, record.round, whole, out);
         }
--- a/crates/ledger/src/replicate.rs
+++ b/crates/ledger/src/replicate.rs
@@ -4,6 +4,9 @@
 //! the first of the remaining holders sends the outcome to another ledger: one transfer for
 //! each copy lost.
 use crate::ledger::Ledger;
+use crate::log_position::LogForm;
+use crate::outcome::Outcome;
+use crate::outgoing::{self, OutgoingRecord};
 use crate::page::Page;
 use crate::records::Kept;
 use control_state::*;
@@ -38,9 +41,9 @@
 }
 
 impl Replication {
-    pub(crate) fn live_holders(&self, whole: &Whole) -> Vec<Holder> {
-        let is_live = |h: &Holder| self.live_ledgers.get(&h.addr) == Some(&h.birth);
-        whole.holders().into_iter().filter(is_live).collect()
+    pub(crate) fn live_holders(&self, outcome: &Outcome) -> Vec<Holder> {
+        let is_live = |h: &&Holder| self.live_ledgers.get(&h.addr) == Some(&h.birth);
+        outcome.holders.iter().filter(is_live).copied().collect()
     }
 }
 
@@ -54,8 +57,10 @@
         let live_ledgers = current_ledgers(&self.follow.items);
         if live_ledgers != self.replication.live_ledgers {
             self.replication.live_ledgers = live_ledgers;
-            let under_replicated =
-                self.grants.iter().filter(|(_, g)| g.whole.as_ref().is_some_and(|w| self.must_replicate(w)));
+            let under_replicated = self
+                .grants
+                .iter()
+                .filter(|(_, g)| g.outcome.as_ref().is_some_and(|o| self.must_replicate(o)));
             self.replication.under_replicated = under_replicated.map(|(key, _)| key.clone()).collect();
         }
         self.replication.transfers.retain(|_, transfer| now - transfer.sent < RETRY_INTERVAL);
@@ -65,8 +70,8 @@
     /// Checks the replication of an outcome that was just stored: its sender may not have known
     /// of the last disk loss.
     pub(crate) fn check_replication(&mut self, key: &str) {
-        let whole = self.grants.get(key).and_then(|g| g.whole.as_ref());
-        if whole.is_some_and(|w| self.must_replicate(w)) {
+        let outcome = self.grants.get(key).and_then(|g| g.outcome.as_ref());
+        if outcome.is_some_and(|o| self.must_replicate(o)) {
             self.replication.under_replicated.insert(key.to_string());
         } else {
             self.replication.under_replicated.remove(key);
@@ -74,8 +79,8 @@
     }
 
     /// Whether too few disks hold the outcome and this ledger is the first of its live holders.
-    fn must_replicate(&self, whole: &Whole) -> bool {
-        let holders = self.replication.live_holders(whole);
+    fn must_replicate(&self, outcome: &Outcome) -> bool {
+        let holders = self.replication.live_holders(outcome);
         holders.len() <= self.env.losses && holders.first().is_some_and(|h| h.addr == self.follow.env.addr)
     }
 
@@ -105,8 +110,10 @@
         let ledger_sets = Roll::of(&self.follow.items);
         let mut keys: BTreeMap<Holder, Vec<String>> = BTreeMap::new();
         for key in &self.replication.under_replicated {
-            let Some(whole) = self.grants.get(key).and_then(|grant| grant.whole.as_ref()) else { continue };
-            let holders = self.replication.live_holders(whole);
+            let Some(outcome) = self.grants.get(key).and_then(|grant| grant.outcome.as_ref()) else {
+                continue;
+            };
+            let holders = self.replication.live_holders(outcome);
             let Some(next) = self.next_holder(key, &ledger_sets, &holders) else { continue };
             if !self.replication.transfers.contains_key(&next.addr) {
                 keys.entry(next).or_default().push(key.clone());
@@ -119,17 +126,16 @@
             let ask = FIRST_REQUEST + self.replication.last_request;
             self.replication.transfers.insert(to.addr, Transfer { ask, to, keys: page.keys(), sent: now });
             self.count("outcomes handed on");
-            out.push(Out::Send(to.addr, Msg::HandOver { ask, held: page.records }));
+            outgoing::send(to.addr, Msg::HandOver { ask, held: page.records }, page.missing, out);
         }
     }
 
     /// The record of an outcome for a further holder, which is named in it.
-    fn replicated_record(&self, now: Mono, key: &str, to: Holder) -> Option<Held> {
+    fn replicated_record(&self, now: Mono, key: &str, to: Holder) -> Option<OutgoingRecord> {
         let grant = self.grants.get(key)?;
-        let whole = grant.whole.as_ref()?;
-        let mut holders = self.replication.live_holders(whole);
+        let mut holders = self.replication.live_holders(grant.outcome.as_ref()?);
         holders.push(to);
-        Some(Held { whole: Some(whole.with_holders(&holders)), ..grant.show(now, key) })
+        Some(grant.show(now, key).with_holders(&holders))
     }
 
     /// Another ledger acknowledged a transfer: it is saved as a holder of the outcomes.
@@ -140,11 +146,17 @@
         let Some(transfer) = self.replication.transfers.remove(&from) else { return };
         for key in transfer.keys {
             let Some(grant) = self.grants.get(&key) else { continue };
-            let (Some(whole), round) = (&grant.whole, grant.round) else { continue };
-            let mut holders = self.replication.live_holders(whole);
+            let (Some(outcome), round) = (&grant.outcome, grant.round) else { continue };
+            let mut holders = self.replication.live_holders(outcome);
             holders.push(transfer.to);
-            let whole = whole.with_holders(&holders);
-            self.save(now, Kept::Outcome { key: key.clone(), round, whole }, out);
+            let record = match (self.env.log_form, &outcome.content) {
+                // Versions that open logs of this form know no record of the holders alone.
+                (LogForm::Compacted, Some(whole)) => {
+                    Kept::Outcome { key: key.clone(), round, whole: whole.with_holders(&holders) }
+                }
+                _ => Kept::Holders { key: key.clone(), round, holders },
+            };
+            self.save(now, record, out);
             self.check_replication(&key);
         }
         self.send_under_replicated(now, out);
--- a/crates/ledger/tests/common/model.rs
+++ b/crates/ledger/tests/common/model.rs
@@ -31,6 +31,7 @@
         room: 0,
         most: 1 << 20,
         boot: 1,
+        max_content_bytes: usize::MAX,
         losses: LOSSES,
         leave,
         minimal_outcome_copies: false,
--- a/crates/ledger/tests/many_keys.rs
+++ b/crates/ledger/tests/many_keys.rs
@@ -32,6 +32,7 @@
         room: 0,
         most: 1 << 30,
         boot: 1,
+        max_content_bytes: usize::MAX,
         losses: 1,
         leave: control_state::LEAVE,
         minimal_outcome_copies: true,
--- a/crates/ledger/tests/outcome_room.rs
+++ b/crates/ledger/tests/outcome_room.rs
@@ -19,6 +19,7 @@
         room: 0,
         most: MAX_KEY_BYTES,
         boot: 1,
+        max_content_bytes: usize::MAX,
         losses: 1,
         leave: control_state::LEAVE,
         minimal_outcome_copies: true,
--- a/crates/ledger/tests/room.rs
+++ b/crates/ledger/tests/room.rs
@@ -15,6 +15,7 @@
         room: 1000,
         most: 40_000,
         boot: 1,
+        max_content_bytes: usize::MAX,
         losses: 1,
         leave: control_state::LEAVE,
         minimal_outcome_copies: false,
--- a/crates/ledger/tests/trimmed_log.rs
+++ b/crates/ledger/tests/trimmed_log.rs
@@ -52,6 +52,7 @@
             room: 0,
             most: CAPACITY,
             boot,
+            max_content_bytes: usize::MAX,
             losses: 1,
             leave: control_state::LEAVE,
             minimal_outcome_copies: true,
--- a/crates/machine/src/ledger_log.rs
+++ b/crates/machine/src/ledger_log.rs
@@ -2,7 +2,7 @@
 use crate::recovered_log::decode_log;
 use crate::run::Result;
 use crate::MachineConfig;
-use ledger::{Kept, LogForm};
+use ledger::{LogForm, RecoveredRecord};
 use runtime::disk_log::{existing_size, DiskLog, DiskLogError};
 use std::path::Path;
 
@@ -78,8 +78,13 @@
     }
 
     /// Opens the ledger's log in the machine's folder, and returns it with its records.
-    pub fn open_ledger_log(&self, dir: &Path) -> Result<(DiskLog, Vec<Kept>)> {
-        decode_log(self.ledger_log().open(&dir.join("ledger"))?, Kept::decode)
+    pub fn open_ledger_log(&self, dir: &Path) -> Result<(DiskLog, Vec<RecoveredRecord>)> {
+        let form = self.ledger_log();
+        let decode = match form {
+            LedgerLog::Compacted { .. } => RecoveredRecord::decode_complete,
+            LedgerLog::Trimmed { .. } => RecoveredRecord::decode,
+        };
+        decode_log(form.open(&dir.join("ledger"))?, decode)
     }
 
     /// Bytes of grants and outcomes that the ledger may hold in memory.
--- a/crates/machine/src/parts.rs
+++ b/crates/machine/src/parts.rs
@@ -18,6 +18,8 @@
 const SEND_TIMEOUT: Span = Span::secs(2);
 /// Time beyond its key's window that a granted attempt may need to be sent and to run.
 const KEY_WINDOW_MARGIN: Span = Span::secs(12);
+/// The contents of outcomes that stay in memory take this fraction (1/n) of what a ledger may hold.
+const CONTENT_DIVISOR: usize = 4;
 /// Size of one file of the controller's log, in sixty-fourths of the disk; each log has four files. A process
 /// reads both logs completely before it serves, so larger files prolong the restart after a power failure.
 const CONTROLLER_FILE_SHARE: u64 = 3;
@@ -107,7 +109,12 @@
     }
 
     /// The ledger, restored from the stored records; its first outputs are appended to `out`.
-    pub fn ledger(&self, records: Vec<ledger::Kept>, now: Mono, out: &mut Vec<Out>) -> ledger::Ledger {
+    pub fn ledger(
+        &self,
+        records: Vec<impl Into<ledger::RecoveredRecord>>,
+        now: Mono,
+        out: &mut Vec<Out>,
+    ) -> ledger::Ledger {
         let env = LedgerEnv {
             follow: self.follower_env(MachinePart::Ledger, Role::Ledger, 0, runtime::life()),
             window: self.key_window + KEY_WINDOW_MARGIN,
@@ -115,6 +122,7 @@
             log_form: self.ledger_log().form(),
             room: 0,
             most: self.ledger_state_limit(),
+            max_content_bytes: self.ledger_state_limit() / CONTENT_DIVISOR,
             boot: runtime::boot(),
             losses: self.tolerated_losses,
             leave: SEND_TIMEOUT,
--- a/crates/runtime/src/chunked_records.rs
+++ b/crates/runtime/src/chunked_records.rs
@@ -3,6 +3,7 @@
 //! Invariant: the end record is written only after every chunk is synced, and a record
 //! without its end record is ignored.
 use crate::disk_log_scan::{read_u32, read_u64, RecordKind};
+use crate::disk_log_trim::RecordStart;
 
 /// Largest chunk in bytes; bounds the memory that a write takes.
 pub(crate) const MAX_CHUNK_LEN: usize = 64 << 10;
@@ -47,8 +48,7 @@
 /// A large record whose end has not been read yet.
 struct IncompleteRecord {
     header: LargeRecordHeader,
-    /// The segment in which it begins.
-    segment: u64,
+    start: RecordStart,
     data: Vec<u8>,
 }
 
@@ -62,8 +62,8 @@
     incomplete: Option<IncompleteRecord>,
     /// The last base and the records after it.
     pub records: Vec<Vec<u8>>,
-    /// The segment in which each of them begins.
-    pub segments: Vec<u64>,
+    /// Where each of them begins.
+    pub starts: Vec<RecordStart>,
     /// The segment in which the last base begins.
     pub base_segment: Option<u64>,
     /// The log may begin within a large record, whose beginning was trimmed. It is left out.
@@ -78,11 +78,16 @@
 
     /// The first segment of a base that was never completed.
     pub(crate) fn incomplete_base(&self) -> Option<u64> {
-        self.incomplete.as_ref().filter(|r| r.header.base).map(|r| r.segment)
+        self.incomplete.as_ref().filter(|r| r.header.base).map(|r| r.start.segment)
     }
 
-    /// Adds the next record of the log, which was read from `segment`.
-    pub(crate) fn add(&mut self, segment: u64, kind: RecordKind, data: Vec<u8>) -> Result<(), OutOfSequence> {
+    /// Adds the next record of the log, which begins at `start`.
+    pub(crate) fn add(
+        &mut self,
+        start: RecordStart,
+        kind: RecordKind,
+        data: Vec<u8>,
+    ) -> Result<(), OutOfSequence> {
         let is_remainder = matches!(kind, RecordKind::Chunk | RecordKind::End);
         if self.begins_trimmed && is_remainder {
             return Ok(());
@@ -92,15 +97,15 @@
             RecordKind::Seal => (),
             RecordKind::Plain => {
                 self.incomplete = None;
-                self.push(segment, data);
+                self.push(start, data);
             }
             RecordKind::Base => {
                 self.incomplete = None;
-                self.replace_with_base(segment, data);
+                self.replace_with_base(start, data);
             }
             RecordKind::Begin => {
                 let header = LargeRecordHeader::decode(&data).ok_or(OutOfSequence)?;
-                self.incomplete = Some(IncompleteRecord { header, segment, data: vec![] });
+                self.incomplete = Some(IncompleteRecord { header, start, data: vec![] });
             }
             RecordKind::Chunk => self.incomplete.as_mut().ok_or(OutOfSequence)?.data.extend(data),
             RecordKind::End => self.finish()?,
@@ -109,25 +114,25 @@
     }
 
     fn finish(&mut self) -> Result<(), OutOfSequence> {
-        let IncompleteRecord { header, segment, data } = self.incomplete.take().ok_or(OutOfSequence)?;
+        let IncompleteRecord { header, start, data } = self.incomplete.take().ok_or(OutOfSequence)?;
         if LargeRecordHeader::of(header.base, &data) != header {
             return Err(OutOfSequence);
         }
         if header.base {
-            self.replace_with_base(segment, data);
+            self.replace_with_base(start, data);
         } else {
-            self.push(segment, data);
+            self.push(start, data);
         }
         Ok(())
     }
 
-    fn push(&mut self, segment: u64, data: Vec<u8>) {
+    fn push(&mut self, start: RecordStart, data: Vec<u8>) {
         self.records.push(data);
-        self.segments.push(segment);
+        self.starts.push(start);
     }
 
-    fn replace_with_base(&mut self, segment: u64, data: Vec<u8>) {
-        (self.records, self.segments) = (vec![data], vec![segment]);
-        self.base_segment = Some(segment);
+    fn replace_with_base(&mut self, start: RecordStart, data: Vec<u8>) {
+        (self.records, self.starts) = (vec![data], vec![start]);
+        self.base_segment = Some(start.segment);
     }
 }
--- a/crates/runtime/src/disk_log.rs
+++ b/crates/runtime/src/disk_log.rs
@@ -3,7 +3,7 @@
 use crate::disk_log_files;
 pub use crate::disk_log_files::existing_size;
 use crate::disk_log_scan::{checksum, RecordKind, SegmentHeader, RECORD_HEADER_LEN, SEGMENT_HEADER_LEN};
-use crate::disk_log_trim::EntrySegments;
+use crate::disk_log_trim::{EntryRecords, RecordStart};
 use crate::full_disk;
 use snafu::{ResultExt, Snafu};
 use std::fs::File;
@@ -56,8 +56,7 @@
     pub(crate) trims: bool,
     /// Segments before this one are not needed; the header of the next segment will say so.
     pub(crate) trimmed_to: u64,
-    pub(crate) entry_segments: EntrySegments,
-    pub(crate) recovered_segments: Vec<u64>,
+    pub(crate) entry_records: EntryRecords,
 }
 
 /// Limits a chunk to this fraction of a file, so that little space stays unused at the end
@@ -93,8 +92,7 @@
             sealed: false,
             trims,
             trimmed_to: 0,
-            entry_segments: EntrySegments::default(),
-            recovered_segments: vec![],
+            entry_records: EntryRecords::default(),
         };
         let records = log.recover()?;
         log.clear_files_without_header()?;
@@ -116,6 +114,9 @@
         record.extend(data);
         full_disk::write_all_at(self.file(), &record, self.at)
             .context(DiskSnafu { path: self.path(self.segment) })?;
+        if matches!(kind, RecordKind::Plain | RecordKind::Base | RecordKind::Begin) {
+            self.entry_records.last_written = RecordStart { segment: self.segment, at: self.at };
+        }
         self.at += record.len() as u64;
         self.next_record += 1;
         Ok(())
--- a/crates/runtime/src/disk_log_recovery.rs
+++ b/crates/runtime/src/disk_log_recovery.rs
@@ -2,7 +2,8 @@
 use crate::chunked_records::Assembler;
 use crate::disk_log::{DamagedSnafu, DiskLog, DiskSnafu, MissingSnafu, Result};
 use crate::disk_log_files::fill_with_zeros;
-use crate::disk_log_scan::{read_record, scan_segment, SegmentHeader, SegmentScan, SEGMENT_HEADER_LEN};
+use crate::disk_log_scan::*;
+use crate::disk_log_trim::RecordStart;
 use snafu::ResultExt;
 use std::fs::File;
 use std::os::unix::fs::FileExt;
@@ -20,10 +21,12 @@
             let scanned = if segment == last_segment_number { None } else { Some(self.scan_file(segment)?) };
             let scanned = scanned.as_ref().unwrap_or(&last);
             self.check(scanned, oldest_needed, last_segment_number)?;
+            let mut at = SEGMENT_HEADER_LEN as u64;
             for (number, kind, data) in &scanned.records {
                 self.next_record = number + 1;
-                let accepted = assembler.add(segment, *kind, data.clone());
+                let accepted = assembler.add(RecordStart { segment, at }, *kind, data.clone());
                 accepted.or_else(|_| DamagedSnafu { path: self.path(segment), at: scanned.end }.fail())?;
+                at += (RECORD_HEADER_LEN + data.len()) as u64;
             }
             if assembler.incomplete_base().is_none() {
                 end_of_log = Some((segment, scanned.end, scanned.sealed()));
@@ -36,7 +39,7 @@
             (self.segment, self.at, self.sealed) = (segment, end, sealed);
             self.oldest_needed = assembler.base_segment.unwrap_or(oldest_needed);
         }
-        self.recovered_segments = assembler.segments;
+        self.entry_records.recovered = assembler.starts;
         Ok(assembler.records)
     }
 
--- a/crates/runtime/src/disk_log_scan.rs
+++ b/crates/runtime/src/disk_log_scan.rs
@@ -25,7 +25,7 @@
 }
 
 impl RecordKind {
-    fn from_byte(byte: u8) -> Option<RecordKind> {
+    pub(crate) fn from_byte(byte: u8) -> Option<RecordKind> {
         match byte {
             1 => Some(RecordKind::Plain),
             2 => Some(RecordKind::Base),
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod connection_monitor;
 pub mod disk_log;
 mod disk_log_files;
+mod disk_log_read;
 mod disk_log_recovery;
 mod disk_log_scan;
 mod disk_log_trim;
--- a/crates/runtime/src/shell.rs
+++ b/crates/runtime/src/shell.rs
@@ -13,7 +13,7 @@
 use crate::net::expiry::lifetime;
 use crate::net::{self, Counts, Net};
 use control_state::*;
-use disk::run_disk_thread;
+use disk::{run_disk_thread, DiskCommand};
 use inbox::{Inbox, Waiting};
 use primitives::{Addr, Token};
 use slog::{error, info, Logger};
@@ -48,8 +48,8 @@
     outputs: VecDeque<Out>,
     /// Outputs to execute once the current sync is done.
     after_sync: Vec<Out>,
-    /// Passes batches of saves to the disk thread; `None` without a disk log.
-    disk: Option<Sender<Vec<Out>>>,
+    /// Passes batches of saves, and what is to be read, to the disk thread; `None` without a disk log.
+    disk: Option<Sender<DiskCommand>>,
     /// The disk thread is writing a batch.
     syncing: bool,
     net: Net,
@@ -71,7 +71,7 @@
 const IDLE_TICK: Duration = Duration::from_millis(20);
 
 impl Shell {
-    fn init(cx: CX![], setup: Frame, disk: Option<Sender<Vec<Out>>>, waiting: Waiting) -> Option<Shell> {
+    fn init(cx: CX![], setup: Frame, disk: Option<Sender<DiskCommand>>, waiting: Waiting) -> Option<Shell> {
         after!(TICK, [cx], tick());
         let mut s = Shell {
             part: setup.part,
@@ -136,6 +136,7 @@
                 error!(self.log, "disk write failed: exiting, because nothing more can be stored durably");
                 std::process::exit(74);
             }
+            Event::Read(message, records) => self.step(In::Read(message, records)),
             Event::Stop => {
                 self.net.flush();
                 stop!(cx)
@@ -176,7 +177,7 @@
             Some(disk) => {
                 self.syncing = true;
                 self.after_sync = rest;
-                let _ = disk.send(saves);
+                let _ = disk.send(DiskCommand::Write(saves));
             }
             None => rest.into_iter().for_each(|output| self.execute(output)),
         }
@@ -192,18 +193,18 @@
     s.set_poll_waker(move || {
         let _ = waker.try_send(());
     });
-    let (batch_sender, batches) = channel();
+    let (command_sender, commands) = channel();
     let mut setup = setup;
     let disk_log = setup.ring.take();
     let log = setup.log.clone();
-    let disk = disk_log.as_ref().map(|_| batch_sender);
+    let disk = disk_log.as_ref().map(|_| command_sender);
     let waiting = Waiting::default();
     let shell = actor!(s, Shell::init(setup, disk, waiting.clone()), ret_shutdown!(s));
     let (events, _guard) = Channel::new(s, fwd_to!([shell], event() as (Event)));
     let inbox = Inbox::new(events, waiting);
     let (disk_inbox, disk_logger) = (inbox.clone(), log.clone());
     if let Some(disk_log) = disk_log {
-        thread::spawn(move || run_disk_thread(disk_log, batches, disk_inbox, disk_logger));
+        thread::spawn(move || run_disk_thread(disk_log, commands, disk_inbox, disk_logger));
     }
     let message_inbox = inbox.clone();
     let _ = counts.log.set(log.clone());
--- a/crates/runtime/src/shell/disk.rs
+++ b/crates/runtime/src/shell/disk.rs
@@ -2,18 +2,39 @@
 use super::inbox::Inbox;
 use super::Event;
 use crate::disk_log::{DiskLog, DiskLogError};
-use control_state::Out;
+use control_state::{Out, StoredMessage};
 use slog::{error, Logger};
 use std::sync::mpsc::Receiver;
 
-/// Writes and syncs each batch, then reports the outcome to the actor.
-pub(super) fn run_disk_thread(mut disk_log: DiskLog, batches: Receiver<Vec<Out>>, inbox: Inbox, log: Logger) {
-    for batch in batches {
-        let result = write(&mut disk_log, batch);
-        if let Err(error) = &result {
-            error!(log, "disk write failed"; "problem" => %error);
+/// What the disk thread does next.
+pub(super) enum DiskCommand {
+    /// Writes and syncs the batch, and reports whether that succeeded.
+    Write(Vec<Out>),
+    /// Reads the records that the message lacks.
+    Read(Box<StoredMessage>),
+}
+
+/// Executes commands in order, and reports each to the actor.
+pub(super) fn run_disk_thread(
+    mut disk_log: DiskLog,
+    commands: Receiver<DiskCommand>,
+    inbox: Inbox,
+    log: Logger,
+) {
+    for command in commands {
+        match command {
+            DiskCommand::Write(batch) => {
+                let result = write(&mut disk_log, batch);
+                if let Err(error) = &result {
+                    error!(log, "disk write failed"; "problem" => %error);
+                }
+                inbox.send(Event::Synced(result.is_ok()));
+            }
+            DiskCommand::Read(message) => {
+                let records = disk_log.entries_at(&message.log_records());
+                inbox.send(Event::Read(message, records));
+            }
         }
-        inbox.send(Event::Synced(result.is_ok()));
     }
 }
 
@@ -35,9 +56,8 @@
 }
 
 fn write_base(disk_log: &mut DiskLog, data: Vec<u8>) -> Result<(), DiskLogError> {
-    let segment = disk_log.write_segment();
     disk_log.base(&encode_single_entry(data))?;
-    disk_log.note_entries(1, segment);
+    disk_log.note_base();
     Ok(())
 }
 
@@ -49,9 +69,8 @@
     first_needed: Option<u64>,
 ) -> Result<(), DiskLogError> {
     if !entries.is_empty() {
-        let segment = disk_log.write_segment();
         disk_log.save(&pack(&entries))?;
-        disk_log.note_entries(entries.len(), segment);
+        disk_log.note_entries(entries.len());
     }
     disk_log.sync()?;
     first_needed.into_iter().for_each(|entry| disk_log.trim(entry));
@@ -76,10 +95,10 @@
 /// `None` if a record cannot be decoded.
 pub fn read_entries(disk_log: &mut DiskLog, records: Vec<Vec<u8>>) -> Option<Vec<Vec<u8>>> {
     let mut all = vec![];
-    let segments = disk_log.recovered_segments();
-    for (record, segment) in records.into_iter().zip(segments) {
+    let starts = disk_log.take_recovered_starts();
+    for (record, start) in records.into_iter().zip(starts) {
         let entries = postcard::from_bytes::<Vec<Vec<u8>>>(&record).ok()?;
-        disk_log.note_entries(entries.len(), segment);
+        disk_log.note_entries_at(entries.len(), start);
         all.extend(entries);
     }
     Some(all)
--- a/crates/runtime/src/shell/handle.rs
+++ b/crates/runtime/src/shell/handle.rs
@@ -18,6 +18,8 @@
     CallerGone(Token),
     /// The disk thread has finished a batch; false if the write failed.
     Synced(bool),
+    /// The disk thread has read the records that the message lacks.
+    Read(Box<StoredMessage>, Vec<Option<Vec<u8>>>),
     /// Stop the actor.
     Stop,
 }
--- a/crates/runtime/src/shell/outputs.rs
+++ b/crates/runtime/src/shell/outputs.rs
@@ -1,4 +1,5 @@
 //! Executes the outputs of a part.
+use super::disk::DiskCommand;
 use super::Shell;
 use crate::executor::ExecutorCommand;
 use crate::process;
@@ -12,6 +13,19 @@
         }
     }
 
+    /// Has the records read that the message lacks; without a log there are none.
+    fn read(&mut self, message: Box<StoredMessage>) {
+        match &self.disk {
+            Some(disk) => {
+                let _ = disk.send(DiskCommand::Read(message));
+            }
+            None => {
+                let records = vec![None; message.missing.len()];
+                self.step(In::Read(message, records));
+            }
+        }
+    }
+
     /// Counters of the shell and its links, added to the health of the part.
     fn counters(&self) -> Vec<(&'static str, u64)> {
         let mut all = self.net.counts.by_name();
@@ -35,6 +49,7 @@
             }
             Out::Fetch(round) => self.command(ExecutorCommand::Run(Box::new(round))),
             Out::Abandon(n) => self.command(ExecutorCommand::Abandon(n)),
+            Out::Read(message) => self.read(message),
             Out::Note(text) => info!(self.log, "{}", text),
             Out::Alarm(text) => error!(self.log, "{}", text),
             Out::Report(report) => error!(self.log, "{}", report),
--- a/crates/scale-model/src/fleet.rs
+++ b/crates/scale-model/src/fleet.rs
@@ -80,6 +80,7 @@
         room: 128 << 16,
         most: 20 << 20,
         boot: 1,
+        max_content_bytes: usize::MAX,
         losses: 1,
         leave: control_state::LEAVE,
         minimal_outcome_copies: false,
--- a/crates/simulator/src/fleet.rs
+++ b/crates/simulator/src/fleet.rs
@@ -122,7 +122,7 @@
         let minimal_outcome_copies = self.plan.policy.near;
         let room = if self.plan.disk_cache { 1 << 17 } else { 0 };
         let trims = minimal_outcome_copies && room == 0;
-        let ledger_log = self.plan.ledger_log;
+        let (ledger_log, max_content_bytes) = (self.plan.ledger_log, self.plan.ledger_contents);
         let trimmed = ledger::LogForm::Trimmed { capacity: ledger_log };
         let log_form = if trims { trimmed } else { ledger::LogForm::Compacted };
         let boot = move |disk: Vec<Vec<u8>>, life: u64, now: Mono, out: &mut Vec<Out>| {
@@ -136,6 +136,7 @@
                 log_form,
                 room,
                 most,
+                max_content_bytes,
                 boot: 1,
                 losses,
                 leave: LEAVE,
--- a/crates/simulator/src/outputs.rs
+++ b/crates/simulator/src/outputs.rs
@@ -91,12 +91,36 @@
             Out::Abandon(n) => {
                 self.abandoned.insert((a, n));
             }
+            Out::Read(message) => self.read(a, message),
             Out::Alarm(_) => self.count("alarms"),
             Out::Report(_) => self.count("reports"),
             Out::Save(_) | Out::Base(_) | Out::Trim(_) | Out::Note(_) => (),
         }
     }
 
+    /// Reads the records that a message lacks from the disk of the process.
+    fn read(&mut self, a: Addr, message: Box<StoredMessage>) {
+        let (lo, hi) = self.plan.sync;
+        let Some(p) = self.procs.get(&a) else { return };
+        let record = |n: u64| p.disk.get(n.checked_sub(p.trimmed_records).map(|i| i as usize)?).cloned();
+        let records = message.log_records().into_iter().map(record).collect();
+        let (life, slow) = (p.life, p.slow);
+        let span = Span(slow.0 + self.rng.u64(lo..=hi));
+        self.at(span, Event::Read(a, life, message, records));
+    }
+
+    pub(crate) fn on_read(
+        &mut self,
+        a: Addr,
+        life: u64,
+        message: Box<StoredMessage>,
+        records: Vec<Option<Vec<u8>>>,
+    ) {
+        if self.procs.get(&a).is_some_and(|p| p.life == life && p.part.is_some()) {
+            self.step(a, In::Read(message, records));
+        }
+    }
+
     /// How long the sender's link takes to transmit the message and what is queued before it.
     fn link_delay(&mut self, from: Addr, to: Addr, m: &Msg) -> Span {
         let rate = self.plan.links.get(&from).copied().or(self.plan.link);
--- a/crates/simulator/src/plan.rs
+++ b/crates/simulator/src/plan.rs
@@ -13,6 +13,8 @@
     pub disk_cache: bool,
     /// Bytes of records that a ledger may hold whose log is trimmed.
     pub ledger_log: usize,
+    /// Bytes of outcomes that such a ledger keeps in memory as well as in its log.
+    pub ledger_contents: usize,
     /// Probability that a message is lost.
     pub drop: f64,
     /// Bytes per second that each process can send; `None` is unlimited.
@@ -62,6 +64,7 @@
             losses: 1,
             disk_cache: true,
             ledger_log: 1 << 21,
+            ledger_contents: 1 << 21,
             drop: 0.0,
             link: None,
             links: BTreeMap::new(),
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -16,6 +16,8 @@
     /// The caller of this request closes its connection.
     CallerGone(Addr, Token),
     Synced(Addr, u64, Vec<Out>),
+    /// The disk of this process instance has read the records that a message lacks.
+    Read(Addr, u64, Box<StoredMessage>, Vec<Option<Vec<u8>>>),
     Tick(Addr, u64),
     /// An origin request of an edge is sent; the number is the edge's process instance.
     Leave(Addr, u64, Round),
@@ -125,7 +127,9 @@
             Event::Msg(_, to, _) | Event::Ask(to, ..) | Event::Tick(to, _) | Event::Leave(to, ..) => {
                 Some(*to)
             }
-            Event::Synced(to, ..) | Event::Probe(to, _) | Event::CallerGone(to, _) => Some(*to),
+            Event::Synced(to, ..) | Event::Read(to, ..) | Event::Probe(to, _) | Event::CallerGone(to, _) => {
+                Some(*to)
+            }
             _ => None,
         };
         let frozen = to.and_then(|a| self.procs.get_mut(&a)).filter(|p| p.frozen);
@@ -138,6 +142,7 @@
             Event::Tick(a, life) => self.tick(a, life),
             Event::CallerGone(to, t) => self.step(to, In::CallerGone(t)),
             Event::Synced(a, life, batch) => self.synced(a, life, batch),
+            Event::Read(a, life, message, records) => self.on_read(a, life, message, records),
             Event::Leave(g, life, r) => self.leave(g, life, r),
             Event::Arrive(g, life, r) => self.arrive(g, life, r),
             Event::Answer(g, life, r, of, whole) => self.answer(g, life, r, of, whole),
--- a/crates/simulator/tests/single_run/stage.rs
+++ b/crates/simulator/tests/single_run/stage.rs
@@ -47,6 +47,7 @@
         room: 0,
         most: 1 << 20,
         boot: 1,
+        max_content_bytes: usize::MAX,
         losses: 1,
         leave: LEAVE,
         minimal_outcome_copies: false,
