--- a/crates/control-state/src/memory_pressure.rs
+++ b/crates/control-state/src/memory_pressure.rs
@@ -6,7 +6,7 @@
 pub enum MemoryPressure {
     #[default]
     None,
-    /// Copies are dropped, and no more are kept.
+    /// Copies are dropped, and no more are kept; so are contents that can be read from a log again.
     High,
     /// New requests are denied as well.
     Critical,
--- a/crates/ledger/src/disk_cache.rs
+++ b/crates/ledger/src/disk_cache.rs
@@ -36,6 +36,9 @@
     }
 }
 
+/// Interval at which expired copies are dropped.
+const CACHE_SWEEP: Span = Span::secs(1);
+
 pub(crate) type DiskCache = BoundedCache<Object, StoredCopy>;
 
 impl Ledger {
@@ -103,8 +106,8 @@
     }
 
     pub(crate) fn sweep_disk_cache(&mut self, now: Mono) {
-        if now - self.last_sweep >= Span::secs(1) {
-            self.last_sweep = now;
+        if now - self.last_cache_sweep >= CACHE_SWEEP {
+            self.last_cache_sweep = now;
             self.disk_cache.drop_old(now);
         }
     }
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -56,6 +56,7 @@
     pub(crate) grants: Grants,
     pub(crate) disk_cache: DiskCache,
     pub(crate) last_sweep: Mono,
+    pub(crate) last_cache_sweep: Mono,
     /// Invariant: true only if this disk has missed no grant that is still valid.
     pub(crate) open: bool,
     /// Rounds claimed under an older version of the ledger sets get no grant. Invariant: on
@@ -99,6 +100,7 @@
             grants,
             disk_cache,
             last_sweep: now,
+            last_cache_sweep: now,
             open,
             fence,
             recall: Recall::new(life),
@@ -189,6 +191,10 @@
                 }
                 out.push(Out::Tell(token, NodeReply::Health(self.health(now))));
             }
+            In::Ask(token, Ask::MemoryPressure(pressure)) => {
+                self.on_memory_pressure(pressure);
+                out.push(Out::Tell(token, NodeReply::Health(self.health(now))));
+            }
             In::Ask(token, _) => {
                 out.push(Out::Tell(token, NodeReply::Unavailable("a ledger does not serve this request")))
             }
--- a/crates/ledger/src/outcome_room.rs
+++ b/crates/ledger/src/outcome_room.rs
@@ -7,7 +7,7 @@
 use crate::ledger::Ledger;
 use crate::log_position::{LogForm, GRANTING_PERCENT};
 use crate::records::{Kept, StoredGrant, StoredState};
-use control_state::Out;
+use control_state::{MemoryPressure, Out};
 
 impl Ledger {
     /// Bytes of grants and outcomes in memory above which outcomes are evicted, or, where they can be read
@@ -46,6 +46,15 @@
         *self.counts.entry("outcomes evicted").or_default() += evicted;
     }
 
+    /// The process comes near its memory limit: contents that stand in the log leave memory.
+    pub(crate) fn on_memory_pressure(&mut self, pressure: MemoryPressure) {
+        let is_in_log = matches!(self.env.log_form, LogForm::Trimmed { .. });
+        if is_in_log && pressure > MemoryPressure::None {
+            self.count("memory pressure");
+            self.grants.release_contents(self.outcome_room(), 0);
+        }
+    }
+
     /// Evicts outcomes, oldest first, until the log needs at most so many bytes. Returns their number.
     fn evict_from_log(&mut self, limit: u64) -> u64 {
         let mut evicted = 0;
--- a/crates/machine/src/memory_watch.rs
+++ b/crates/machine/src/memory_watch.rs
@@ -1,5 +1,5 @@
-//! Keeps the process below its memory limit: returns freed memory to the operating system, has the edge give up
-//! what it can when that does not suffice, and logs which parts hold memory.
+//! Keeps the process below its memory limit: returns freed memory to the operating system, has edge and
+//! ledger give up what they can when that does not suffice, and logs which parts hold memory.
 use control_state::{Ask, MemoryPressure, NodeReply};
 use runtime::process::{release_freed_memory, resident_bytes};
 use runtime::shell::Handle;
@@ -23,8 +23,14 @@
 const LOG_STEP_PERCENT: usize = 5;
 
 /// Starts a thread that watches the memory of the process. `limit` is in bytes; `parts` are the named parts
-/// whose counters are logged. `edge` is told when memory runs short.
-pub(crate) fn watch(limit: usize, edge: Handle, parts: Vec<(&'static str, Handle)>, log: Logger) {
+/// whose counters are logged. Edge and ledger are told when memory runs short.
+pub(crate) fn watch(
+    limit: usize,
+    edge: Handle,
+    ledger: Option<Handle>,
+    parts: Vec<(&'static str, Handle)>,
+    log: Logger,
+) {
     thread::spawn(move || {
         let mut next_log_percent = FIRST_LOG_PERCENT;
         let mut told = MemoryPressure::None;
@@ -36,6 +42,10 @@
             let pressure = pressure_at(percent);
             if pressure != MemoryPressure::None || pressure != told {
                 edge.ask(Ask::MemoryPressure(pressure), ANSWER_TIMEOUT);
+                // Its answer may wait for the disk.
+                ledger.iter().for_each(|ledger| {
+                    ledger.ask(Ask::MemoryPressure(pressure), Duration::ZERO);
+                });
                 told = pressure;
             }
             if percent >= next_log_percent {
--- a/crates/machine/src/run.rs
+++ b/crates/machine/src/run.rs
@@ -198,7 +198,7 @@
             if let Some(listener) = metrics_listener {
                 metrics::serve(listener, internal_limits, registry, parts.clone());
             }
-            memory_watch::watch(memory, h.clone(), parts, log.clone());
+            memory_watch::watch(memory, h.clone(), ledger.clone(), parts, log.clone());
             // SIGHUP announces changed settings; they take effect at the next start, so it is ignored.
             if let Some(signal) = signals.forever().find(|s| *s != SIGHUP) {
                 info!(log, "shutting down"; "signal" => signal);
