--- a/crates/runtime/src/origin_response.rs
+++ b/crates/runtime/src/origin_response.rs
@@ -19,6 +19,8 @@
 enum Framing {
     Sized(u64),
     Chunked,
+    /// The body ends with the connection. If that ends in order, the body is complete.
+    UntilClose,
     /// No body, whatever the header fields say.
     Bodiless,
     Ambiguous,
@@ -34,7 +36,8 @@
         (_, []) | ([], _) if bodiless => Framing::Bodiless,
         ([n], []) => n.parse().map_or(Framing::Ambiguous, Framing::Sized),
         ([], [c]) if c.eq_ignore_ascii_case("chunked") => Framing::Chunked,
-        // Two lengths, a length together with a coding, neither of them, or an unknown coding.
+        ([], []) => Framing::UntilClose,
+        // Two lengths, a length together with a coding, or an unknown coding.
         _ => Framing::Ambiguous,
     }
 }
@@ -61,12 +64,13 @@
         length.into_iter().for_each(|n| forwarded.push("lanewing-length", n));
         ResponseRead::Complete(Whole { status, heads: forwarded, body: Arc::new(body), ..Whole::default() })
     };
+    let until_close = matches!(framing, Framing::UntilClose);
     let size = match framing {
         Framing::Bodiless => return complete_response(vec![], &heads),
         Framing::Ambiguous => return ResponseRead::Broken,
         Framing::Sized(n) if n > max_body as u64 => return ResponseRead::TooLarge,
         Framing::Sized(n) => Some(n as usize),
-        Framing::Chunked => None,
+        Framing::Chunked | Framing::UntilClose => None,
     };
     let mut body = Vec::new();
     if !reserve(size.unwrap_or(READ_STEP.min(max_body))) {
@@ -86,7 +90,7 @@
         }
     }
     // If the connection ends after any chunk, the library reports the end of the body.
-    let complete = size.map_or(!peer_closed(), |n| n == body.len());
+    let complete = size.map_or(peer_closed() == until_close, |n| n == body.len());
     if complete && content_digests_match(&heads, status, &body) {
         complete_response(body, &heads)
     } else {
--- a/crates/runtime/tests/exec_fuzz.rs
+++ b/crates/runtime/tests/exec_fuzz.rs
@@ -106,6 +106,8 @@
             Some((status, rest.get(..n.parse().ok()?)?.to_vec()))
         }
         ([], [c]) if c == "chunked" => Some((status, chunks(rest)?)),
+        // The body ends with the connection (RFC 9112, 6.3), which this origin ends in order.
+        ([], []) => Some((status, rest.to_vec())),
         _ => None,
     }
 }
