--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -7,6 +7,7 @@
 mod cacheability;
 mod claim;
 mod copies;
+mod copy_results;
 mod departures;
 mod edge;
 mod expiry;
--- a/crates/edge/src/rounds.rs
+++ b/crates/edge/src/rounds.rs
@@ -6,6 +6,9 @@
 use primitives::{Mono, Span};
 use std::sync::Arc;
 
+/// Attempts of a job that may fail before anything is sent.
+const MAX_UNSENT_ATTEMPTS: u32 = 3;
+
 /// The answer if an origin's response exceeds the size limit of this deployment.
 fn too_large() -> Whole {
     let body =
@@ -84,28 +87,9 @@
         let Stage::Out(round, token) = &job.stage else { return };
         let (round, token, sent) = (round.clone(), *token, job.stage_since);
         match outcome {
-            FetchOutcome::NotSent => {
-                job.unsent_attempts += 1;
-                let retry = job.unsent_attempts < 3;
-                self.refund(now, &round.svc, token);
-                self.note_failure(now, round.addr, round.birth);
-                self.note_unreached(now, round.addr, round.birth);
-                if retry {
-                    self.enqueue_job(now, id, out);
-                } else {
-                    self.deny(now, id, Denied::NoOrigin, out);
-                }
-            }
+            FetchOutcome::NotSent => self.on_not_sent(now, id, &round, token, out),
             FetchOutcome::Refused | FetchOutcome::WrongIncarnation => {
-                job.refused_attempts += 1;
-                let attempts_left = job.refused_attempts + job.sent_attempts < job.max_attempts;
-                self.note_failure(now, round.addr, round.birth);
-                if attempts_left && self.take_retry_token(now, &round.svc) {
-                    self.count("extra tries");
-                    self.enqueue_job(now, id, out);
-                } else {
-                    self.deny(now, id, Denied::Refused, out);
-                }
+                self.on_refused(now, id, &round, out);
             }
             FetchOutcome::Lost => {
                 job.sent_attempts += 1;
@@ -126,26 +110,69 @@
             }
             FetchOutcome::Whole(response) => {
                 job.sent_attempts += 1;
-                let (kind, safe, invalidated) = (job.kind, job.safe(), job.invalidated);
-                let invalidated = invalidated || self.purged_tags.is_purged(&response.heads, sent);
-                self.note_latency(round.addr, round.birth, now - sent);
-                let server_error = response.status >= 500;
-                let step = Step::Serve(Arc::new(response.clone()), AnswerSource::Origin, Mono(u64::MAX));
-                match kind {
-                    Kind::Read if invalidated => {
-                        self.retry_or(now, id, true, Step::OutcomeUnknown(Span::secs(1)), out);
-                    }
-                    _ if server_error && safe => {
-                        self.note_failure(now, round.addr, round.birth);
-                        if !self.retry(now, id, out) {
-                            self.finish_server_error(now, id, response, out);
-                        }
-                    }
-                    Kind::Read => self.on_read_response(now, id, (&round, sent), response, out),
-                    Kind::Plain | Kind::Once => self.finish(now, id, step, out),
-                    Kind::Keyed => self.finish_keyed(now, id, response, step, out),
+                self.on_response(now, id, (&round, sent), response, out);
+            }
+        }
+    }
+
+    /// Nothing of the attempt was sent: the job is queued again, for a limited number of times.
+    fn on_not_sent(&mut self, now: Mono, id: u64, round: &Round, token: Mono, out: &mut Vec<Out>) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.unsent_attempts += 1;
+        let retry = job.unsent_attempts < MAX_UNSENT_ATTEMPTS;
+        self.refund(now, &round.svc, token);
+        self.note_failure(now, round.addr, round.birth);
+        self.note_unreached(now, round.addr, round.birth);
+        if retry {
+            self.enqueue_job(now, id, out);
+        } else {
+            self.deny(now, id, Denied::NoOrigin, out);
+        }
+    }
+
+    /// The origin did not run the request: the job is queued again if its attempts and the retry budget
+    /// allow it.
+    fn on_refused(&mut self, now: Mono, id: u64, round: &Round, out: &mut Vec<Out>) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.refused_attempts += 1;
+        let attempts_left = job.refused_attempts + job.sent_attempts < job.max_attempts;
+        self.note_failure(now, round.addr, round.birth);
+        if attempts_left && self.take_retry_token(now, &round.svc) {
+            self.count("extra tries");
+            self.enqueue_job(now, id, out);
+        } else {
+            self.deny(now, id, Denied::Refused, out);
+        }
+    }
+
+    /// The origin answered an attempt that was begun at `sent`.
+    fn on_response(
+        &mut self,
+        now: Mono,
+        id: u64,
+        (round, sent): (&Round, Mono),
+        response: Whole,
+        out: &mut Vec<Out>,
+    ) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let (kind, safe, invalidated) = (job.kind, job.safe(), job.invalidated);
+        let invalidated = invalidated || self.purged_tags.is_purged(&response.heads, sent);
+        self.note_latency(round.addr, round.birth, now - sent);
+        let server_error = response.status >= 500;
+        let step = Step::Serve(Arc::new(response.clone()), AnswerSource::Origin, Mono(u64::MAX));
+        match kind {
+            Kind::Read if invalidated => {
+                self.retry_or(now, id, true, Step::OutcomeUnknown(Span::secs(1)), out);
+            }
+            _ if server_error && safe => {
+                self.note_failure(now, round.addr, round.birth);
+                if !self.retry(now, id, out) {
+                    self.finish_server_error(now, id, response, out);
                 }
             }
+            Kind::Read => self.on_read_response(now, id, (round, sent), response, out),
+            Kind::Plain | Kind::Once => self.finish(now, id, step, out),
+            Kind::Keyed => self.finish_keyed(now, id, response, step, out),
         }
     }
 
