--- a/crates/runtime/src/executor.rs
+++ b/crates/runtime/src/executor.rs
@@ -207,12 +207,14 @@
         let Some(NodeReply::Probes(origins)) = h.ask(Ask::Probes, Duration::from_secs(1)) else { continue };
         for addr in origins {
             let (h, agent) = (h.clone(), agent.clone());
-            thread::spawn(move || {
+            let job = move || {
                 let started = crate::now();
                 set_send_deadline(Mono(u64::MAX));
                 let result = probe_origin(&agent, addr);
                 h.ask(Ask::ProbeResult(addr, result, started), Duration::from_secs(1));
-            });
+            };
+            // Without a thread for it the origin is probed the next time.
+            let _ = thread::Builder::new().spawn(job);
         }
     });
 }
--- a/crates/runtime/src/origin_client.rs
+++ b/crates/runtime/src/origin_client.rs
@@ -4,7 +4,8 @@
 use std::cell::Cell;
 use std::time::Duration;
 use ureq::config::Config;
-use ureq::unversioned::resolver::DefaultResolver;
+use ureq::http::Uri;
+use ureq::unversioned::resolver::{ResolvedSocketAddrs, Resolver};
 use ureq::unversioned::transport::{
     Buffers, ConnectionDetails, Connector, NextTimeout, TcpConnector, Transport,
 };
@@ -61,6 +62,20 @@
     }
 }
 
+/// Takes the address of an origin as it stands in the URL, where there are no host names. The library's
+/// resolver would start a thread for each request.
+#[derive(Debug)]
+struct AddressResolver;
+
+impl Resolver for AddressResolver {
+    fn resolve(&self, uri: &Uri, _: &Config, _: NextTimeout) -> Result<ResolvedSocketAddrs, ureq::Error> {
+        let address = uri.authority().and_then(|authority| authority.as_str().parse().ok());
+        let mut addresses = self.empty();
+        addresses.push(address.ok_or(ureq::Error::HostNotFound)?);
+        Ok(addresses)
+    }
+}
+
 /// A client with the given timeouts for a whole request and for connecting. It does not pool: a
 /// kept-alive connection could outlive the service behind it.
 pub(crate) fn agent(timeout: Duration, connect: Duration) -> Agent {
@@ -81,7 +96,7 @@
         .timeout_global(Some(timeout))
         .build();
     let tcp: TcpConnector = TcpConnector::default();
-    Agent::with_parts(config, Connector::<()>::chain(tcp, DeadlineConnector), DefaultResolver::default())
+    Agent::with_parts(config, Connector::<()>::chain(tcp, DeadlineConnector), AddressResolver)
 }
 
 /// Begins an attempt on this thread, which must not be sent after `deadline`.
