--- a/crates/runtime/tests/exec_threads.rs
+++ b/crates/runtime/tests/exec_threads.rs
@@ -7,17 +7,21 @@
 use std::io::{Read, Write};
 use std::net::TcpListener;
 use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::sync::mpsc::channel;
 use std::sync::Arc;
 use std::thread;
 
 /// Less than the stack of a thread, and enough for the buffers of an attempt.
 const ADDRESS_SPACE_LEFT: u64 = 1 << 20;
 
-/// An origin that answers one request.
+/// An origin that answers one request. Its thread has reserved all its memory when this returns: the allocator
+/// reserves twice what it keeps for a thread and releases half of it.
 fn origin() -> Addr {
     let l = TcpListener::bind("127.0.0.1:0").expect("loopback");
     let at = Addr(l.local_addr().expect("bound"));
+    let (settled, is_settled) = channel();
     thread::spawn(move || {
+        settled.send(vec![0u8; 100]).expect("the test waits");
         let (mut s, _) = l.accept().expect("a connection");
         let (mut head, mut byte) = (vec![], [0u8; 1]);
         while !head.ends_with(b"\r\n\r\n") {
@@ -26,6 +30,7 @@
         }
         s.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").expect("written");
     });
+    is_settled.recv().expect("the thread runs");
     at
 }
 
